--- /dev/null
+++ b/include/mimosavalve/core/verdict.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string_view>
+
+namespace mimosavalve {
+
+/// Whether a request may have run on a target. Only `not_run` permits a retry.
+enum class traffic_verdict {
+    not_run,
+    may_have_run,
+    ran,
+};
+
+/// Value of the `Mimosavalve-Verdict` header: "not-run", "may-have-run" or "ran".
+std::string_view to_string(traffic_verdict verdict);
+
+}  // namespace mimosavalve
--- /dev/null
+++ b/include/mimosavalve/router/routing_snapshot.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "mimosavalve/config/fleet_config.hpp"
+#include "mimosavalve/core/types.hpp"
+#include "mimosavalve/ownership/shard_state.hpp"
+
+namespace mimosavalve::router {
+
+/// End of a serving lease. The control thread writes it on each renewal and traffic threads read it
+/// just before they send, so it is not part of the immutable snapshot.
+class lease_deadline {
+public:
+    [[nodiscard]] steady_time until() const {
+        return steady_time(steady_time::duration(until_.load(std::memory_order_acquire)));
+    }
+
+    void extend_to(steady_time until) {
+        until_.store(until.time_since_epoch().count(), std::memory_order_release);
+    }
+
+private:
+    std::atomic<steady_time::rep> until_{0};
+};
+
+/// What a router knows of one shard. Shared by several threads for the length of one decision.
+struct shard_view {
+    std::shared_ptr<const ownership::shard_state> state;
+    version in_force;                                     ///< Newest version known to be in force.
+    std::shared_ptr<const lease_deadline> serving_lease;  ///< Lease for exactly `state->at`.
+};
+
+/// Immutable input of all routing decisions; the control thread replaces it as a whole.
+struct routing_snapshot {
+    std::shared_ptr<const config::fleet_config> config;
+    std::vector<shard_view> shards;  ///< Sorted by shard id.
+    std::string own_region;
+    std::vector<std::uint64_t> quarantined;  ///< Fingerprints of requests held back; sorted.
+    std::uint32_t live_routers = 1;          ///< Routers that share each limit, this one included.
+};
+
+/// View of a shard, or null.
+const shard_view* find_shard(const routing_snapshot& snapshot, const shard_id& shard);
+
+/// Whether a request may be sent to the owner under this run: its previous owner is proved to have
+/// stopped.
+bool is_active(const ownership::assignment& run, const version& in_force);
+bool is_active(const ownership::hot_key& key, const version& in_force);
+
+}  // namespace mimosavalve::router
