Add the stand-in of a platform target

Cause: the router needs targets whose fences, deadlines, cold start and faults are under control.

Change: mv-target serves probes, orders, requests and fault orders on one thread, so that a freeze stops everything as a paused process would. Settings are read from YAML, and all problems are listed with file, line, field, value and what is allowed.

--- /dev/null
+++ b/apps/mv-target/main.cpp
@@ -0,0 +1,94 @@
+#include <easylogging++.h>
+#include <tclap/CmdLine.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "mimosavalve/load/program_arguments.hpp"
+#include "mimosavalve/standins/target_server.hpp"
+#include "mimosavalve/standins/target_settings.hpp"
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace load = mimosavalve::load;
+namespace standins = mimosavalve::standins;
+
+namespace {
+
+struct override_argument {
+    std::string field;
+    std::unique_ptr<TCLAP::ValueArg<std::string>> argument;
+};
+
+// Fields that differ between the instances of one settings file.
+std::vector<override_argument> add_overrides(TCLAP::CmdLine& command_line) {
+    const std::vector<std::string> fields{"id",     "listen",         "port_file",   "service",
+                                          "region", "failure_domain", "history_file"};
+    std::vector<override_argument> overrides;
+    for (const auto& field : fields) {
+        auto name = field;
+        for (auto& letter : name) {
+            letter = letter == '_' ? '-' : letter;
+        }
+        overrides.push_back(
+            {field, std::make_unique<TCLAP::ValueArg<std::string>>(
+                        "", name, "replaces the field " + field, false, "", "text", command_line)});
+    }
+    return overrides;
+}
+
+std::vector<load::settings_override> values_of(const std::vector<override_argument>& overrides) {
+    std::vector<load::settings_override> values;
+    for (const auto& item : overrides) {
+        if (item.argument->isSet()) {
+            values.emplace_back(item.field, item.argument->getValue());
+        }
+    }
+    return values;
+}
+
+int run(const standins::target_settings& settings) {
+    boost::asio::io_context context(1);
+    standins::target_server server(context, settings);
+    if (const auto error = server.start()) {
+        std::cerr << "field 'listen' has value '" << settings.listen
+                  << "', or a file can't be written: " << error.message()
+                  << "; allowed: a free \"ip:port\", and writable files\n";
+        return load::bad_settings_exit_code;
+    }
+    LOG(INFO) << "target " << settings.id << " listens on port " << server.port();
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code error, int) {
+        if (!error) {
+            LOG(INFO) << "target " << settings.id << " leaves";
+            server.leave();
+        }
+    });
+    context.run();
+    return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    TCLAP::CmdLine command_line("stand-in of a platform target", ' ', MV_VERSION);
+    TCLAP::ValueArg<std::string> config("c", "config", "settings in YAML", false, "", "file",
+                                        command_line);
+    const auto overrides = add_overrides(command_line);
+    int exit_code = 0;
+    if (!load::parse_arguments(command_line, argc, argv, exit_code)) {
+        return exit_code;
+    }
+    std::vector<load::settings_problem> problems;
+    const auto settings =
+        standins::read_target_settings(config.getValue(), values_of(overrides), problems);
+    if (!problems.empty()) {
+        load::print_problems(std::cerr, problems);
+        return load::bad_settings_exit_code;
+    }
+    return run(settings);
+}
