--- a/include/mimosavalve/config/fleet_config.hpp
+++ b/include/mimosavalve/config/fleet_config.hpp
@@ -48,6 +48,9 @@
     std::string name;
     std::vector<std::string> home_regions;  ///< Empty: may be served anywhere.
     double requests_per_second = 0;         ///< 0: not limited.
+    /// The home regions have changed and are not activated: requests of the account are refused
+    /// `not_run`, so that no key is served in an old and a new region at the same time.
+    bool home_moving = false;
 
     bool operator==(const account_config&) const = default;
 };
