Add control plane: voters, serving leases, leader and handover

Change: pure decisions (voter, serving lease, in force, loss detector, placement, membership, idempotency table) and a state machine over the ports. The message format gains configuration fetch and update, addresses of outstanding leases, remaining time of held-back fingerprints, and the `leaving` word of a target's probe.

--- a/include/mimosavalve/ownership/shard_state.hpp
+++ b/include/mimosavalve/ownership/shard_state.hpp
@@ -105,6 +105,10 @@
 void assign(shard_state& state, std::string_view service, slot_number first_slot,
             std::uint32_t count, std::string_view owner, const version& fence);
 
+/// Clears `previous_owner` of the runs inside the range: that owner is proved to have stopped.
+void finish_handover(shard_state& state, std::string_view service, slot_number first_slot,
+                     std::uint32_t count);
+
 /// Fewest votes that are more than half of all voters and the store.
 std::uint32_t quorum_of(const shard_state& state);
 
--- /dev/null
+++ b/src/control/fleet_watch.cpp
@@ -0,0 +1,89 @@
+#include "control/fleet_watch.hpp"
+
+#include <algorithm>
+
+#include "mimosavalve/core/error.hpp"
+
+namespace mimosavalve::control::detail {
+
+namespace {
+
+/// Takes a newer configuration; an older one is never taken back.
+void take_config(control_state& self, const std::string& bytes) {
+    auto decoded = self.decode_config(bytes);
+    if (!decoded) {
+        record(self, "config-fault", "config", "the value is not a configuration");
+        return;
+    }
+    if (self.config && decoded->version <= self.config->version) {
+        return;
+    }
+    self.config = std::make_shared<const config::fleet_config>(std::move(*decoded));
+    self.config_bytes = bytes;
+    self.snapshot_changed = true;
+    create_entries(self);
+    record(self, "config", std::to_string(self.config->version), "a newer version was received");
+}
+
+void watch_config(control_state& self, steady_time now) {
+    if (self.config_busy || now < self.next_config_watch) {
+        return;
+    }
+    self.config_busy = true;
+    auto seen = [&self](std::error_code error, const ports::store_entry& value) {
+        self.config_busy = false;
+        if (error && error != errc::not_found) {
+            self.next_config_watch = now_of(self) + self.settings.intervals.store_retry;
+            return;
+        }
+        self.next_config_watch = now_of(self);
+        if (error || value.revision == 0) {
+            self.config_revision = 0;
+            self.next_config_watch += self.settings.intervals.store_retry;
+        } else if (value.revision != self.config_revision) {
+            self.config_revision = value.revision;
+            take_config(self, value.value);
+        }
+    };
+    self.ports.store.watch("config", self.config_revision,
+                           now + self.settings.intervals.store_watch, guarded(self, seen));
+}
+
+void read_host_list(control_state& self, steady_time now) {
+    if (self.host_list_busy || now < self.next_host_list) {
+        return;
+    }
+    self.host_list_busy = true;
+    self.next_host_list = now + self.settings.intervals.host_list_interval;
+    auto done = [&self](std::error_code error, const std::vector<ports::listed_host>& hosts) {
+        self.host_list_busy = false;
+        if (!error) {
+            self.listed = hosts;
+        }
+    };
+    self.ports.host_list.read(now + self.settings.intervals.host_list_interval,
+                              guarded(self, done));
+}
+
+}  // namespace
+
+void tick_fleet_watch(control_state& self, steady_time now) {
+    watch_config(self, now);
+    read_host_list(self, now);
+}
+
+void handle_config_fetch(control_state& self, const wire::Envelope& message) {
+    if (!self.config || self.config->version <= message.config_fetch().held()) {
+        return;
+    }
+    wire::Envelope answer;
+    answer.mutable_config_update()->set_version(self.config->version);
+    answer.mutable_config_update()->set_value(self.config_bytes);
+    send(self, message.sender_address(), std::move(answer));
+}
+
+void handle_config_update(control_state& self, const wire::Envelope& message) {
+    take_config(self, message.config_update().value());
+}
+
+}  // namespace mimosavalve::control::detail
--- /dev/null
+++ b/src/control/idempotency_table.cpp
@@ -0,0 +1,62 @@
+#include "mimosavalve/control/idempotency_table.hpp"
+
+#include <algorithm>
+
+namespace mimosavalve::control {
+
+namespace detail {
+
+void forget_oldest(idempotency_table& table) {
+    const auto& oldest = table.oldest_first.front();
+    table.forgotten_unix_ms = std::max(table.forgotten_unix_ms, oldest.first_attempt_unix_ms);
+    table.known.erase(oldest.key);
+    table.oldest_first.pop_front();
+}
+
+void forget_expired(idempotency_table& table, std::uint64_t now_unix_ms, const timing& intervals) {
+    const auto retention = static_cast<std::uint64_t>(intervals.claim_retention.count());
+    const auto limit = now_unix_ms > retention ? now_unix_ms - retention : 0;
+    while (!table.oldest_first.empty() &&
+           table.oldest_first.front().first_attempt_unix_ms < limit) {
+        forget_oldest(table);
+    }
+    table.forgotten_unix_ms = std::max(table.forgotten_unix_ms, limit);
+}
+
+}  // namespace detail
+
+idempotency_table start_table(std::uint64_t now_unix_ms) {
+    idempotency_table table;
+    table.began_unix_ms = now_unix_ms;
+    return table;
+}
+
+claim_status claim(idempotency_table& table, std::string_view key,
+                   std::uint64_t first_attempt_unix_ms, std::uint64_t now_unix_ms,
+                   const timing& intervals) {
+    detail::forget_expired(table, now_unix_ms, intervals);
+    std::string name(key);
+    if (table.known.contains(name)) {
+        return claim_status::duplicate;
+    }
+    const auto skew = static_cast<std::uint64_t>(intervals.claim_clock_skew.count());
+    const bool too_old = first_attempt_unix_ms <= table.began_unix_ms + 2 * skew ||
+                         first_attempt_unix_ms <= table.forgotten_unix_ms;
+    // A time in the future would still look new to the next leader.
+    const bool too_new = first_attempt_unix_ms > now_unix_ms + skew;
+    if (too_old || too_new) {
+        return claim_status::too_old;
+    }
+    if (table.oldest_first.size() >= intervals.most_claims) {
+        detail::forget_oldest(table);
+    }
+    // Making room may have moved the limit past this key.
+    if (first_attempt_unix_ms <= table.forgotten_unix_ms) {
+        return claim_status::too_old;
+    }
+    table.oldest_first.push_back({first_attempt_unix_ms, name});
+    table.known.insert(std::move(name));
+    return claim_status::granted;
+}
+
+}  // namespace mimosavalve::control
--- /dev/null
+++ b/src/control/loss_detector.cpp
@@ -0,0 +1,142 @@
+#include "mimosavalve/control/loss_detector.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace mimosavalve::control {
+
+namespace detail {
+
+struct domain_count {
+    std::size_t all = 0;
+    std::size_t lost = 0;
+};
+
+/// A single domain may be lost as a whole; two at once are more likely a fault of the observers.
+bool is_wide_loss(std::span<const ownership::target> targets,
+                  const std::vector<std::string>& lost) {
+    std::map<std::string, domain_count> domains;
+    for (const auto& target : targets) {
+        if (target.condition == ownership::target_condition::lost) {
+            continue;
+        }
+        auto& domain = domains[target.failure_domain];
+        ++domain.all;
+        domain.lost += std::find(lost.begin(), lost.end(), target.id) != lost.end() ? 1U : 0U;
+    }
+    const auto wide = std::count_if(domains.begin(), domains.end(), [](const auto& entry) {
+        return entry.second.lost * 2 > entry.second.all;
+    });
+    return wide >= 2;
+}
+
+const target_history* find_history(const loss_detector& detector, std::string_view target) {
+    const auto found =
+        std::find_if(detector.history.begin(), detector.history.end(),
+                     [&](const target_history& entry) { return entry.target == target; });
+    return found == detector.history.end() ? nullptr : &*found;
+}
+
+}  // namespace detail
+
+void observe(loss_detector& detector, target_observation seen) {
+    const auto known =
+        std::find_if(detector.observations.begin(), detector.observations.end(),
+                     [&](const target_observation& entry) {
+                         return entry.target == seen.target && entry.router == seen.router;
+                     });
+    if (known == detector.observations.end()) {
+        detector.observations.push_back(std::move(seen));
+        return;
+    }
+    if (!seen.last_success) {
+        seen.last_success = known->last_success;
+    }
+    *known = std::move(seen);
+}
+
+void forget_observations(loss_detector& detector, steady_time before) {
+    std::erase_if(detector.observations,
+                  [&](const target_observation& seen) { return seen.received < before; });
+}
+
+std::optional<steady_time> last_success(const loss_detector& detector, std::string_view target) {
+    std::optional<steady_time> latest;
+    for (const auto& seen : detector.observations) {
+        if (seen.target == target && seen.last_success) {
+            latest = std::max(latest.value_or(*seen.last_success), *seen.last_success);
+        }
+    }
+    return latest;
+}
+
+bool looks_lost(const loss_detector& detector, const ownership::target& target, steady_time now,
+                const timing& intervals) {
+    const auto success = last_success(detector, target.id);
+    std::size_t tried = 0;
+    std::size_t failing = 0;
+    bool from_outside = false;
+    for (const auto& seen : detector.observations) {
+        if (seen.target != target.id) {
+            continue;
+        }
+        ++tried;
+        if (!seen.failing_since) {
+            continue;
+        }
+        const auto since = std::max(*seen.failing_since, success.value_or(*seen.failing_since));
+        if (now - since < intervals.loss_after) {
+            continue;
+        }
+        ++failing;
+        from_outside = from_outside || seen.failure_domain != target.failure_domain;
+    }
+    return failing > 0 && ((failing >= 2 && from_outside) || failing == tried);
+}
+
+std::vector<std::string> lost_targets(loss_detector& detector,
+                                      std::span<const ownership::target> targets, steady_time now,
+                                      const timing& intervals) {
+    std::vector<std::string> lost;
+    for (const auto& target : targets) {
+        if (target.condition != ownership::target_condition::lost &&
+            looks_lost(detector, target, now, intervals)) {
+            lost.push_back(target.id);
+        }
+    }
+    if (!detail::is_wide_loss(targets, lost)) {
+        detector.wide_loss_since.reset();
+        return lost;
+    }
+    if (!detector.wide_loss_since) {
+        detector.wide_loss_since = now;
+    }
+    if (now - *detector.wide_loss_since < intervals.wide_loss_hold) {
+        lost.clear();
+    }
+    return lost;
+}
+
+void note_lost(loss_detector& detector, std::string_view target, steady_time now,
+               const timing& intervals) {
+    auto known = std::find_if(detector.history.begin(), detector.history.end(),
+                              [&](const target_history& entry) { return entry.target == target; });
+    if (known == detector.history.end()) {
+        known = detector.history.insert(known, {std::string(target), {}});
+    }
+    std::erase_if(known->losses, [&](steady_time at) { return now - at > intervals.loss_memory; });
+    known->losses.push_back(now);
+    std::erase_if(detector.observations,
+                  [&](const target_observation& seen) { return seen.target == target; });
+}
+
+steady_time may_return_at(const loss_detector& detector, std::string_view target,
+                          const timing& intervals) {
+    const auto* history = detail::find_history(detector, target);
+    if (history == nullptr || history->losses.size() < intervals.losses_before_hold) {
+        return {};
+    }
+    return history->losses.back() + intervals.return_hold;
+}
+
+}  // namespace mimosavalve::control
--- /dev/null
+++ b/src/control/shard_write.cpp
@@ -0,0 +1,208 @@
+#include "control/shard_write.hpp"
+
+#include <algorithm>
+
+#include "control/leader_lease.hpp"
+#include "control/leader_role.hpp"
+#include "control/router_role.hpp"
+#include "mimosavalve/core/error.hpp"
+
+namespace mimosavalve::control::detail {
+
+namespace {
+
+std::string state_key(const shard_id& shard) {
+    return "shards/" + to_string(shard);
+}
+
+ownership::shard_state first_state(const control_state& self, const shard_id& shard) {
+    ownership::shard_state state;
+    state.shard = shard;
+    state.voters.push_back(
+        {self.settings.self, self.settings.failure_domain, self.settings.address});
+    state.store_weight = 1;
+    return state;
+}
+
+/// Writes the newest known state under the next epoch, so that nothing of an earlier leader can be
+/// recorded any more.
+void begin_claim(control_state& self, shard_entry& entry, steady_time now) {
+    auto next = entry.state ? *entry.state : first_state(self, entry.id);
+    next.at = {next.at.epoch + 1, 1};
+    next.leader = self.settings.self;
+    next.leader_address = self.settings.address;
+    event claimed;
+    claimed.kind = "claim-epoch";
+    claimed.subject = to_string(self.settings.self);
+    claimed.cause = "holds the leader key";
+    begin_write(self, entry, std::move(next), {}, {claimed}, now);
+}
+
+/// What the store holds is newer than, or the same as, what this daemon holds.
+void learn(control_state& self, shard_entry& entry, const ports::store_entry& value,
+           steady_time now) {
+    std::error_code error;
+    auto state = ownership::decode_shard_state(value.value, error);
+    if (!state || state->shard != entry.id) {
+        record(self, "store-fault", state_key(entry.id), "the value is not a state", &entry);
+        return;
+    }
+    entry.leader->known_absent = false;
+    adopt(self, entry, std::make_shared<const ownership::shard_state>(std::move(*state)), now);
+}
+
+/// The write has taken effect: the state is recorded and may be spread.
+void finish_write(control_state& self, shard_entry& entry, std::uint64_t revision,
+                  steady_time now) {
+    auto& leader = *entry.leader;
+    const auto write = std::move(*leader.write);
+    leader.write.reset();
+    leader.revision = revision;
+    // Under another lease of this process a different leader may have acted in between.
+    leader.claimed = leader.lease.holds_key && leader.lease.id == write.lease;
+    for (const auto& target : write.lost_targets) {
+        note_lost(leader.losses, target, now, self.settings.intervals);
+        leader.seen.erase(target);
+    }
+    adopt(self, entry, write.state, now);
+    for (const auto& change : write.changes) {
+        record(self, change.kind, change.subject, change.cause, &entry);
+    }
+    advance_leader(self, entry, now);
+}
+
+/// The write did not take effect, or another one came first.
+void drop_write(control_state& self, shard_entry& entry, const ports::store_entry& value,
+                steady_time now) {
+    auto& leader = *entry.leader;
+    leader.write.reset();
+    leader.revision = value.revision;
+    if (value.revision == 0) {
+        return;
+    }
+    learn(self, entry, value, now);
+    const bool led_by_self = entry.state && entry.state->leader == self.settings.self;
+    if (!led_by_self) {
+        leader.claimed = false;
+    }
+}
+
+bool is_same_write(const ownership::shard_state& written, const ports::store_entry& value) {
+    std::error_code error;
+    const auto found = ownership::decode_shard_state(value.value, error);
+    return found && found->at == written.at && found->leader == written.leader &&
+           found->write_nonce == written.write_nonce;
+}
+
+void read_back(control_state& self, shard_entry& entry, steady_time now) {
+    entry.leader->write->busy = true;
+    auto done = [&self, &entry](std::error_code error, const ports::store_entry& value) {
+        const auto at = now_of(self);
+        auto& leader = *entry.leader;
+        if (!leader.write) {
+            return;
+        }
+        leader.write->busy = false;
+        if (error == errc::not_found) {
+            drop_write(self, entry, {}, at);
+        } else if (error) {
+            leader.write->next_try = at + self.settings.intervals.store_retry;
+        } else if (is_same_write(*leader.write->state, value)) {
+            finish_write(self, entry, value.revision, at);
+        } else {
+            drop_write(self, entry, value, at);
+        }
+    };
+    self.ports.store.read(state_key(entry.id), now + self.settings.intervals.store_timeout,
+                          guarded(self, done));
+}
+
+void send_write(control_state& self, shard_entry& entry, steady_time now) {
+    auto& leader = *entry.leader;
+    leader.write->busy = true;
+    auto done = [&self, &entry](std::error_code error, std::uint64_t revision) {
+        const auto at = now_of(self);
+        if (!entry.leader->write) {
+            return;
+        }
+        entry.leader->write->busy = false;
+        if (!error) {
+            finish_write(self, entry, revision, at);
+            return;
+        }
+        // Also after a conflict: an earlier write of this process may have arrived late.
+        read_back(self, entry, at);
+    };
+    const auto deadline = std::min(now + self.settings.intervals.store_timeout, leader.lease.until);
+    self.ports.store.compare_and_swap(state_key(entry.id), leader.revision.value_or(0),
+                                      ownership::encode(*leader.write->state), 0, deadline,
+                                      guarded(self, done));
+}
+
+}  // namespace
+
+void read_state(control_state& self, shard_entry& entry, steady_time now) {
+    auto& leader = *entry.leader;
+    if (leader.reading_state || leader.write) {
+        return;
+    }
+    leader.reading_state = true;
+    leader.next_read = now + self.settings.intervals.store_retry;
+    auto done = [&self, &entry](std::error_code error, const ports::store_entry& value) {
+        auto& state = *entry.leader;
+        const auto at = now_of(self);
+        state.reading_state = false;
+        state.next_read = at + self.settings.intervals.store_retry;
+        if (error && error != errc::not_found) {
+            return;
+        }
+        const bool absent = static_cast<bool>(error);
+        state.known_absent = absent;
+        if (!absent) {
+            learn(self, entry, value, at);
+        }
+        if (state.lease.holds_key) {
+            state.revision = absent ? 0 : value.revision;
+            tick_shard_write(self, entry, at);
+        }
+    };
+    self.ports.store.read(state_key(entry.id), now + self.settings.intervals.store_timeout,
+                          guarded(self, done));
+}
+
+void begin_write(control_state& self, shard_entry& entry, ownership::shard_state next,
+                 std::vector<std::string> lost_targets, std::vector<event> changes,
+                 steady_time now) {
+    if (!has_store_lease(entry, now)) {
+        return;
+    }
+    next.write_nonce = self.random();
+    state_write write;
+    write.state = std::make_shared<const ownership::shard_state>(std::move(next));
+    write.lease = entry.leader->lease.id;
+    write.lost_targets = std::move(lost_targets);
+    write.changes = std::move(changes);
+    entry.leader->write = std::move(write);
+    send_write(self, entry, now);
+}
+
+void tick_shard_write(control_state& self, shard_entry& entry, steady_time now) {
+    auto& leader = *entry.leader;
+    if (leader.write) {
+        if (!leader.write->busy && now >= leader.write->next_try) {
+            read_back(self, entry, now);
+        }
+        return;
+    }
+    const bool needs_read = leader.lease.holds_key ? !leader.revision : !entry.state;
+    if (needs_read && !leader.reading_state && now >= leader.next_read) {
+        read_state(self, entry, now);
+        return;
+    }
+    if (has_store_lease(entry, now) && leader.revision && !leader.claimed &&
+        !self.resigning_since) {
+        begin_claim(self, entry, now);
+    }
+}
+
+}  // namespace mimosavalve::control::detail
--- /dev/null
+++ b/src/control/target_plan.cpp
@@ -0,0 +1,201 @@
+#include "control/target_plan.hpp"
+
+#include <algorithm>
+
+namespace mimosavalve::control::detail {
+
+namespace {
+
+using ownership::target_condition;
+
+void note(planned_state& plan, std::string kind, const std::string& target, std::string cause) {
+    event change;
+    change.kind = std::move(kind);
+    change.subject = target;
+    change.cause = std::move(cause);
+    plan.changes.push_back(std::move(change));
+}
+
+template <typename List>
+bool contains(const List& list, const std::string& value) {
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+const config::service_config* find_service(const control_state& self, const std::string& name) {
+    const auto& services = self.config->services;
+    const auto found =
+        std::find_if(services.begin(), services.end(),
+                     [&](const config::service_config& entry) { return entry.name == name; });
+    return found == services.end() ? nullptr : &*found;
+}
+
+const ports::listed_host* find_listed(const control_state& self, const std::string& id) {
+    const auto found = std::find_if(
+        self.listed.begin(), self.listed.end(),
+        [&](const ports::listed_host& host) { return host.role == "target" && host.id == id; });
+    return found == self.listed.end() ? nullptr : &*found;
+}
+
+const seen_target* find_seen(const shard_entry& entry, const std::string& id) {
+    const auto found = entry.leader->seen.find(id);
+    return found == entry.leader->seen.end() ? nullptr : &found->second;
+}
+
+/// Why a target is to hand its slots on; empty when it stays.
+std::string reason_to_leave(const control_state& self, const shard_entry& entry,
+                            const ownership::target& target) {
+    if (contains(self.config->drained_targets, target.id)) {
+        return "drained by an operator";
+    }
+    if (contains(self.config->removed_domains, target.failure_domain)) {
+        return "failure domain " + target.failure_domain + " is removed";
+    }
+    const auto* listed = find_listed(self, target.id);
+    if (listed != nullptr && listed->leaving) {
+        return "the host list says that it leaves";
+    }
+    const auto* seen = find_seen(entry, target.id);
+    if (seen != nullptr && seen->leaving) {
+        return "it says that it leaves";
+    }
+    return "";
+}
+
+/// Only an own probe proves that the target runs now, with which instance.
+bool answers_probes(const control_state& self, const shard_entry& entry, const std::string& id,
+                    steady_time now) {
+    const auto* seen = find_seen(entry, id);
+    return seen != nullptr && seen->instance != 0 &&
+           now - seen->own_success <= 2 * self.settings.intervals.probe_interval;
+}
+
+void update_condition(const control_state& self, const shard_entry& entry, planned_state& plan,
+                      ownership::target& target, steady_time now) {
+    if (contains(plan.lost, target.id)) {
+        target.condition = target_condition::lost;
+        note(plan, "target-lost", target.id, "routers report failures and no success");
+        return;
+    }
+    const auto leave = reason_to_leave(self, entry, target);
+    const auto wanted = leave.empty() ? target_condition::active : target_condition::leaving;
+    if (target.condition == target_condition::lost) {
+        const auto from = may_return_at(entry.leader->losses, target.id, self.settings.intervals);
+        if (now < from || !answers_probes(self, entry, target.id, now)) {
+            return;
+        }
+        target.condition = wanted;
+        target.instance = find_seen(entry, target.id)->instance;
+        target.fresh_since = plan.next.at;
+        note(plan, "target-return", target.id, "it answers probes again");
+    } else if (target.condition != wanted) {
+        target.condition = wanted;
+        note(plan, wanted == target_condition::leaving ? "target-leave" : "target-stay", target.id,
+             leave);
+    }
+}
+
+void update_instance(const shard_entry& entry, planned_state& plan, ownership::target& target) {
+    const auto* seen = find_seen(entry, target.id);
+    if (seen == nullptr || target.condition == target_condition::lost) {
+        return;
+    }
+    if (seen->instance != 0 && seen->instance != target.instance) {
+        target.instance = seen->instance;
+        target.fresh_since = plan.next.at;
+        note(plan, "target-restart", target.id, "its instance has changed");
+    } else if (seen->cold) {
+        target.fresh_since = plan.next.at;
+        note(plan, "target-cold", target.id, "a router reports that it turned cold");
+    }
+}
+
+void update_description(const control_state& self, planned_state& plan, ownership::target& target) {
+    const auto* service = find_service(self, target.service);
+    const auto* listed = find_listed(self, target.id);
+    auto updated = target;
+    if (service != nullptr) {
+        updated.checks_fence = service->checks_fence;
+    }
+    if (listed != nullptr) {
+        updated.address = listed->address;
+        updated.slots = listed->slots;
+        updated.connections = listed->connections;
+    }
+    if (updated != target) {
+        target = updated;
+        note(plan, "target-change", target.id, "host list or configuration has changed");
+    }
+}
+
+bool is_used(const ownership::shard_state& state, const std::string& id) {
+    return std::any_of(state.assignments.begin(), state.assignments.end(),
+                       [&](const ownership::assignment& run) {
+                           return run.owner == id || run.previous_owner == id;
+                       });
+}
+
+void remove_unlisted(const control_state& self, planned_state& plan) {
+    // An empty list is more likely a fault of the list than the end of all targets.
+    if (self.listed.empty()) {
+        return;
+    }
+    auto& targets = plan.next.targets;
+    for (auto target = targets.begin(); target != targets.end();) {
+        const bool gone = target->condition != target_condition::active &&
+                          find_listed(self, target->id) == nullptr &&
+                          !is_used(plan.next, target->id);
+        if (!gone) {
+            ++target;
+            continue;
+        }
+        note(plan, "target-removed", target->id, "not listed any more and without slots");
+        target = targets.erase(target);
+    }
+}
+
+void add_listed(const control_state& self, const shard_entry& entry, planned_state& plan,
+                steady_time now) {
+    for (const auto& host : self.listed) {
+        const auto* service = find_service(self, host.service);
+        const bool new_here = host.role == "target" && host.region == self.settings.region &&
+                              service != nullptr &&
+                              ownership::find_target(plan.next, host.id) == nullptr;
+        if (!new_here || !answers_probes(self, entry, host.id, now)) {
+            continue;
+        }
+        ownership::target added;
+        added.id = host.id;
+        added.service = host.service;
+        added.address = host.address;
+        added.failure_domain = host.failure_domain;
+        added.slots = host.slots;
+        added.connections = host.connections;
+        added.checks_fence = service->checks_fence;
+        added.instance = find_seen(entry, host.id)->instance;
+        added.fresh_since = plan.next.at;
+        if (!reason_to_leave(self, entry, added).empty()) {
+            continue;
+        }
+        note(plan, "target-join", added.id, "listed and answers probes");
+        plan.next.targets.push_back(std::move(added));
+    }
+}
+
+}  // namespace
+
+void plan_targets(control_state& self, shard_entry& entry, planned_state& plan, steady_time now) {
+    auto& leader = *entry.leader;
+    plan.lost = lost_targets(leader.losses, plan.next.targets, now, self.settings.intervals);
+    for (auto& target : plan.next.targets) {
+        update_condition(self, entry, plan, target, now);
+        update_instance(entry, plan, target);
+        update_description(self, plan, target);
+    }
+    for (auto& [id, seen] : leader.seen) {
+        seen.cold = false;
+    }
+    add_listed(self, entry, plan, now);
+    remove_unlisted(self, plan);
+}
+
+}  // namespace mimosavalve::control::detail
--- /dev/null
+++ b/src/control/target_plan.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "control/control_state.hpp"
+
+namespace mimosavalve::control::detail {
+
+/// The next state while it is put together.
+struct planned_state {
+    ownership::shard_state next;
+    std::vector<std::string> lost;  ///< Targets that it declares lost.
+    std::vector<event> changes;
+};
+
+/// Adds, updates and removes targets by host list, configuration, probes and evidence.
+void plan_targets(control_state& self, shard_entry& entry, planned_state& plan, steady_time now);
+
+}  // namespace mimosavalve::control::detail
--- a/src/ownership/shard_state.cpp
+++ b/src/ownership/shard_state.cpp
@@ -124,6 +124,20 @@
     detail::merge_runs(state.assignments);
 }
 
+void finish_handover(shard_state& state, std::string_view service, slot_number first_slot,
+                     std::uint32_t count) {
+    detail::split_before(state, service, first_slot);
+    detail::split_before(state, service, first_slot + count);
+    for (auto& run : state.assignments) {
+        const bool inside = run.service == service && run.first_slot >= first_slot &&
+                            run.first_slot + run.count <= first_slot + count;
+        if (inside) {
+            run.previous_owner.clear();
+        }
+    }
+    detail::merge_runs(state.assignments);
+}
+
 std::uint32_t quorum_of(const shard_state& state) {
     return (static_cast<std::uint32_t>(state.voters.size()) + state.store_weight) / 2 + 1;
 }
--- /dev/null
+++ b/tests/history/good_path_test.cpp
@@ -0,0 +1,48 @@
+#include <doctest/doctest.h>
+
+#include "history/simulation.hpp"
+
+using namespace mimosavalve;
+using std::chrono::milliseconds;
+using test::simulation;
+
+namespace {
+
+std::string text_of(const std::vector<std::string>& lines) {
+    std::string text;
+    for (const auto& line : lines) {
+        text += line + "\n";
+    }
+    return text;
+}
+
+}  // namespace
+
+// A fleet that starts from an empty store must come up by itself.
+TEST_CASE("routers bootstrap a shard, spread its voters and serve every slot [control_plane]") {
+    test::sim_options options;
+    options.fence_checkers = 3;
+    simulation fleet(options);
+    fleet.run_for(milliseconds(4000));
+    const auto state = fleet.stored_state();
+    REQUIRE(state.has_value());
+    CHECK(state->voters.size() == 6);
+    CHECK(state->store_weight == 3);
+    CHECK(state->config_version == 1);
+    CHECK(state->targets.size() == 6);
+    CHECK(fleet.leader().has_value());
+    for (const auto& run : state->assignments) {
+        CHECK(run.previous_owner.empty());
+        CHECK_FALSE(run.owner.empty());
+    }
+    const auto since = fleet.now();
+    fleet.run_for(milliseconds(500));
+    CHECK_MESSAGE(fleet.unserved_since(since).empty(), text_of(fleet.unserved_since(since)));
+    CHECK_MESSAGE(fleet.violations.empty(), text_of(fleet.violations));
+    for (const auto& host : fleet.hosts) {
+        REQUIRE(host.snapshot);
+        const auto* view = router::find_shard(*host.snapshot, {"bagmati", 0});
+        REQUIRE(view != nullptr);
+        CHECK(view->state->at == state->at);
+    }
+}
--- /dev/null
+++ b/tests/history/simulation_targets.cpp
@@ -0,0 +1,256 @@
+#include <algorithm>
+
+#include "history/simulation.hpp"
+
+namespace mimosavalve::test {
+
+void simulation::kill_target(std::size_t index) {
+    auto& target = targets[index];
+    target.alive = false;
+    target.frozen = false;
+    target.granted.clear();
+    target.revoked_below.clear();
+    target.held_back.clear();
+}
+
+void simulation::start_target(std::size_t index) {
+    auto& target = targets[index];
+    if (!target.alive) {
+        target.alive = true;
+        ++target.instance;
+    }
+}
+
+void simulation::freeze_target(std::size_t index) {
+    targets[index].frozen = targets[index].alive;
+}
+
+void simulation::thaw_target(std::size_t index) {
+    auto& target = targets[index];
+    target.frozen = false;
+    auto inputs = std::move(target.held_back);
+    target.held_back.clear();
+    for (auto& input : inputs) {
+        input();
+    }
+}
+
+void simulation::target_operation(sim_host& host, const std::string& address, steady_time deadline,
+                                  const std::function<std::function<void()>(sim_target&)>& effect,
+                                  const std::function<void(std::error_code)>& failed) {
+    const auto end = true_time(host, deadline);
+    const auto index = host.index;
+    const auto run = host.runs;
+    auto answered = std::make_shared<bool>(false);
+    const auto answer = [this, index, run, answered](std::function<void()> call) {
+        if (!*answered) {
+            *answered = true;
+            deliver(index, run, std::move(call));
+        }
+    };
+    clock_.at(end, [answer, failed] { answer([failed] { failed(errc::target_unreachable); }); });
+    auto target = std::find_if(targets.begin(), targets.end(),
+                               [&](const sim_target& entry) { return entry.address == address; });
+    const bool reachable = target != targets.end() && !host.isolated &&
+                           connected(host.settings.failure_domain, target->failure_domain);
+    if (!reachable) {
+        return;
+    }
+    const auto position = static_cast<std::size_t>(target - targets.begin());
+    clock_.after(random_delay(), [this, position, end, effect, failed, answer] {
+        auto& entry = targets[position];
+        if (!entry.alive) {
+            answer([failed] { failed(errc::target_unreachable); });
+            return;
+        }
+        auto work = [this, position, end, effect, answer] {
+            if (clock_.now() > end || !targets[position].alive) {
+                return;
+            }
+            auto call = effect(targets[position]);
+            clock_.after(random_delay(), [answer, call] { answer(call); });
+        };
+        if (entry.frozen) {
+            entry.held_back.push_back(work);
+        } else {
+            work();
+        }
+    });
+}
+
+ports::target_control simulation::targets_for(sim_host& owner) {
+    ports::target_control control;
+    const auto index = owner.index;
+    control.grant = [this, index](
+                        const std::string& address, const std::vector<ports::slot_grant>& grants,
+                        steady_time deadline, const ports::target_control::done_handler& done) {
+        target_operation(
+            hosts[index], address, deadline,
+            [grants, done](sim_target& target) -> std::function<void()> {
+                std::error_code result;
+                for (const auto& grant : grants) {
+                    for (auto slot = grant.first_slot; slot < grant.first_slot + grant.count;
+                         ++slot) {
+                        const bool stale =
+                            target.checks_fence && (target.granted[slot] > grant.fence ||
+                                                    target.revoked_below[slot] > grant.fence);
+                        if (stale) {
+                            result = errc::target_refused;
+                            continue;
+                        }
+                        target.granted[slot] = grant.fence;
+                    }
+                }
+                return [done, result] { done(result); };
+            },
+            done);
+    };
+    control.revoke = [this, index](
+                         const std::string& address, const std::vector<ports::slot_grant>& grants,
+                         steady_time deadline, const ports::target_control::done_handler& done) {
+        target_operation(
+            hosts[index], address, deadline,
+            [grants, done](sim_target& target) -> std::function<void()> {
+                for (const auto& grant : grants) {
+                    for (auto slot = grant.first_slot; slot < grant.first_slot + grant.count;
+                         ++slot) {
+                        auto& below = target.revoked_below[slot];
+                        below = std::max(below, grant.fence);
+                    }
+                }
+                return [done] { done({}); };
+            },
+            done);
+    };
+    control.probe = [this, index](const std::string& address, steady_time deadline,
+                                  const ports::target_control::probe_handler& done) {
+        target_operation(
+            hosts[index], address, deadline,
+            [this, done](sim_target& target) -> std::function<void()> {
+                ports::probe_result result;
+                result.instance = target.instance;
+                result.clock_ms = static_cast<std::uint64_t>(
+                    std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch())
+                        .count());
+                return [done, result] { done({}, result); };
+            },
+            [done](std::error_code error) { done(error, {}); });
+    };
+    return control;
+}
+
+void simulation::send_requests(sim_host& host) {
+    if (!host.snapshot) {
+        return;
+    }
+    for (const auto& view : host.snapshot->shards) {
+        const auto lease_end = view.serving_lease->until();
+        if (lease_end <= local_time(host)) {
+            continue;
+        }
+        for (const auto& run : view.state->assignments) {
+            if (!router::is_active(run, view.in_force)) {
+                continue;
+            }
+            // One slot of each run in turn keeps the history small.
+            const auto offset = random_() % run.count;
+            send_request(host, *view.state, run,
+                         run.first_slot + static_cast<ownership::slot_number>(offset), lease_end);
+        }
+    }
+}
+
+void simulation::send_request(sim_host& host, const ownership::shard_state& state,
+                              const ownership::assignment& run, ownership::slot_number slot,
+                              steady_time lease_end) {
+    const auto* owner = ownership::find_target(state, run.owner);
+    const auto found = std::find_if(targets.begin(), targets.end(), [&](const sim_target& target) {
+        return owner != nullptr && target.id == owner->id;
+    });
+    const bool reachable = found != targets.end() && !host.isolated &&
+                           connected(host.settings.failure_domain, found->failure_domain);
+    if (!reachable) {
+        return;
+    }
+    sim_request request;
+    request.service = run.service;
+    request.slot = slot;
+    request.fence = run.fence;
+    request.router = host.index;
+    request.router_run = host.runs;
+    const auto local = local_time(host);
+    const auto remaining =
+        std::min<steady_time::duration>(host.settings.intervals.start_window, lease_end - local);
+    request.start_by = clock_.now() + remaining;
+    // Some requests stay in a buffer until the last moment that their Start-By allows.
+    const bool late = chance(0.2);
+    const auto arrival = late ? request.start_by : clock_.now() + random_delay();
+    const auto position = static_cast<std::size_t>(found - targets.begin());
+    clock_.at(arrival, [this, position, request] { arrive(targets[position], request); });
+}
+
+void simulation::arrive(sim_target& target, const sim_request& request) {
+    const auto sent = clock_.now();
+    if (!target.alive) {
+        note_answer(request, target.id, false, sent);
+        return;
+    }
+    if (target.frozen) {
+        const auto position = static_cast<std::size_t>(&target - targets.data());
+        target.held_back.push_back(
+            [this, position, request] { start(targets[position], request); });
+        clock_.after(milliseconds(200), [this, position, request, sent] {
+            if (targets[position].frozen) {
+                note_answer(request, targets[position].id, false, sent);
+            }
+        });
+        return;
+    }
+    start(target, request);
+}
+
+void simulation::start(sim_target& target, const sim_request& request) {
+    if (!target.alive || clock_.now() > request.start_by) {
+        return;
+    }
+    if (target.checks_fence) {
+        const bool refused = target.granted[request.slot] == version{} ||
+                             target.granted[request.slot] > request.fence ||
+                             target.revoked_below[request.slot] > request.fence;
+        if (refused) {
+            return;
+        }
+    }
+    const auto name = request.service + "/" + std::to_string(request.slot);
+    auto& newest = served_[name];
+    if (newest.target != target.id && request.fence < newest.fence) {
+        violations.push_back("two owners of " + name + ": " + target.id + " at fence " +
+                             to_string(request.fence) + " after " + newest.target + " at " +
+                             to_string(newest.fence));
+        return;
+    }
+    newest = {clock_.now(), target.id, std::max(newest.fence, request.fence)};
+    note_answer(request, target.id, true, clock_.now());
+}
+
+void simulation::note_answer(const sim_request& request, const std::string& target, bool success,
+                             steady_time sent) {
+    auto& host = hosts[request.router];
+    if (!host.alive || host.runs != request.router_run) {
+        return;
+    }
+    auto& seen = host.evidence[target];
+    seen.target = target;
+    if (success) {
+        ++seen.successes;
+        seen.consecutive_failures = 0;
+        return;
+    }
+    if (seen.consecutive_failures == 0) {
+        const auto ago = clock_.now() - sent;
+        seen.failing_since = local_time(host) - ago;
+    }
+    ++seen.consecutive_failures;
+}
+
+}  // namespace mimosavalve::test
