--- /dev/null
+++ b/src/traffic/in_flight.cpp
@@ -0,0 +1,103 @@
+#include "mimosavalve/traffic/in_flight.hpp"
+
+#include <algorithm>
+
+namespace mimosavalve::traffic {
+
+namespace detail {
+
+shard_drain* find_drain(in_flight_set& set, const shard_id& shard) {
+    const auto found = std::find_if(set.shards.begin(), set.shards.end(),
+                                    [&](const shard_drain& drain) { return drain.shard == shard; });
+    return found == set.shards.end() ? nullptr : &*found;
+}
+
+bool contradicts(const routing_table& table, const in_flight_request& request) {
+    request_head head;
+    // Without "POST" the decision leaves out the idempotency fields, which do not move a key.
+    head.method = "GET";
+    head.route = request.route;
+    head.account = request.account;
+    head.calling_account = request.calling_account;
+    head.id = request.id;
+    // Every lease is valid at the beginning of time: only the owner matters here. A decision that
+    // names no target counts as a contradiction, which only delays the acknowledgement.
+    const auto decision = decide(table, head, steady_time::min());
+    const auto* sent = std::get_if<send_to>(&decision);
+    return sent == nullptr || sent->target->id != request.target;
+}
+
+void hold_version(in_flight_set& set, const ownership::shard_state& state) {
+    auto* drain = find_drain(set, state.shard);
+    if (drain == nullptr) {
+        set.shards.push_back({state.shard, state.at, {}, 0});
+        return;
+    }
+    drain->held = state.at;
+    drain->contradicting = 0;
+}
+
+void settle(shard_drain& drain) {
+    if (drain.contradicting == 0) {
+        drain.drained = drain.held;
+    }
+}
+
+}  // namespace detail
+
+void describe(in_flight_request& request, const request_head& head, const send_to& decision) {
+    request.route = head.route;
+    request.account = head.account;
+    request.calling_account = head.calling_account;
+    request.id = head.id;
+    request.target = decision.target->id;
+    request.shard = decision.shard->state->shard;
+    request.contradicts = false;
+}
+
+void add(in_flight_set& set, in_flight_request& request) {
+    request.position = set.requests.size();
+    set.requests.push_back(&request);
+}
+
+bool remove(in_flight_set& set, in_flight_request& request) {
+    auto* last = set.requests.back();
+    last->position = request.position;
+    set.requests[request.position] = last;
+    set.requests.pop_back();
+    if (!request.contradicts) {
+        return false;
+    }
+    request.contradicts = false;
+    auto* drain = detail::find_drain(set, request.shard);
+    if (drain == nullptr || drain->contradicting == 0) {
+        return false;
+    }
+    --drain->contradicting;
+    detail::settle(*drain);
+    return drain->contradicting == 0;
+}
+
+void adopt(in_flight_set& set, const routing_table& table) {
+    for (const auto& shard : table.snapshot->shards) {
+        detail::hold_version(set, *shard.state);
+    }
+    for (auto* request : set.requests) {
+        request->contradicts = detail::contradicts(table, *request);
+        auto* drain = detail::find_drain(set, request->shard);
+        if (request->contradicts && drain != nullptr) {
+            ++drain->contradicting;
+        }
+    }
+    for (auto& drain : set.shards) {
+        detail::settle(drain);
+    }
+}
+
+version drained_version(const in_flight_set& set, const shard_id& shard) {
+    const auto found = std::find_if(set.shards.begin(), set.shards.end(),
+                                    [&](const shard_drain& drain) { return drain.shard == shard; });
+    return found == set.shards.end() ? version{} : found->drained;
+}
+
+}  // namespace mimosavalve::traffic
--- /dev/null
+++ b/src/traffic/target_clock.cpp
@@ -0,0 +1,36 @@
+#include "mimosavalve/traffic/target_clock.hpp"
+
+#include <chrono>
+
+namespace mimosavalve::traffic {
+
+namespace detail {
+
+// 2% of 5 s is 100 ms, less than half of the 250 ms start window.
+constexpr std::chrono::seconds max_reading_age{5};
+constexpr std::chrono::seconds max_reading_age_at_open{1};
+constexpr int rate_margin_divisor = 50;
+
+}  // namespace detail
+
+bool is_usable(const clock_reading& reading, steady_time now) {
+    return now - reading.received < detail::max_reading_age;
+}
+
+bool is_usable_on_new_connection(const clock_reading& reading, steady_time opened) {
+    return opened - reading.received < detail::max_reading_age_at_open;
+}
+
+std::optional<std::uint64_t> start_by_ms(const clock_reading& reading, steady_time deadline,
+                                         steady_time now) {
+    if (deadline <= now) {
+        return std::nullopt;
+    }
+    const auto since_reading = deadline - reading.received;
+    const auto margin = since_reading / detail::rate_margin_divisor;
+    const auto offset =
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_reading - margin);
+    return reading.clock_ms + static_cast<std::uint64_t>(offset.count());
+}
+
+}  // namespace mimosavalve::traffic
