--- /dev/null
+++ b/src/router/daemon.cpp
@@ -0,0 +1,322 @@
+#include "mimosavalve/router/daemon.hpp"
+
+#include <easylogging++.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <random>
+
+#include "mimosavalve/adapters/http_front_end.hpp"
+#include "mimosavalve/adapters/http_host_list.hpp"
+#include "mimosavalve/adapters/http_store.hpp"
+#include "mimosavalve/adapters/http_target_control.hpp"
+#include "mimosavalve/adapters/zmq_peers.hpp"
+#include "mimosavalve/config/fleet_config_codec.hpp"
+#include "mimosavalve/control/control_plane.hpp"
+#include "router/admin.hpp"
+#include "router/evidence_merge.hpp"
+#include "router/initial_config.hpp"
+
+namespace mimosavalve::router {
+
+namespace detail {
+
+constexpr std::chrono::milliseconds tick_interval{10};
+constexpr std::chrono::milliseconds report_interval{50};
+
+// Longest planned stop. An upload of 64 MB over the link between regions takes about 17 s.
+constexpr std::chrono::seconds stop_limit{60};
+
+steady_time steady_now() { return std::chrono::steady_clock::now(); }
+
+std::uint64_t unix_ms_now() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+}
+
+std::uint64_t random_number() {
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+adapters::claim_result to_claim_result(control::claim_status status) {
+    switch (status) {
+        case control::claim_status::granted:
+            return adapters::claim_result::granted;
+        case control::claim_status::duplicate:
+            return adapters::claim_result::duplicate;
+        case control::claim_status::too_old:
+            return adapters::claim_result::too_old;
+        case control::claim_status::no_leader:
+            break;
+    }
+    return adapters::claim_result::unavailable;
+}
+
+control::timing to_timing(const config::timing_settings& settings) {
+    control::timing intervals;
+    intervals.heartbeat_interval = settings.heartbeat;
+    intervals.lease_window = settings.lease_window;
+    intervals.start_window = settings.start_window;
+    intervals.store_lease_ttl = settings.store_lease;
+    return intervals;
+}
+
+std::string_view port_of(std::string_view address) {
+    return address.substr(address.rfind(':') + 1);
+}
+
+std::optional<config::fleet_config> decode_config(std::string_view bytes) {
+    std::error_code error;
+    return config::decode_fleet_config(bytes, error);
+}
+
+}  // namespace detail
+
+struct daemon::implementation {
+    explicit implementation(daemon_options daemon_options);
+
+    std::error_code start();
+    void write_port_file() const;
+    void start_control();
+    void schedule_tick();
+    void tick();
+    void continue_stop(steady_time now);
+    void claim(const adapters::claim_request& request,
+               const adapters::front_end_hooks::claim_handler& handler);
+    void add_evidence(const std::vector<adapters::target_evidence>& evidence);
+    void send_report(steady_time now);
+    adapters::front_end_hooks hooks();
+
+    daemon_options options;
+    boost::asio::io_context context{1};
+    adapters::http_store store;
+    adapters::http_target_control targets;
+    adapters::http_host_list hosts;
+    adapters::zmq_peers peers;
+    std::unique_ptr<control::control_plane> plane;
+    std::mutex evidence_mutex;
+    evidence_merge evidence;  ///< Guarded by `evidence_mutex`.
+    adapters::http_front_end front_end;
+    std::unique_ptr<admin> admin_port;
+    boost::asio::steady_timer tick_timer;
+    boost::asio::signal_set signals;
+    steady_time next_report;
+    std::optional<steady_time> stop_deadline;  ///< Set once the planned stop has begun.
+};
+
+namespace detail {
+
+adapters::zmq_peers_options peer_options(const config::process_settings& settings) {
+    adapters::zmq_peers_options options;
+    options.address = settings.peers;
+    return options;
+}
+
+adapters::front_end_settings front_end_options(const config::process_settings& settings) {
+    adapters::front_end_settings options;
+    options.listen_address = settings.callers;
+    options.threads = settings.traffic_threads;
+    return options;
+}
+
+}  // namespace detail
+
+daemon::implementation::implementation(daemon_options daemon_options)
+    : options(std::move(daemon_options)),
+      store(context, {options.settings.store}),
+      targets(context),
+      hosts(context, {options.settings.host_list}),
+      peers(context, detail::peer_options(options.settings),
+            [this](const wire::Envelope& message) {
+                plane->on_message(message, detail::steady_now());
+            }),
+      front_end(detail::front_end_options(options.settings), hooks()),
+      tick_timer(context),
+      signals(context, SIGTERM, SIGINT) {}
+
+adapters::front_end_hooks daemon::implementation::hooks() {
+    adapters::front_end_hooks hooks;
+    hooks.claim = [this](adapters::claim_request request,
+                         adapters::front_end_hooks::claim_handler handler) {
+        boost::asio::post(context,
+                          [this, request = std::move(request), handler = std::move(handler)] {
+                              claim(request, handler);
+                          });
+    };
+    hooks.evidence = [this](const std::vector<adapters::target_evidence>& seen) {
+        add_evidence(seen);
+    };
+    // A finished drain is passed on at once: it shortens the pause of a planned move.
+    hooks.drained = [this] {
+        boost::asio::post(context, [this] { plane->on_tick(detail::steady_now()); });
+    };
+    return hooks;
+}
+
+std::error_code daemon::implementation::start() {
+    if (const auto error = peers.listen()) {
+        return error;
+    }
+    start_control();
+    if (const auto error = front_end.start()) {
+        return error;
+    }
+    admin_port = std::make_unique<admin>(context, options.settings.admin, *plane);
+    if (const auto error = admin_port->listen()) {
+        return error;
+    }
+    write_port_file();
+    schedule_tick();
+    signals.async_wait([this](const boost::system::error_code& error, int) {
+        if (!error) {
+            LOG(INFO) << "planned stop begins";
+            stop_deadline = detail::steady_now() + detail::stop_limit;
+            front_end.begin_stop();
+        }
+    });
+    return {};
+}
+
+void daemon::implementation::start_control() {
+    control::control_settings settings;
+    settings.self = {options.settings.host, detail::random_number()};
+    settings.address = options.settings.advertised_peer.empty() ? peers.address()
+                                                                : options.settings.advertised_peer;
+    settings.region = options.settings.region;
+    settings.failure_domain = options.settings.failure_domain;
+    settings.intervals = detail::to_timing(options.settings.timing);
+    settings.seed = detail::random_number();
+    control::control_ports ports;
+    ports.store = store.port();
+    ports.host_list = hosts.port();
+    ports.targets = targets.port();
+    ports.peers = peers.port();
+    ports.now = detail::steady_now;
+    ports.unix_ms = detail::unix_ms_now;
+    control::control_outputs outputs;
+    outputs.publish = [this](const std::shared_ptr<const routing_snapshot>& snapshot) {
+        front_end.publish(snapshot);
+    };
+    outputs.drained = [this](const shard_id& shard) { return front_end.drained_version(shard); };
+    outputs.record = [](const control::event& event) {
+        LOG(INFO) << "component=control event=" << event.kind << " subject=" << event.subject
+                  << " shard=" << (event.shard ? to_string(*event.shard) : "-")
+                  << " version=" << to_string(event.at) << " cause=\"" << event.cause << '"';
+    };
+    plane = std::make_unique<control::control_plane>(std::move(settings), std::move(ports),
+                                                     std::move(outputs), detail::decode_config);
+    if (options.initial_config) {
+        initial_config_environment environment;
+        environment.store = store.port();
+        environment.now = detail::steady_now;
+        environment.after = [this](std::chrono::milliseconds delay, std::function<void()> action) {
+            auto timer = std::make_shared<boost::asio::steady_timer>(context, delay);
+            timer->async_wait([timer, action = std::move(action)](
+                                  const boost::system::error_code& error) {
+                if (!error) {
+                    action();
+                }
+            });
+        };
+        write_initial_config(std::move(environment), config::encode(*options.initial_config));
+    }
+}
+
+void daemon::implementation::write_port_file() const {
+    if (options.port_file.empty()) {
+        return;
+    }
+    const auto partial = options.port_file + ".partial";
+    {
+        std::ofstream file(partial);
+        file << "callers " << front_end.port() << '\n'
+             << "peers " << detail::port_of(peers.address()) << '\n'
+             << "admin " << detail::port_of(admin_port->address()) << '\n';
+    }
+    // Renamed when complete, so that a waiting reader never sees a part of it.
+    std::filesystem::rename(partial, options.port_file);
+}
+
+void daemon::implementation::schedule_tick() {
+    tick_timer.expires_after(detail::tick_interval);
+    tick_timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void daemon::implementation::tick() {
+    const auto now = detail::steady_now();
+    if (now >= next_report) {
+        next_report = now + detail::report_interval;
+        send_report(now);
+    }
+    plane->on_tick(now);
+    if (stop_deadline) {
+        continue_stop(now);
+    }
+    if (!context.stopped()) {
+        schedule_tick();
+    }
+}
+
+void daemon::implementation::continue_stop(steady_time now) {
+    const bool late = now >= *stop_deadline;
+    // The serving leases are kept until the last request has ended.
+    if (front_end.open_connections() > 0 && !late) {
+        return;
+    }
+    plane->start_stop(now);
+    if (plane->may_exit(now) || late) {
+        LOG(INFO) << "planned stop ends" << (late ? " at its time limit" : "");
+        context.stop();
+    }
+}
+
+void daemon::implementation::add_evidence(const std::vector<adapters::target_evidence>& seen) {
+    const std::lock_guard lock(evidence_mutex);
+    add(evidence, seen);
+}
+
+void daemon::implementation::send_report(steady_time now) {
+    control::traffic_report report;
+    {
+        const std::lock_guard lock(evidence_mutex);
+        report = take_report(evidence);
+    }
+    if (!report.evidence.empty()) {
+        plane->on_traffic_report(report, now);
+    }
+}
+
+void daemon::implementation::claim(const adapters::claim_request& request,
+                                   const adapters::front_end_hooks::claim_handler& handler) {
+    plane->claim(request.shard, request.key, request.first_attempt_unix_ms, request.deadline,
+                 [handler](control::claim_status status) {
+                     handler(detail::to_claim_result(status));
+                 });
+}
+
+daemon::daemon(daemon_options options)
+    : implementation_(std::make_unique<implementation>(std::move(options))) {}
+
+daemon::~daemon() = default;
+
+std::error_code daemon::start() { return implementation_->start(); }
+
+void daemon::run() {
+    implementation_->context.run();
+    implementation_->front_end.stop(detail::steady_now());
+}
+
+}  // namespace mimosavalve::router
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -74,3 +74,94 @@
   done
   fleet_pid=()
 }
+
+# The small repair service: two regions with two failure domains each.
+fleet_domains=(bagmati:bagmati-a bagmati:bagmati-b gandaki:gandaki-a gandaki:gandaki-b)
+
+# fleet_start_store
+fleet_start_store() {
+  printf 'listen: 127.0.0.1:0\nport_file: %s\n' "$fleet_dir/store.port" >"$fleet_dir/store.yaml"
+  fleet_start store mv-store --config "$fleet_dir/store.yaml"
+  fleet_store="127.0.0.1:$(fleet_port store store.port)"
+}
+
+# fleet_start_target ID SERVICE REGION DOMAIN CHECKS_FENCE [PORT]: sets fleet_target_address[ID].
+declare -A fleet_target_address=() fleet_target_line=()
+fleet_start_target() {
+  local id="$1" service="$2" region="$3" domain="$4" checks_fence="$5" port="${6:-0}"
+  cat >"$fleet_dir/$id.yaml" <<YAML
+id: $id
+listen: 127.0.0.1:$port
+port_file: $fleet_dir/$id.port
+service: $service
+region: $region
+failure_domain: $domain
+checks_fence: $checks_fence
+slots: 4
+connections: 130
+history_file: $fleet_dir/$id.history
+work:
+  mean_ms: ${fleet_work_ms:-2}
+YAML
+  rm -f "$fleet_dir/$id.port"
+  fleet_start "$id" mv-target --config "$fleet_dir/$id.yaml"
+  fleet_target_address[$id]="127.0.0.1:$(fleet_port "$id" "$id.port")"
+  fleet_target_line[$id]="$id $service $region $domain $checks_fence"
+}
+
+# fleet_start_hosts: the host list of all targets started so far.
+fleet_start_hosts() {
+  local id service region domain checks_fence
+  {
+    printf 'listen: 127.0.0.1:0\nport_file: %s\nlag_ms: 1000\nhosts:\n' "$fleet_dir/hosts.port"
+    for id in "${!fleet_target_line[@]}"; do
+      read -r id service region domain checks_fence <<<"${fleet_target_line[$id]}"
+      printf '  - {id: %s, role: target, service: %s, address: "%s", region: %s, ' \
+        "$id" "$service" "${fleet_target_address[$id]}" "$region"
+      printf 'failure_domain: %s, slots: 4, connections: 130}\n' "$domain"
+    done
+  } >"$fleet_dir/hosts.yaml"
+  fleet_start hosts mv-hosts --config "$fleet_dir/hosts.yaml"
+  fleet_hosts="127.0.0.1:$(fleet_port hosts hosts.port)"
+}
+
+# fleet_start_router NAME REGION DOMAIN FLEET_CONFIG: does not wait until it is ready.
+declare -A fleet_router_line=()
+fleet_start_router() {
+  local name="$1" region="$2" domain="$3" fleet_config="$4"
+  cat >"$fleet_dir/$name.yaml" <<YAML
+host: $name
+region: $region
+failure_domain: $domain
+callers: 127.0.0.1:0
+peers: 127.0.0.1:0
+admin: 127.0.0.1:0
+store: $fleet_store
+host_list: $fleet_hosts
+traffic_threads: ${fleet_traffic_threads:-1}
+initial_config: $fleet_config
+YAML
+  rm -f "$fleet_dir/$name.ports"
+  fleet_start "$name" mimosavalved --config "$fleet_dir/$name.yaml" \
+    --port-file "$fleet_dir/$name.ports"
+  fleet_router_line[$name]="$name $region $domain $fleet_config"
+}
+
+# fleet_router_address NAME callers|peers|admin
+fleet_router_address() {
+  fleet_port "$1" "$1.ports" >/dev/null
+  awk -v name="$2" '$1 == name { print "127.0.0.1:" $2 }' "$fleet_dir/$1.ports"
+}
+
+# fleet_wait_ready NAME: waits until the router may serve every shard.
+fleet_wait_ready() {
+  local address attempt
+  address=$(fleet_router_address "$1" admin)
+  for attempt in $(seq 1 400); do
+    curl -fsS -m 1 "http://$address/ready" >/dev/null 2>&1 && return 0
+    sleep 0.05
+  done
+  echo "router $1 is not ready; its log ends with:" >&2
+  tail -5 "$fleet_dir/$1.log" >&2
+  return 1
+}
