Add event records, their causal merge, and the set-up of the log

Cause: operators must be able to explain who did what and why over several hosts whose clocks differ.

Ruled out: sorting all records with one comparison. Version order within a shard and time order elsewhere do not make a transitive order, so merge() takes records from the fronts of the processes' lists instead.

--- /dev/null
+++ b/src/observe/event_log.cpp
@@ -0,0 +1,138 @@
+#include "mimosavalve/observe/event_log.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace mimosavalve::observe {
+
+namespace detail {
+
+bool has_shard(const event_record& record) {
+    return !record.shard.region.empty();
+}
+
+bool is_earlier(const event_record& left, const event_record& right) {
+    return std::tie(left.unix_ms, left.process, left.number) <
+           std::tie(right.unix_ms, right.process, right.number);
+}
+
+// Takes records one by one, always from the front of a process's list.
+class merger {
+public:
+    explicit merger(std::span<const std::vector<event_record>> answers) {
+        std::map<instance_id, std::map<std::uint64_t, const event_record*>> by_process;
+        for (const auto& answer : answers) {
+            for (const auto& record : answer) {
+                by_process[record.process].emplace(record.number, &record);
+            }
+        }
+        for (const auto& [process, records] : by_process) {
+            auto& list = lists_.emplace_back();
+            for (const auto& [number, record] : records) {
+                list.records.push_back(record);
+                if (has_shard(*record)) {
+                    ++waiting_[record->shard][record->at];
+                }
+            }
+        }
+    }
+
+    std::vector<event_record> run() {
+        std::vector<event_record> out;
+        while (auto* list = next_list()) {
+            const auto& record = *list->records[list->taken++];
+            if (has_shard(record)) {
+                count_out(record);
+            }
+            out.push_back(record);
+        }
+        return out;
+    }
+
+private:
+    struct process_list {
+        std::vector<const event_record*> records;
+        std::size_t taken = 0;
+    };
+
+    void count_out(const event_record& record) {
+        auto& versions = waiting_[record.shard];
+        const auto found = versions.find(record.at);
+        if (--found->second == 0) {
+            versions.erase(found);
+        }
+    }
+
+    // Whether no record of an older version of the shard is still to come.
+    [[nodiscard]] bool is_ready(const event_record& record) const {
+        return !has_shard(record) || waiting_.at(record.shard).begin()->first == record.at;
+    }
+
+    // The earliest front whose order is satisfied; without one, the earliest front.
+    process_list* next_list() {
+        process_list* best = nullptr;
+        bool best_ready = false;
+        for (auto& list : lists_) {
+            if (list.taken == list.records.size()) {
+                continue;
+            }
+            const auto& front = *list.records[list.taken];
+            const bool ready = is_ready(front);
+            const bool better =
+                best == nullptr || (ready && !best_ready) ||
+                (ready == best_ready && is_earlier(front, *best->records[best->taken]));
+            if (better) {
+                best = &list;
+                best_ready = ready;
+            }
+        }
+        return best;
+    }
+
+    std::vector<process_list> lists_;
+    std::map<shard_id, std::map<version, std::size_t>> waiting_;
+};
+
+}  // namespace detail
+
+event_log::event_log(instance_id process, std::size_t capacity)
+    : process_(std::move(process)), capacity_(capacity) {}
+
+std::uint64_t event_log::append(event_record record) {
+    const std::lock_guard lock(mutex_);
+    record.process = process_;
+    record.number = ++newest_;
+    if (ring_.size() < capacity_) {
+        ring_.push_back(std::move(record));
+    } else {
+        ring_[(newest_ - 1) % capacity_] = std::move(record);
+    }
+    return newest_;
+}
+
+std::vector<event_record> event_log::query(const event_query& query, std::size_t most) const {
+    const std::lock_guard lock(mutex_);
+    std::vector<event_record> out;
+    for (auto number = newest_; number > newest_ - ring_.size() && out.size() < most; --number) {
+        const auto& record = ring_[(number - 1) % capacity_];
+        if (matches(record, query)) {
+            out.push_back(record);
+        }
+    }
+    std::reverse(out.begin(), out.end());
+    return out;
+}
+
+std::uint64_t event_log::dropped() const {
+    const std::lock_guard lock(mutex_);
+    return newest_ - ring_.size();
+}
+
+std::vector<event_record> merge(std::span<const std::vector<event_record>> answers) {
+    return detail::merger(answers).run();
+}
+
+}  // namespace mimosavalve::observe
