--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -189,8 +189,9 @@
 void daemon::implementation::start_control() {
     control::control_settings settings;
     settings.self = {options.settings.host, detail::random_number()};
-    settings.address = options.settings.advertised_peer.empty() ? peers.address()
-                                                                : options.settings.advertised_peer;
+    // Only the bound address has the port that the system chose for port 0.
+    const bool advertised = options.settings.advertised_peer != options.settings.peers;
+    settings.address = advertised ? options.settings.advertised_peer : peers.address();
     settings.region = options.settings.region;
     settings.failure_domain = options.settings.failure_domain;
     settings.intervals = detail::to_timing(options.settings.timing);
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -147,6 +147,15 @@
   fleet_router_line[$name]="$name $region $domain $fleet_config"
 }
 
+# fleet_list_router NAME: enters a started router in the host list, as the platform does.
+fleet_list_router() {
+  local name region domain
+  read -r name region domain _ <<<"${fleet_router_line[$1]}"
+  curl -fsS -m 2 -X PUT "http://$fleet_hosts/hosts/$name" -o /dev/null -d "{\"id\": \"$name\",
+    \"role\": \"router\", \"address\": \"$(fleet_router_address "$name" peers)\",
+    \"region\": \"$region\", \"failure_domain\": \"$domain\"}"
+}
+
 # fleet_router_address NAME callers|peers|admin
 fleet_router_address() {
   fleet_port "$1" "$1.ports" >/dev/null
