--- a/src/standins/target_core.cpp
+++ b/src/standins/target_core.cpp
@@ -182,6 +182,8 @@
         release_slot(request);
         return start_refusal::none;
     }
+    // Separates starts before a pause from those after it.
+    note_alive();
     // One clock reading decides and is recorded, so that a pause in between can't make a request
     // look as if it had been started after its `Start-By`.
     const auto now = detail::clock::now();
