Test streaming, ownership and broken input of the request path

Cause: verdicts, leases and body streaming need a test for each rule. A refused attempt of an unkeyed service now always goes to another target when there is one; two random picks could both give the one that had refused.

--- a/src/adapters/http_front_end_exchange.cpp
+++ b/src/adapters/http_front_end_exchange.cpp
@@ -161,11 +161,13 @@
 /// The less busy of two random targets keeps the load even without comparing all of them.
 const traffic::unkeyed_target* exchange::choose(
     std::span<const traffic::unkeyed_target> candidates) {
-    const auto pick = [&] { return &candidates[home_.random() % candidates.size()]; };
+    const auto pick = [&] {
+        const auto index = home_.random() % candidates.size();
+        const bool avoided = candidates[index].target->id == avoided_;
+        return &candidates[(index + (avoided ? 1 : 0)) % candidates.size()];
+    };
     const auto cost = [&](const traffic::unkeyed_target& candidate) {
-        const auto& entry = home_.pool.entry(*candidate.target);
-        const bool avoided = entry.id == avoided_;
-        return std::pair(avoided, entry.running);
+        return home_.pool.entry(*candidate.target).running;
     };
     const auto* first = pick();
     const auto* second = pick();
--- a/tests/traffic/fake_target.cpp
+++ b/tests/traffic/fake_target.cpp
@@ -122,20 +122,20 @@
         if (!answers_probes) {
             return false;
         }
-        target_reply reply;
-        reply.body = R"({"clock_ms":)" + std::to_string(clock_ms()) + R"(,"instance":)" +
-                     std::to_string(instance) + "}";
-        asio::async_write(socket, asio::buffer(text_of(reply, parser.get())), yield[error]);
+        target_reply reading;
+        reading.body = R"({"clock_ms":)" + std::to_string(clock_ms()) + R"(,"instance":)" +
+                       std::to_string(instance) + "}";
+        asio::async_write(socket, asio::buffer(text_of(reading, parser.get())), yield[error]);
         return !error;
     }
-    auto early = answer_(parser.get());
-    if (!early.before_body) {
+    if (reads_bodies) {
         http::async_read(socket, buffer, parser, yield[error]);
         if (error) {
             ++ended_while_silent;
             return false;
         }
     }
+    const auto reply = answer_(parser.get());
     body_bytes += parser.get().body().size();
     {
         const std::lock_guard lock(mutex_);
@@ -144,29 +144,29 @@
             requests_.back().body().clear();
         }
     }
-    if (early.delay.count() > 0) {
-        asio::steady_timer timer(context_, early.delay);
+    if (reply.delay.count() > 0) {
+        asio::steady_timer timer(context_, reply.delay);
         timer.async_wait(yield[error]);
     }
-    if (early.silent) {
+    if (reply.silent) {
         char byte = 0;
         socket.async_read_some(asio::buffer(&byte, 1), yield[error]);
         ++ended_while_silent;
         return false;
     }
-    auto text = text_of(early, parser.get());
-    if (early.cut_after > 0) {
-        text.resize(std::min(text.size(), early.cut_after));
+    auto text = text_of(reply, parser.get());
+    if (reply.cut_after > 0) {
+        text.resize(std::min(text.size(), reply.cut_after));
     }
     asio::async_write(socket, asio::buffer(text), yield[error]);
-    if (early.before_body) {
+    if (!reads_bodies) {
         socket.shutdown(tcp::socket::shutdown_send, error);
         char bytes[4096];
         while (!error) {
             socket.async_read_some(asio::buffer(bytes), yield[error]);
         }
     }
-    return !error && early.cut_after == 0 && !early.close_after;
+    return !error && reads_bodies && reply.cut_after == 0 && !reply.close_after;
 }
 
 }  // namespace mimosavalve::test
--- a/tests/traffic/fake_target.hpp
+++ b/tests/traffic/fake_target.hpp
@@ -52,6 +52,7 @@
     std::atomic<std::size_t> body_bytes{0};
     std::atomic<std::uint64_t> instance{7};
     std::atomic<bool> answers_probes{true};
+    std::atomic<bool> reads_bodies{true};  ///< Else answers after the header and then closes.
 
     /// The target's monotonic clock, which has nothing to do with the router's.
     [[nodiscard]] std::uint64_t clock_ms() const;
--- /dev/null
+++ b/tests/traffic/front_end_ownership_test.cpp
@@ -0,0 +1,219 @@
+#include <doctest/doctest.h>
+
+#include <mutex>
+#include <thread>
+
+#include "path_fixture.hpp"
+
+using namespace mimosavalve;
+using namespace mimosavalve::test;
+using adapters::claim_request;
+using adapters::claim_result;
+
+namespace {
+
+target_reply answer_ok(const fake_target::request& /*request*/) {
+    return {};
+}
+
+const std::string payment_fields = "Idempotency-Key: k-1\r\nIdempotency-Time: 1700000000000\r\n";
+
+/// Records claims and answers them when told to.
+struct claim_desk {
+    std::mutex mutex;
+    std::vector<claim_request> requests;
+    std::vector<adapters::front_end_hooks::claim_handler> handlers;
+
+    void attach(path_fixture& path) {
+        path.claim = [this](claim_request request,
+                            adapters::front_end_hooks::claim_handler handler) {
+            const std::lock_guard lock(mutex);
+            requests.push_back(std::move(request));
+            handlers.push_back(std::move(handler));
+        };
+    }
+    std::size_t count() {
+        const std::lock_guard lock(mutex);
+        return handlers.size();
+    }
+    void answer_all(claim_result result) {
+        const std::lock_guard lock(mutex);
+        for (auto& handler : handlers) {
+            handler(result);
+        }
+    }
+};
+
+/// Moves all slots of the fleet to the target at "status-2" that `second` serves.
+void begin_handover(path_fixture& path, const fake_target& second) {
+    path.fleet.target("status-2").address = second.address();
+    path.fleet.state.at = {1, 2};
+    ownership::assign(path.fleet.state, "status", 0, 16, "status-2", {1, 2});
+    path.publish();
+}
+
+}  // namespace
+
+TEST_CASE(
+    "requests for slots in handover wait and go on when the slot is active "
+    "[http_front_end]") {
+    path_fixture path(answer_ok);
+    fake_target second([](const fake_target::request&) {
+        target_reply reply;
+        reply.body = "second";
+        return reply;
+    });
+    begin_handover(path, second);
+    caller one(path.router->port());
+    one.send(get("/status/ward-4/a"));
+    const auto late = path.ask(get("/status/ward-4/a", "Request-Timeout-Ms: 60\r\n"));
+    CHECK(field(late, "Mimosavalve-Reason") == "handover");
+    CHECK(field(late, "Mimosavalve-Verdict") == "not-run");
+    CHECK(second.requests().empty());
+    path.fleet.in_force = {1, 2};
+    path.publish();
+    CHECK(one.receive().body() == "second");
+    CHECK(path.status.requests().empty());
+}
+
+// The control thread acknowledges a version only when this router no longer uses the old owner.
+TEST_CASE("the drained version waits for requests in flight to the old owner [http_front_end]") {
+    std::atomic<bool> hold_answer{true};
+    path_fixture path(
+        [&](const fake_target::request&) {
+            target_reply reply;
+            reply.silent = hold_answer;
+            return reply;
+        },
+        {}, 2);
+    fake_target second(answer_ok);
+    const shard_id shard{"bagmati", 0};
+    CHECK(eventually([&] { return path.router->drained_version(shard) == version{1, 1}; }));
+    CHECK(path.router->drained_version({"bagmati", 9}) == version{});
+    caller one(path.router->port());
+    one.send(get("/upload/ward-4/a"));
+    REQUIRE(eventually([&] { return path.status.requests().size() == 1; }));
+    begin_handover(path, second);
+    // Any other answer than unknown-route shows that a thread holds the newest table; callers are
+    // spread over the threads in turn.
+    path.fleet.config.routes.push_back({"new", "status", {}, false, fleet_fixture::seconds(1), 1});
+    path.publish();
+    for (int thread = 0; thread < 2; ++thread) {
+        CHECK(path.ask(get("/new/ward-4")).result_int() == 400);
+    }
+    CHECK(path.router->drained_version(shard) == version{1, 1});
+    one.close();
+    CHECK(eventually([&] { return path.router->drained_version(shard) == version{1, 2}; }));
+}
+
+TEST_CASE(
+    "without a serving lease nothing is sent and a renewal releases requests "
+    "[http_front_end]") {
+    path_fixture path(answer_ok);
+    path.fleet.lease->extend_to(std::chrono::steady_clock::now());
+    const auto refused = path.ask(get("/status/ward-4/a"));
+    CHECK(field(refused, "Mimosavalve-Reason") == "no-serving-lease");
+    CHECK(field(refused, "Mimosavalve-Verdict") == "not-run");
+    CHECK(path.status.requests().empty());
+    caller one(path.router->port());
+    one.send(get("/status/ward-4/a"));
+    path.fleet.lease->extend_to(std::chrono::steady_clock::now() + std::chrono::hours(1));
+    CHECK(one.receive().result_int() == 200);
+}
+
+// A router that is paused or waits between decision and send may have lost its lease meanwhile.
+TEST_CASE("a lease that ends between decision and send stops the request [http_front_end]") {
+    path_fixture path(answer_ok);
+    claim_desk desk;
+    desk.attach(path);
+    caller one(path.router->port());
+    one.send(post("/pay/ward-4/a", "money", payment_fields));
+    REQUIRE(eventually([&] { return desk.count() == 1; }));
+    path.fleet.lease->extend_to(std::chrono::steady_clock::now());
+    desk.answer_all(claim_result::granted);
+    const auto answer = one.receive();
+    CHECK(field(answer, "Mimosavalve-Reason") == "no-serving-lease");
+    CHECK(field(answer, "Mimosavalve-Verdict") == "not-run");
+    CHECK(path.status.requests().empty());
+}
+
+TEST_CASE(
+    "an owner that changes between decision and send gets the request instead "
+    "[http_front_end]") {
+    path_fixture path(answer_ok);
+    fake_target second(answer_ok);
+    claim_desk desk;
+    desk.attach(path);
+    caller one(path.router->port());
+    one.send(post("/pay/ward-4/a", "money", payment_fields));
+    REQUIRE(eventually([&] { return desk.count() == 1; }));
+    path.fleet.in_force = {1, 2};
+    begin_handover(path, second);
+    desk.answer_all(claim_result::granted);
+    CHECK(one.receive().result_int() == 200);
+    CHECK(path.status.requests().empty());
+    CHECK(second.requests().size() == 1);
+    CHECK(desk.count() == 1);
+}
+
+// A payment must run at most once.
+TEST_CASE(
+    "an idempotency key is claimed before the send and refused when known "
+    "[http_front_end]") {
+    path_fixture path(answer_ok);
+    claim_desk desk;
+    desk.attach(path);
+    const auto ask = [&](claim_result result) {
+        caller one(path.router->port());
+        const auto before = desk.count();
+        one.send(post("/pay/ward-4/a", "money", payment_fields));
+        REQUIRE(eventually([&] { return desk.count() == before + 1; }));
+        desk.answer_all(result);
+        return one.receive();
+    };
+    CHECK(ask(claim_result::granted).result_int() == 200);
+    CHECK(desk.requests.at(0).key == "pay/ward-4/k-1");
+    CHECK(desk.requests.at(0).shard == shard_id{"bagmati", 0});
+    CHECK(desk.requests.at(0).first_attempt_unix_ms == 1700000000000);
+    const auto duplicate = ask(claim_result::duplicate);
+    CHECK(duplicate.result_int() == 409);
+    CHECK(field(duplicate, "Mimosavalve-Reason") == "duplicate");
+    CHECK(field(duplicate, "Mimosavalve-Verdict") == "may-have-run");
+    CHECK(field(ask(claim_result::too_old), "Mimosavalve-Verdict") == "may-have-run");
+    CHECK(field(ask(claim_result::unavailable), "Mimosavalve-Verdict") == "not-run");
+    CHECK(path.status.requests().size() == 1);
+}
+
+TEST_CASE("a claim without an answer ends as not-run at the deadline [http_front_end]") {
+    path_fixture path(answer_ok);
+    claim_desk desk;
+    desk.attach(path);
+    const auto answer =
+        path.ask(post("/pay/ward-4/a", "money", payment_fields + "Request-Timeout-Ms: 50\r\n"));
+    CHECK(field(answer, "Mimosavalve-Reason") == "claim-unavailable");
+    CHECK(field(answer, "Mimosavalve-Verdict") == "not-run");
+    // The late answer must find no one.
+    desk.answer_all(claim_result::granted);
+    CHECK(path.ask(get("/status/ward-4/a")).result_int() == 200);
+    CHECK(path.status.requests().size() == 1);
+}
+
+TEST_CASE("a refused attempt of an unkeyed service goes to another target [http_front_end]") {
+    path_fixture path(answer_ok, [](const fake_target::request&) {
+        target_reply reply;
+        reply.status = 503;
+        reply.extra_fields = "Not-Run: true\r\n";
+        return reply;
+    });
+    fake_target second(answer_ok);
+    path.fleet.config.drained_targets.clear();
+    path.fleet.target("orders-2").address = second.address();
+    path.publish();
+    // The retry budget of a new router is 3.
+    int served = 0;
+    for (int round = 0; round < 3; ++round) {
+        const auto answer = path.ask(get("/orders/ward-4/a"));
+        served += answer.result_int() == 200 ? 1 : 0;
+    }
+    CHECK(served == 3);
+}
--- a/tests/traffic/path_fixture.cpp
+++ b/tests/traffic/path_fixture.cpp
@@ -34,14 +34,17 @@
 
 boost::system::error_code caller::try_receive(http_answer& answer, bool head) {
     boost::system::error_code error;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(UINT64_MAX);
-    parser.skip(head);
-    do {
+    for (;;) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(UINT64_MAX);
+        parser.skip(head);
         http::read(socket_, buffer_, parser, error);
-    } while (!error && parser.get().result_int() < 200);
-    answer = parser.release();
-    return error;
+        const bool interim = !error && parser.get().result_int() < 200;
+        if (!interim) {
+            answer = parser.release();
+            return error;
+        }
+    }
 }
 
 http_answer caller::receive(bool head) {
