--- a/include/mimosavalve/adapters/host_json.hpp
+++ b/include/mimosavalve/adapters/host_json.hpp
@@ -13,9 +13,10 @@
 /// JSON array of objects with the fields of `listed_host`.
 std::string encode_hosts(std::span<const ports::listed_host> hosts);
 
-/// Reverse of `encode_hosts`. Empty unless every entry is valid: known role, an address of "ip:port",
-/// at least one slot and connection, and no id twice. Missing fields have their default, but for id,
-/// role and address. Fields of other names are ignored, since the platform may add some.
+/// Reverse of `encode_hosts`. Empty unless every entry is valid: known role, an address of
+/// "ip:port", at least one slot and connection, and no id twice. Missing fields have their default,
+/// but for id, role and address. Fields of other names are ignored, since the platform may add
+/// some.
 std::optional<std::vector<ports::listed_host>> decode_hosts(std::string_view json);
 
 /// One JSON object as in `decode_hosts`.
--- a/src/adapters/host_json.cpp
+++ b/src/adapters/host_json.cpp
@@ -59,14 +59,12 @@
 
 std::optional<ports::listed_host> host_in(const json& object) {
     ports::listed_host host;
-    const auto typed = object.is_object() && take(object, "id", host.id) &&
-                       take(object, "role", host.role) && take(object, "service", host.service) &&
-                       take(object, "address", host.address) &&
-                       take(object, "region", host.region) &&
-                       take(object, "failure_domain", host.failure_domain) &&
-                       take(object, "slots", host.slots) &&
-                       take(object, "connections", host.connections) &&
-                       take(object, "leaving", host.leaving);
+    const auto typed =
+        object.is_object() && take(object, "id", host.id) && take(object, "role", host.role) &&
+        take(object, "service", host.service) && take(object, "address", host.address) &&
+        take(object, "region", host.region) &&
+        take(object, "failure_domain", host.failure_domain) && take(object, "slots", host.slots) &&
+        take(object, "connections", host.connections) && take(object, "leaving", host.leaving);
     if (!typed || !is_valid(host)) {
         return std::nullopt;
     }
@@ -74,14 +72,10 @@
 }
 
 json json_of(const ports::listed_host& host) {
-    return {{"id", host.id},
-            {"role", host.role},
-            {"service", host.service},
-            {"address", host.address},
-            {"region", host.region},
-            {"failure_domain", host.failure_domain},
-            {"slots", host.slots},
-            {"connections", host.connections},
+    return {{"id", host.id},           {"role", host.role},
+            {"service", host.service}, {"address", host.address},
+            {"region", host.region},   {"failure_domain", host.failure_domain},
+            {"slots", host.slots},     {"connections", host.connections},
             {"leaving", host.leaving}};
 }
 
--- a/src/adapters/http_host_list.cpp
+++ b/src/adapters/http_host_list.cpp
@@ -83,7 +83,9 @@
 http_host_list::http_host_list(asio::io_context& context, const std::string& address)
     : state_(std::make_shared<detail::http_host_list_state>(context, address)) {}
 
-http_host_list::~http_host_list() { state_->closed = true; }
+http_host_list::~http_host_list() {
+    state_->closed = true;
+}
 
 ports::host_list http_host_list::port() const {
     return {[state = state_](steady_time deadline, const detail::host_handler& done) {
--- a/src/adapters/http_target_control.cpp
+++ b/src/adapters/http_target_control.cpp
@@ -99,8 +99,7 @@
         return errc::deadline_exceeded;
     }
     request.set(http::field::host, address);
-    const auto error =
-        exchange_once(state.context, *endpoint, request, deadline, response, yield);
+    const auto error = exchange_once(state.context, *endpoint, request, deadline, response, yield);
     if (error) {
         forget_reading(state, address);
     }
@@ -112,8 +111,7 @@
                           const asio::yield_context& yield) {
     http_request request(http::verb::get, "/probe", 11);
     http_response response;
-    if (const auto error =
-            exchange_with(state, address, request, deadline, response, yield)) {
+    if (const auto error = exchange_with(state, address, request, deadline, response, yield)) {
         return error;
     }
     const auto parsed = parse_probe(response.body());
@@ -175,8 +173,7 @@
 void start(const state_pointer& state, Body body) {
     asio::post(state->context, [state, body] {
         if (!state->closed) {
-            asio::spawn(state->context, body,
-                        boost::coroutines::attributes(coroutine_stack_bytes));
+            asio::spawn(state->context, body, boost::coroutines::attributes(coroutine_stack_bytes));
         }
     });
 }
@@ -221,7 +218,9 @@
 http_target_control::http_target_control(asio::io_context& context)
     : state_(std::make_shared<detail::http_target_control_state>(context)) {}
 
-http_target_control::~http_target_control() { state_->closed = true; }
+http_target_control::~http_target_control() {
+    state_->closed = true;
+}
 
 ports::target_control http_target_control::port() const {
     ports::target_control port;
--- a/src/router/admin.cpp
+++ b/src/router/admin.cpp
@@ -17,10 +17,9 @@
 
 bool is_ready(const routing_snapshot& snapshot, steady_time now) {
     const auto serves = [&](const shard_view& view) { return view.serving_lease->until() > now; };
-    const bool complete =
-        snapshot.config != nullptr && !snapshot.shards.empty() &&
-        snapshot.shards.size() ==
-            snapshot.config->regions.size() * snapshot.config->shards_per_region;
+    const bool complete = snapshot.config != nullptr && !snapshot.shards.empty() &&
+                          snapshot.shards.size() ==
+                              snapshot.config->regions.size() * snapshot.config->shards_per_region;
     return complete && std::all_of(snapshot.shards.begin(), snapshot.shards.end(), serves);
 }
 
@@ -39,9 +38,8 @@
         const auto snapshot = plane_.snapshot();
         const bool ready =
             snapshot && detail::is_ready(*snapshot, std::chrono::steady_clock::now());
-        return adapters::make_response(
-            ready ? http::status::ok : http::status::service_unavailable,
-            ready ? "ready\n" : "no serving lease for some shard\n");
+        return adapters::make_response(ready ? http::status::ok : http::status::service_unavailable,
+                                       ready ? "ready\n" : "no serving lease for some shard\n");
     }
     return adapters::make_response(http::status::not_found, "unknown path\n");
 }
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -31,10 +32,16 @@
 constexpr std::chrono::milliseconds tick_interval{10};
 constexpr std::chrono::milliseconds report_interval{50};
 
+// Longest wait for the claim of an idempotency key. A lost leader is replaced after more than a
+// second, so a longer wait would only hold the caller's connection; it may repeat the request.
+constexpr std::chrono::milliseconds claim_limit{300};
+
 // Longest planned stop. An upload of 64 MB over the link between regions takes about 17 s.
 constexpr std::chrono::seconds stop_limit{60};
 
-steady_time steady_now() { return std::chrono::steady_clock::now(); }
+steady_time steady_now() {
+    return std::chrono::steady_clock::now();
+}
 
 std::uint64_t unix_ms_now() {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -147,10 +154,8 @@
     adapters::front_end_hooks hooks;
     hooks.claim = [this](adapters::claim_request request,
                          adapters::front_end_hooks::claim_handler handler) {
-        boost::asio::post(context,
-                          [this, request = std::move(request), handler = std::move(handler)] {
-                              claim(request, handler);
-                          });
+        boost::asio::post(context, [this, request = std::move(request),
+                                    handler = std::move(handler)] { claim(request, handler); });
     };
     hooks.evidence = [this](const std::vector<adapters::target_evidence>& seen) {
         add_evidence(seen);
@@ -221,12 +226,12 @@
         environment.now = detail::steady_now;
         environment.after = [this](std::chrono::milliseconds delay, std::function<void()> action) {
             auto timer = std::make_shared<boost::asio::steady_timer>(context, delay);
-            timer->async_wait([timer, action = std::move(action)](
-                                  const boost::system::error_code& error) {
-                if (!error) {
-                    action();
-                }
-            });
+            timer->async_wait(
+                [timer, action = std::move(action)](const boost::system::error_code& error) {
+                    if (!error) {
+                        action();
+                    }
+                });
         };
         write_initial_config(std::move(environment), config::encode(*options.initial_config));
     }
@@ -302,10 +307,10 @@
 
 void daemon::implementation::claim(const adapters::claim_request& request,
                                    const adapters::front_end_hooks::claim_handler& handler) {
-    plane->claim(request.shard, request.key, request.first_attempt_unix_ms, request.deadline,
-                 [handler](control::claim_status status) {
-                     handler(detail::to_claim_result(status));
-                 });
+    const auto deadline = std::min(request.deadline, detail::steady_now() + detail::claim_limit);
+    plane->claim(
+        request.shard, request.key, request.first_attempt_unix_ms, deadline,
+        [handler](control::claim_status status) { handler(detail::to_claim_result(status)); });
 }
 
 daemon::daemon(daemon_options options)
@@ -313,7 +318,9 @@
 
 daemon::~daemon() = default;
 
-std::error_code daemon::start() { return implementation_->start(); }
+std::error_code daemon::start() {
+    return implementation_->start();
+}
 
 void daemon::run() {
     implementation_->context.run();
--- a/src/standins/hosts_service.cpp
+++ b/src/standins/hosts_service.cpp
@@ -64,8 +64,7 @@
 }
 
 http_response answer(hosts_data& data, const http_request& request) {
-    auto path =
-        adapters::split_target({request.target().data(), request.target().size()}).path;
+    auto path = adapters::split_target({request.target().data(), request.target().size()}).path;
     if (request.method() == http::verb::get && path == list_path) {
         return list_hosts(data);
     }
@@ -79,9 +78,10 @@
 }  // namespace
 
 adapters::http_handler make_hosts_handler(std::shared_ptr<hosts_data> data) {
-    return [data = std::move(data)](const http_request& request, const boost::asio::yield_context&) {
-        return answer(*data, request);
-    };
+    return
+        [data = std::move(data)](const http_request& request, const boost::asio::yield_context&) {
+            return answer(*data, request);
+        };
 }
 
 }  // namespace mimosavalve::standins
