--- a/src/router/admin.cpp
+++ b/src/router/admin.cpp
@@ -26,22 +26,50 @@
 }  // namespace detail
 
 admin::admin(boost::asio::io_context& context, const std::string& address,
-             const control::control_plane& plane)
+             const control::control_plane& plane, operator_service& operators,
+             std::function<std::string()> metrics)
     : plane_(plane),
+      operators_(operators),
+      metrics_(std::move(metrics)),
       server_(context, detail::server_options(address),
-              [this](const adapters::http_request& request, const boost::asio::yield_context&) {
-                  return answer(request);
-              }) {}
+              [this](const adapters::http_request& request,
+                     const boost::asio::yield_context& yield) { return answer(request, yield); }) {}
 
-adapters::http_response admin::answer(const adapters::http_request& request) const {
+adapters::http_response admin::answer(const adapters::http_request& request,
+                                      const boost::asio::yield_context& yield) {
+    if (request.target() == "/command") {
+        return run_command(request, yield);
+    }
     if (request.target() == "/ready") {
-        const auto snapshot = plane_.snapshot();
-        const bool ready =
-            snapshot && detail::is_ready(*snapshot, std::chrono::steady_clock::now());
-        return adapters::make_response(ready ? http::status::ok : http::status::service_unavailable,
-                                       ready ? "ready\n" : "no serving lease for some shard\n");
+        return readiness();
+    }
+    if (request.target() == "/metrics") {
+        return adapters::make_response(http::status::ok, metrics_(), "text/plain; version=0.0.4");
     }
-    return adapters::make_response(http::status::not_found, "unknown path\n");
+    return adapters::make_response(http::status::not_found,
+                                   "unknown path; known: /command /metrics /ready\n");
+}
+
+adapters::http_response admin::run_command(const adapters::http_request& request,
+                                           const boost::asio::yield_context& yield) {
+    if (request.method() != http::verb::post) {
+        return adapters::make_response(http::status::method_not_allowed, "use POST\n");
+    }
+    const auto result = operators_.run(request.body(), yield);
+    const bool json = request["Output"] == "json";
+    auto response =
+        adapters::make_response(static_cast<http::status>(command::http_status_of(result.how)),
+                                json ? command::to_json(result) : command::to_table(result),
+                                json ? "application/json" : "text/plain");
+    response.set("Outcome", std::string(command::to_string(result.how)));
+    return response;
+}
+
+adapters::http_response admin::readiness() const {
+    const auto snapshot = plane_.snapshot();
+    const bool ready = snapshot && detail::is_ready(*snapshot, std::chrono::steady_clock::now());
+    return adapters::make_response(ready ? http::status::ok : http::status::service_unavailable,
+                                   ready ? "ready\n" : "no serving lease for some shard\n");
 }
 
 }  // namespace mimosavalve::router
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -1,7 +1,5 @@
 #include "mimosavalve/router/daemon.hpp"
 
-#include <easylogging++.h>
-
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -21,9 +19,13 @@
 #include "mimosavalve/adapters/zmq_peers.hpp"
 #include "mimosavalve/config/fleet_config_codec.hpp"
 #include "mimosavalve/control/control_plane.hpp"
+#include "mimosavalve/observe/event_log.hpp"
+#include "mimosavalve/observe/log.hpp"
 #include "router/admin.hpp"
+#include "router/event_codec.hpp"
 #include "router/evidence_merge.hpp"
 #include "router/initial_config.hpp"
+#include "router/operator_service.hpp"
 
 namespace mimosavalve::router {
 
@@ -102,6 +104,9 @@
     void add_evidence(const std::vector<adapters::target_evidence>& evidence);
     void send_report(steady_time now);
     adapters::front_end_hooks hooks();
+    void record(const control::event& event);
+    [[nodiscard]] std::vector<command::status_counter> counters() const;
+    [[nodiscard]] std::string metrics_text() const;
 
     daemon_options options;
     boost::asio::io_context context{1};
@@ -113,6 +118,8 @@
     std::mutex evidence_mutex;
     evidence_merge evidence;  ///< Guarded by `evidence_mutex`.
     adapters::http_front_end front_end;
+    std::unique_ptr<observe::event_log> events;
+    std::unique_ptr<operator_service> operators;
     std::unique_ptr<admin> admin_port;
     boost::asio::steady_timer tick_timer;
     boost::asio::signal_set signals;
@@ -144,7 +151,9 @@
       hosts(context, {options.settings.host_list}),
       peers(context, detail::peer_options(options.settings),
             [this](const wire::Envelope& message) {
-                plane->on_message(message, detail::steady_now());
+                if (!operators->on_message(message)) {
+                    plane->on_message(message, detail::steady_now());
+                }
             }),
       front_end(detail::front_end_options(options.settings), hooks()),
       tick_timer(context),
@@ -175,7 +184,8 @@
     if (const auto error = front_end.start()) {
         return error;
     }
-    admin_port = std::make_unique<admin>(context, options.settings.admin, *plane);
+    admin_port = std::make_unique<admin>(context, options.settings.admin, *plane, *operators,
+                                         [this] { return metrics_text(); });
     if (const auto error = admin_port->listen()) {
         return error;
     }
@@ -183,7 +193,7 @@
     schedule_tick();
     signals.async_wait([this](const boost::system::error_code& error, int) {
         if (!error) {
-            LOG(INFO) << "planned stop begins";
+            observe::write_log({config::log_level::info, "daemon", "", "planned stop begins"});
             stop_deadline = detail::steady_now() + detail::stop_limit;
             front_end.begin_stop();
         }
@@ -213,13 +223,22 @@
         front_end.publish(snapshot);
     };
     outputs.drained = [this](const shard_id& shard) { return front_end.drained_version(shard); };
-    outputs.record = [](const control::event& event) {
-        LOG(INFO) << "component=control event=" << event.kind << " subject=" << event.subject
-                  << " shard=" << (event.shard ? to_string(*event.shard) : "-")
-                  << " version=" << to_string(event.at) << " cause=\"" << event.cause << '"';
-    };
+    outputs.record = [this](const control::event& event) { record(event); };
+    events = std::make_unique<observe::event_log>(settings.self);
+    operator_environment operator_ports;
+    operator_ports.host = options.settings.host;
+    operator_ports.region = options.settings.region;
+    operator_ports.failure_domain = options.settings.failure_domain;
+    operator_ports.peer_address = settings.address;
+    operator_ports.self = settings.self;
+    operator_ports.store = store.port();
+    operator_ports.peers = peers.port();
+    operator_ports.events = events.get();
+    operator_ports.counters = [this] { return counters(); };
     plane = std::make_unique<control::control_plane>(std::move(settings), std::move(ports),
                                                      std::move(outputs), detail::decode_config);
+    operator_ports.plane = plane.get();
+    operators = std::make_unique<operator_service>(context, std::move(operator_ports));
     if (options.initial_config) {
         initial_config_environment environment;
         environment.store = store.port();
@@ -268,6 +287,7 @@
         send_report(now);
     }
     plane->on_tick(now);
+    operators->on_tick(now);
     if (stop_deadline) {
         continue_stop(now);
     }
@@ -284,7 +304,8 @@
     }
     plane->start_stop(now);
     if (plane->may_exit(now) || late) {
-        LOG(INFO) << "planned stop ends" << (late ? " at its time limit" : "");
+        observe::write_log({config::log_level::info, "daemon", "",
+                            late ? "planned stop ends at its time limit" : "planned stop ends"});
         context.stop();
     }
 }
@@ -313,6 +334,37 @@
         [handler](control::claim_status status) { handler(detail::to_claim_result(status)); });
 }
 
+void daemon::implementation::record(const control::event& event) {
+    observe::log_line line;
+    const auto message = event.kind + " " + event.subject +
+                         " shard=" + (event.shard ? to_string(*event.shard) : "-") +
+                         " version=" + to_string(event.at) + " cause: " + event.cause;
+    line.component = "control";
+    line.message = message;
+    observe::write_log(line);
+    for (auto& entry : to_records(event, detail::unix_ms_now())) {
+        events->append(std::move(entry));
+    }
+}
+
+std::vector<command::status_counter> daemon::implementation::counters() const {
+    const auto& transport = peers.counts();
+    return {{"peer_messages_sent", transport.sent},
+            {"peer_messages_received", transport.received},
+            {"peer_messages_dropped", transport.dropped},
+            {"peer_messages_malformed", transport.malformed + transport.oversized},
+            {"caller_connections", front_end.open_connections()},
+            {"event_records_dropped", events->dropped()}};
+}
+
+std::string daemon::implementation::metrics_text() const {
+    std::string text;
+    for (const auto& counter : counters()) {
+        text += "mimosavalve_" + counter.name + " " + std::to_string(counter.value) + "\n";
+    }
+    return text;
+}
+
 daemon::daemon(daemon_options options)
     : implementation_(std::make_unique<implementation>(std::move(options))) {}
 
--- /dev/null
+++ b/src/router/operator_service.cpp
@@ -0,0 +1,275 @@
+#include "router/operator_service.hpp"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "control.pb.h"
+#include "router/event_codec.hpp"
+
+namespace mimosavalve::router {
+
+namespace detail {
+
+steady_time operator_now() {
+    return std::chrono::steady_clock::now();
+}
+
+std::uint64_t operator_unix_ms() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+}
+
+/// A result that a coroutine waits for.
+struct pending_result {
+    explicit pending_result(boost::asio::io_context& context)
+        : ready(context, steady_time::max()) {}
+
+    boost::asio::steady_timer ready;
+    std::optional<command::command_result> result;
+};
+
+}  // namespace detail
+
+operator_service::operator_service(boost::asio::io_context& context,
+                                   operator_environment environment)
+    : context_(context), environment_(std::move(environment)) {
+    writer_.store = environment_.store;
+    writer_.now = detail::operator_now;
+    writer_.after = [this](std::chrono::milliseconds delay, std::function<void()> action) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+        timer->async_wait(
+            [timer, action = std::move(action)](const boost::system::error_code& error) {
+                if (!error) {
+                    action();
+                }
+            });
+    };
+    commands_ = make_context();
+}
+
+command::command_context operator_service::make_context() {
+    command::command_context made;
+    made.host = environment_.host;
+    made.region = environment_.region;
+    made.fleet_config = [this]() -> std::shared_ptr<const config::fleet_config> {
+        const auto snapshot = environment_.plane->snapshot();
+        return snapshot ? snapshot->config : nullptr;
+    };
+    made.shards = [this] { return shard_reports(); };
+    made.routers = [this] { return router_reports(); };
+    made.counters = environment_.counters;
+    made.config_in_force = [this] { return config_in_force(); };
+    made.wait_in_force = [this](std::uint64_t version, steady_time deadline,
+                                std::function<void(command::wait_answer)> handler) {
+        waits_.push_back({version, deadline, std::move(handler)});
+    };
+    made.query_events = [this](const observe::event_query& query, steady_time deadline,
+                               std::function<void(command::event_answer)> handler) {
+        gather(query, deadline, std::move(handler));
+    };
+    made.submit_change = [this](command::change_request request, steady_time deadline,
+                                command::change_handler handler) {
+        command::submit_change(writer_, std::move(request), deadline, std::move(handler));
+    };
+    made.try_change = [this](command::change_request request, steady_time deadline,
+                             command::change_handler handler) {
+        command::try_change(writer_, std::move(request), deadline, std::move(handler));
+    };
+    made.make_identity = [this] {
+        return to_string(environment_.self) + "-" + std::to_string(next_number_++);
+    };
+    made.now = detail::operator_now;
+    made.unix_ms = detail::operator_unix_ms;
+    return made;
+}
+
+command::command_result operator_service::run(std::string_view text,
+                                              const boost::asio::yield_context& yield) {
+    // Shared with the handler, which may run after this coroutine was destroyed.
+    const auto pending = std::make_shared<detail::pending_result>(context_);
+    command::execute(text, commands_, [pending](command::command_result result) {
+        pending->result = std::move(result);
+        pending->ready.cancel();
+    });
+    while (!pending->result) {
+        boost::system::error_code error;
+        pending->ready.async_wait(yield[error]);
+    }
+    return std::move(*pending->result);
+}
+
+bool operator_service::on_message(const wire::Envelope& message) {
+    if (message.has_events_query()) {
+        answer_query(message);
+        return true;
+    }
+    if (message.has_events_reply()) {
+        take_answer(message);
+        return true;
+    }
+    return false;
+}
+
+void operator_service::on_tick(steady_time now) {
+    if (const auto snapshot = environment_.plane->snapshot()) {
+        for (const auto& view : snapshot->shards) {
+            auto& progress = progress_[view.state->shard];
+            if (view.in_force > progress.in_force) {
+                progress.in_force = view.in_force;
+                progress.since_unix_ms = detail::operator_unix_ms();
+            }
+            if (view.in_force >= view.state->at) {
+                progress.config_version =
+                    std::max(progress.config_version, view.state->config_version);
+            }
+        }
+    }
+    finish_gatherings(now);
+    finish_waits(now);
+}
+
+std::vector<command::shard_report> operator_service::shard_reports() const {
+    std::vector<command::shard_report> reports;
+    const auto snapshot = environment_.plane->snapshot();
+    if (!snapshot) {
+        return reports;
+    }
+    for (const auto& view : snapshot->shards) {
+        command::shard_report report;
+        report.state = view.state;
+        report.in_force = view.in_force;
+        const auto found = progress_.find(view.state->shard);
+        report.in_force_since_unix_ms = found == progress_.end() ? 0 : found->second.since_unix_ms;
+        report.lease_until = view.serving_lease->until();
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+std::vector<command::router_report> operator_service::router_reports() const {
+    std::vector<command::router_report> reports;
+    for (const auto& router : environment_.plane->routers()) {
+        command::router_report report;
+        report.id = router.id;
+        report.region = router.region;
+        report.address = router.address;
+        report.config_version = router.config_version;
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+std::uint64_t operator_service::config_in_force() const {
+    const auto snapshot = environment_.plane->snapshot();
+    if (!snapshot || !snapshot->config) {
+        return 0;
+    }
+    const auto expected = snapshot->config->regions.size() * snapshot->config->shards_per_region;
+    if (progress_.size() < expected) {
+        return 0;
+    }
+    auto oldest = snapshot->config->version;
+    for (const auto& [shard, progress] : progress_) {
+        oldest = std::min(oldest, progress.config_version);
+    }
+    return oldest;
+}
+
+command::wait_answer operator_service::wait_state(std::uint64_t version) const {
+    command::wait_answer answer;
+    answer.in_force = config_in_force() >= version;
+    for (const auto& router : environment_.plane->routers()) {
+        if (router.config_version < version) {
+            answer.laggards.push_back(to_string(router.id));
+        }
+    }
+    return answer;
+}
+
+void operator_service::finish_waits(steady_time now) {
+    std::vector<version_wait> open;
+    for (auto& wait : std::exchange(waits_, {})) {
+        auto answer = wait_state(wait.version);
+        if (answer.in_force || now >= wait.deadline) {
+            wait.handler(std::move(answer));
+        } else {
+            open.push_back(std::move(wait));
+        }
+    }
+    waits_.insert(waits_.end(), std::make_move_iterator(open.begin()),
+                  std::make_move_iterator(open.end()));
+}
+
+void operator_service::gather(const observe::event_query& query, steady_time deadline,
+                              std::function<void(command::event_answer)> handler) {
+    event_gathering gathering;
+    gathering.number = next_number_++;
+    gathering.deadline = deadline;
+    gathering.handler = std::move(handler);
+    auto own_query = query;
+    own_query.asking_region = environment_.region;
+    gathering.answer.records.push_back(environment_.events->query(own_query));
+    wire::Envelope message;
+    set_sender(message, environment_.self, environment_.peer_address);
+    auto& out = *message.mutable_events_query();
+    out.set_number(gathering.number);
+    to_wire(own_query, out);
+    for (const auto& router : environment_.plane->routers()) {
+        if (router.id != environment_.self) {
+            gathering.waiting[router.address] = router.id.host;
+            environment_.peers.send(router.address, message);
+        }
+    }
+    gatherings_.push_back(std::move(gathering));
+}
+
+void operator_service::answer_query(const wire::Envelope& message) const {
+    wire::Envelope answer;
+    set_sender(answer, environment_.self, environment_.peer_address);
+    auto& out = *answer.mutable_events_reply();
+    out.set_number(message.events_query().number());
+    for (const auto& record : environment_.events->query(from_wire(message.events_query()))) {
+        to_wire(record, *out.add_events());
+    }
+    environment_.peers.send(message.sender_address(), answer);
+}
+
+void operator_service::take_answer(const wire::Envelope& message) {
+    const auto& reply = message.events_reply();
+    for (auto& gathering : gatherings_) {
+        const bool awaited = gathering.number == reply.number() &&
+                             gathering.waiting.erase(message.sender_address()) > 0;
+        if (!awaited) {
+            continue;
+        }
+        std::vector<observe::event_record> records;
+        for (const auto& record : reply.events()) {
+            if (auto decoded = from_wire(record)) {
+                records.push_back(std::move(*decoded));
+            }
+        }
+        gathering.answer.records.push_back(std::move(records));
+    }
+}
+
+void operator_service::finish_gatherings(steady_time now) {
+    std::vector<event_gathering> open;
+    for (auto& gathering : std::exchange(gatherings_, {})) {
+        if (!gathering.waiting.empty() && now < gathering.deadline) {
+            open.push_back(std::move(gathering));
+            continue;
+        }
+        for (const auto& [address, host] : gathering.waiting) {
+            gathering.answer.silent_hosts.push_back(host);
+        }
+        gathering.handler(std::move(gathering.answer));
+    }
+    gatherings_.insert(gatherings_.end(), std::make_move_iterator(open.begin()),
+                       std::make_move_iterator(open.end()));
+}
+
+}  // namespace mimosavalve::router
