--- a/apps/mv-target/main.cpp
+++ b/apps/mv-target/main.cpp
@@ -54,13 +54,7 @@
 int run(const standins::target_settings& settings) {
     boost::asio::io_context context(1);
     standins::target_server server(context, settings);
-    if (const auto error = server.start()) {
-        std::cerr << "field 'listen' has value '" << settings.listen
-                  << "', or a file can't be written: " << error.message()
-                  << "; allowed: a free \"ip:port\", and writable files\n";
-        return load::bad_settings_exit_code;
-    }
-    LOG(INFO) << "target " << settings.id << " listens on port " << server.port();
+    // Set before the port file appears, since whoever reads that may send a signal at once.
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](boost::system::error_code error, int) {
         if (!error) {
@@ -68,6 +62,13 @@
             server.leave();
         }
     });
+    if (const auto error = server.start()) {
+        std::cerr << "field 'listen' has value '" << settings.listen
+                  << "', or a file can't be written: " << error.message()
+                  << "; allowed: a free \"ip:port\", and writable files\n";
+        return load::bad_settings_exit_code;
+    }
+    LOG(INFO) << "target " << settings.id << " listens on port " << server.port();
     context.run();
     return 0;
 }
