Add limits, quarantine, admission queue and request metrics

Change: one pure module per policy over plain structs that take the time as an argument, and a histogram of fixed memory with an exposition per class and account. The path does not use them yet. Decisions: a share below one request is drawn as a turn of 20 ms, not per request, so asking again does not raise the chance; an account limit is one atomic time shared by the threads, since a share per thread would depend on how callers spread over threads. Conclusion: ready to be wired into the path.

--- /dev/null
+++ b/include/mimosavalve/traffic/quarantine.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mimosavalve/core/types.hpp"
+#include "mimosavalve/traffic/request_head.hpp"
+
+namespace mimosavalve::traffic {
+
+/// Hash of route, account, method, path and the first KB of the body: repeats of one request have
+/// the same one.
+std::uint64_t fingerprint_of(const request_head& head, std::string_view body_prefix);
+
+/// Requests that were in flight when a target was lost.
+struct target_loss {
+    std::string target;
+    steady_time at;
+    std::vector<std::uint64_t> fingerprints;  ///< Without repeats; at most 64.
+};
+
+struct held_back {
+    std::uint64_t fingerprint = 0;
+    steady_time until;
+};
+
+/// Finds requests that crash targets. A caller that repeats such a request would take down one
+/// target after the other, so it is held back after two losses that have only it in common.
+struct quarantine {
+    std::vector<target_loss> losses;  ///< Of the last 10 minutes, at most 32.
+    std::vector<held_back> held;
+};
+
+/// Notes that a request lost its connection before an answer. Losses of one target within 200 ms
+/// are one loss.
+void record_loss(quarantine& state, std::string_view target, std::uint64_t fingerprint,
+                 steady_time now);
+
+/// Fingerprints that are held back from now on for 10 minutes; to be called some times a second.
+std::vector<std::uint64_t> find_crashing(quarantine& state, steady_time now);
+
+bool is_held_back(const quarantine& state, std::uint64_t fingerprint, steady_time now);
+
+}  // namespace mimosavalve::traffic
--- /dev/null
+++ b/src/observe/histogram.cpp
@@ -0,0 +1,82 @@
+#include "mimosavalve/observe/histogram.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace mimosavalve::observe {
+
+namespace detail {
+
+constexpr std::size_t linear_bits = 3;
+constexpr std::uint64_t linear_buckets = std::uint64_t{1} << linear_bits;
+
+/// One writer: a plain sum without a locked instruction is enough.
+void raise(std::atomic<std::uint64_t>& counter, std::uint64_t by) {
+    counter.store(counter.load(std::memory_order_relaxed) + by, std::memory_order_relaxed);
+}
+
+}  // namespace detail
+
+std::size_t histogram::bucket_of(std::uint64_t microseconds) {
+    if (microseconds < detail::linear_buckets) {
+        return microseconds;
+    }
+    const auto shift =
+        static_cast<std::size_t>(std::bit_width(microseconds)) - 1 - detail::linear_bits;
+    const auto within = (microseconds >> shift) - detail::linear_buckets;
+    return std::min(bucket_count - 1, (shift + 1) * detail::linear_buckets + within);
+}
+
+std::uint64_t histogram::upper_bound(std::size_t bucket) {
+    if (bucket < detail::linear_buckets) {
+        return bucket + 1;
+    }
+    const auto shift = bucket / detail::linear_buckets - 1;
+    const auto within = bucket % detail::linear_buckets;
+    return (detail::linear_buckets + within + 1) << shift;
+}
+
+void histogram::record(std::uint64_t microseconds) {
+    detail::raise(counts_.at(bucket_of(microseconds)), 1);
+    detail::raise(sum_, microseconds);
+}
+
+std::uint64_t histogram::count(std::size_t bucket) const {
+    return counts_.at(bucket).load(std::memory_order_relaxed);
+}
+
+std::uint64_t histogram::total() const {
+    std::uint64_t sum = 0;
+    for (const auto& counter : counts_) {
+        sum += counter.load(std::memory_order_relaxed);
+    }
+    return sum;
+}
+
+std::uint64_t histogram::sum_microseconds() const {
+    return sum_.load(std::memory_order_relaxed);
+}
+
+void histogram::add(const histogram& other) {
+    for (std::size_t bucket = 0; bucket < bucket_count; ++bucket) {
+        detail::raise(counts_.at(bucket), other.count(bucket));
+    }
+    detail::raise(sum_, other.sum_microseconds());
+}
+
+std::uint64_t histogram::quantile(double part) const {
+    const auto all = total();
+    const auto wanted = std::max<std::uint64_t>(
+        1, static_cast<std::uint64_t>(std::ceil(part * static_cast<double>(all))));
+    std::uint64_t seen = 0;
+    for (std::size_t bucket = 0; bucket < bucket_count; ++bucket) {
+        seen += count(bucket);
+        if (all > 0 && seen >= wanted) {
+            return upper_bound(bucket);
+        }
+    }
+    return 0;
+}
+
+}  // namespace mimosavalve::observe
--- /dev/null
+++ b/src/traffic/outlier_ejection.cpp
@@ -0,0 +1,82 @@
+#include "mimosavalve/traffic/outlier_ejection.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace mimosavalve::traffic {
+
+namespace detail {
+
+constexpr double outlier_factor = 3;
+constexpr double weight = 0.1;
+constexpr std::uint32_t samples_to_judge = 20;
+constexpr std::uint32_t samples_on_trial = 3;
+constexpr std::uint32_t max_ejection_factor = 8;
+constexpr std::size_t ejected_part = 3;
+constexpr std::chrono::seconds first_ejection{1};
+
+double median_of(std::span<const target_latency* const> all, steady_time now) {
+    std::vector<double> means;
+    means.reserve(all.size());
+    for (const auto* target : all) {
+        if (target->samples > 0 && now >= target->ejected_until) {
+            means.push_back(target->mean_ms);
+        }
+    }
+    if (means.empty()) {
+        return 0;
+    }
+    const auto middle = means.begin() + static_cast<std::ptrdiff_t>((means.size() - 1) / 2);
+    std::nth_element(means.begin(), middle, means.end());
+    return *middle;
+}
+
+bool may_eject_one_more(std::span<const target_latency* const> all, steady_time now) {
+    const auto ejected = std::count_if(all.begin(), all.end(), [&](const target_latency* target) {
+        return now < target->ejected_until;
+    });
+    return (static_cast<std::size_t>(ejected) + 1) * ejected_part <= all.size();
+}
+
+void eject(target_latency& target, steady_time now) {
+    target.ejections = std::min(target.ejections + 1, max_ejection_factor);
+    target.ejected_until = now + first_ejection * target.ejections;
+    target.on_trial = true;
+    target.samples = 0;
+    target.mean_ms = 0;
+}
+
+}  // namespace detail
+
+void record(target_latency& target, std::chrono::microseconds latency) {
+    const auto value = std::chrono::duration<double, std::milli>(latency).count();
+    target.mean_ms =
+        target.samples == 0 ? value : target.mean_ms + detail::weight * (value - target.mean_ms);
+    ++target.samples;
+}
+
+bool may_take(target_latency& target, std::uint32_t running, steady_time now) {
+    if (now < target.ejected_until) {
+        return false;
+    }
+    return !target.on_trial || running == 0;
+}
+
+bool judge(target_latency& target, std::span<const target_latency* const> all, steady_time now) {
+    const auto needed = target.on_trial ? detail::samples_on_trial : detail::samples_to_judge;
+    if (target.samples < needed) {
+        return false;
+    }
+    const bool slow = target.mean_ms > detail::outlier_factor * detail::median_of(all, now);
+    if (slow && detail::may_eject_one_more(all, now)) {
+        detail::eject(target, now);
+        return true;
+    }
+    if (!slow) {
+        target.on_trial = false;
+        target.ejections = 0;
+    }
+    return false;
+}
+
+}  // namespace mimosavalve::traffic
--- /dev/null
+++ b/tests/traffic/policies_test.cpp
@@ -0,0 +1,260 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "mimosavalve/traffic/account_limit.hpp"
+#include "mimosavalve/traffic/admission_queue.hpp"
+#include "mimosavalve/traffic/outlier_ejection.hpp"
+#include "mimosavalve/traffic/quarantine.hpp"
+#include "mimosavalve/traffic/retry_budget.hpp"
+#include "mimosavalve/traffic/slow_start.hpp"
+#include "mimosavalve/traffic/target_clock.hpp"
+#include "mimosavalve/traffic/target_window.hpp"
+
+using namespace mimosavalve;
+using namespace mimosavalve::traffic;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start = steady_time(std::chrono::hours(1));
+
+}  // namespace
+
+// Unbounded retries multiply the load of a failing target.
+TEST_CASE("retries are at most a tenth of the requests plus 3 per second [retry_budget]") {
+    retry_budget budget;
+    int retries = 0;
+    for (int request = 0; request < 1000; ++request) {
+        earn(budget);
+        retries += take_retry(budget, start + request * 1ms) ? 1 : 0;
+    }
+    CHECK(retries >= 100);
+    CHECK(retries <= 3 + 100 + 3);
+    CHECK(take_retry(budget, start + 10s));
+}
+
+// A Start-By later than the true deadline lets a frozen target start a request of an old owner.
+TEST_CASE("Start-By is never later than the deadline in the target's clock [target_clock]") {
+    const clock_reading reading{1000, 1, start};
+    for (const auto age : {0ms, 100ms, 4000ms}) {
+        const auto now = start + age;
+        const auto value = start_by_ms(reading, now + 250ms, now);
+        REQUIRE(value);
+        // The target's clock may run 2% slow.
+        const auto slowest = 1000 + (age.count() + 250) * 98 / 100;
+        CHECK(*value <= static_cast<std::uint64_t>(slowest));
+        CHECK(*value + 90 >= 1000 + static_cast<std::uint64_t>(age.count()) + 250);
+    }
+    CHECK_FALSE(start_by_ms(reading, start, start));
+    CHECK_FALSE(is_usable(reading, start + 5s));
+    CHECK_FALSE(is_usable_on_new_connection(reading, start + 1s));
+}
+
+// A target that sheds load must get less at once, and more again only slowly.
+TEST_CASE(
+    "the window stays within its bounds and shrinks on refusals and latency "
+    "[target_window]") {
+    target_window window;
+    set_bounds(window, 4, 130, 2);
+    CHECK(window.limit == 2);
+    auto now = start;
+    for (int answer = 0; answer < 5000; ++answer) {
+        now += 1ms;
+        record_success(window, 2ms, now);
+    }
+    CHECK(window.limit == doctest::Approx(65));
+    CHECK(has_room(window, 64));
+    CHECK_FALSE(has_room(window, 65));
+    record_refusal(window, now);
+    record_refusal(window, now);
+    CHECK(window.limit == doctest::Approx(65 * 0.7));
+    const auto before = window.limit;
+    for (int answer = 0; answer < 50; ++answer) {
+        now += 10ms;
+        record_success(window, 40ms, now);
+    }
+    CHECK(window.limit < before / 2);
+    for (int refusal = 0; refusal < 100; ++refusal) {
+        now += 100ms;
+        record_refusal(window, now);
+    }
+    CHECK(window.limit == 2);
+    CHECK(expected_wait(window, 3) > 10ms);
+}
+
+// Twelve routers that each start with one request would be twelve at a cold target.
+TEST_CASE("a fresh target gets about one request over all routers at first [slow_start]") {
+    constexpr std::uint32_t sharers = 12;
+    std::mt19937 random(20261204);
+    std::uniform_real_distribution<double> chance(0, 1);
+    std::vector<slow_start> ramps(sharers);
+    for (auto& ramp : ramps) {
+        restart(ramp, 130);
+    }
+    double running = 0;
+    constexpr int turns = 2000;
+    for (int turn = 0; turn < turns; ++turn) {
+        for (auto& ramp : ramps) {
+            const auto now = start + turn * 20ms;
+            const bool first = may_start(ramp, 0, sharers, chance(random), now);
+            // Asking again within a turn must not draw again.
+            CHECK(may_start(ramp, 0, sharers, chance(random), now + 10ms) == first);
+            CHECK_FALSE(may_start(ramp, 1, sharers, 0, now));
+            running += first ? 1 : 0;
+        }
+    }
+    CHECK(running / turns > 0.8);
+    CHECK(running / turns < 1.2);
+}
+
+TEST_CASE(
+    "the allowance doubles with answers and restarts when the target is cold "
+    "[slow_start]") {
+    slow_start ramp;
+    restart(ramp, 16);
+    for (int answer = 0; answer < 32; ++answer) {
+        record_success(ramp, 2ms, 4, 16, 1);
+    }
+    CHECK(ramp.allowance == 2);
+    CHECK(may_start(ramp, 1, 1, 1, start));
+    CHECK_FALSE(may_start(ramp, 2, 1, 1, start));
+    for (int answer = 0; answer < 3 * 32; ++answer) {
+        record_success(ramp, 2ms, 4, 16, 1);
+    }
+    CHECK_FALSE(ramp.ramping);
+    for (int answer = 0; answer < 5; ++answer) {
+        record_success(ramp, 20ms, 4, 16, 1);
+    }
+    CHECK_FALSE(ramp.ramping);
+    record_refusal(ramp);
+    record_refusal(ramp);
+    record_refusal(ramp);
+    record_success(ramp, 20ms, 4, 16, 1);
+    CHECK(ramp.ramping);
+    CHECK(ramp.allowance == 1);
+}
+
+// One customer above its rate must not take the share of the others.
+TEST_CASE("an account gets its share of its rate on each router [account_limit]") {
+    account_limit limit;
+    int taken = 0;
+    for (int tick = 0; tick < 10000; ++tick) {
+        taken += take_token(limit, 100, 4, start + tick * 1ms) ? 1 : 0;
+    }
+    CHECK(taken >= 250);
+    CHECK(taken <= 250 + 26);
+    CHECK(take_token(limit, 0, 4, start));
+    account_limit slow;
+    CHECK(take_token(slow, 0.1, 1, start));
+    CHECK_FALSE(take_token(slow, 0.1, 1, start + 5s));
+    CHECK(take_token(slow, 0.1, 1, start + 11s));
+}
+
+// Ejecting many targets would overload the rest.
+TEST_CASE(
+    "a straggler is ejected, at most a third at once, and returns on trial "
+    "[outlier_ejection]") {
+    std::vector<target_latency> targets(7);
+    std::vector<const target_latency*> all;
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        for (int answer = 0; answer < 20; ++answer) {
+            record(targets[index], index < 3 ? 50ms : 5ms);
+        }
+        all.push_back(&targets[index]);
+    }
+    CHECK_FALSE(judge(targets[5], all, start));
+    CHECK(judge(targets[0], all, start));
+    CHECK(judge(targets[1], all, start));
+    CHECK_FALSE(judge(targets[2], all, start));
+    CHECK_FALSE(may_take(targets[0], 0, start));
+    CHECK(may_take(targets[0], 0, start + 1s));
+    CHECK_FALSE(may_take(targets[0], 1, start + 1s));
+    for (int answer = 0; answer < 3; ++answer) {
+        record(targets[0], 5ms);
+        record(targets[1], 50ms);
+    }
+    CHECK_FALSE(judge(targets[0], all, start + 1s));
+    CHECK(may_take(targets[0], 1, start + 1s));
+    CHECK(judge(targets[1], all, start + 1s));
+    CHECK_FALSE(may_take(targets[1], 0, start + 2s));
+    CHECK(may_take(targets[1], 0, start + 3s));
+}
+
+// A caller that repeats a crashing request would take down one target after the other.
+TEST_CASE("the only request common to two losses is held back [quarantine]") {
+    quarantine state;
+    record_loss(state, "t-1", 7, start);
+    record_loss(state, "t-1", 8, start + 10ms);
+    record_loss(state, "t-1", 7, start + 20ms);
+    CHECK(find_crashing(state, start + 1s).empty());
+    record_loss(state, "t-2", 7, start + 2s);
+    record_loss(state, "t-2", 9, start + 2s);
+    CHECK(find_crashing(state, start + 2100ms).empty());
+    CHECK(find_crashing(state, start + 3s) == std::vector<std::uint64_t>{7});
+    CHECK(find_crashing(state, start + 4s).empty());
+    CHECK(is_held_back(state, 7, start + 4s));
+    CHECK_FALSE(is_held_back(state, 8, start + 4s));
+    CHECK_FALSE(is_held_back(state, 7, start + 11min));
+}
+
+// Two requests that were both there tell nothing about either.
+TEST_CASE("losses with several requests in common hold nothing back [quarantine]") {
+    quarantine state;
+    for (const auto at : {start, start + 2s}) {
+        record_loss(state, "t-1", 7, at);
+        record_loss(state, "t-1", 8, at);
+    }
+    CHECK(find_crashing(state, start + 3s).empty());
+}
+
+TEST_CASE("the fingerprint covers route, account, method, path and body [quarantine]") {
+    request_head head;
+    head.method = "POST";
+    REQUIRE(split_path("/status/ward-4/a", head));
+    const auto base = fingerprint_of(head, "body");
+    CHECK(fingerprint_of(head, "body") == base);
+    CHECK(fingerprint_of(head, "other") != base);
+    head.method = "PUT";
+    CHECK(fingerprint_of(head, "body") != base);
+}
+
+// Without turns the account with the longest queue would get all the room.
+TEST_CASE("accounts take turns and classes go in order [admission_queue]") {
+    admission_queue queue;
+    std::vector<waiting_request> requests(8);
+    const auto deadline = start + 1s;
+    for (std::size_t index = 0; index < 5; ++index) {
+        requests[index] = {"busy", config::traffic_class::order, 1, deadline};
+    }
+    requests[5] = {"quiet", config::traffic_class::order, 1, deadline};
+    requests[6] = {"quiet", config::traffic_class::status, 1, deadline};
+    requests[7] = {"quiet", config::traffic_class::upload, 4, deadline};
+    for (auto& request : requests) {
+        CHECK(push(queue, request));
+    }
+    CHECK(pop(queue, start) == &requests[6]);
+    CHECK(pop(queue, start) == &requests[0]);
+    CHECK(pop(queue, start) == &requests[5]);
+    CHECK(pop(queue, start) == &requests[1]);
+    remove(queue, requests[2]);
+    CHECK(pop(queue, start) == &requests[3]);
+    CHECK(pop(queue, start) == &requests[4]);
+    CHECK(pop(queue, start) == &requests[7]);
+    CHECK(pop(queue, start) == nullptr);
+    CHECK(queue.size == 0);
+}
+
+TEST_CASE("the queue is bounded in length and by deadline [admission_queue]") {
+    admission_queue queue;
+    queue.largest = 2;
+    waiting_request first{"a", {}, 1, start + 1s};
+    waiting_request second{"a", {}, 1, start + 3s};
+    waiting_request third{"a", {}, 1, start + 3s};
+    CHECK(push(queue, first));
+    CHECK(push(queue, second));
+    CHECK_FALSE(push(queue, third));
+    CHECK(pop(queue, start + 2s) == &second);
+    CHECK(queue.size == 0);
+}
