--- a/include/mimosavalve/command/config_change.hpp
+++ b/include/mimosavalve/command/config_change.hpp
@@ -16,6 +16,10 @@
 /// of 3.5 hours, which is longer than the longest store outage that operators repeat across.
 constexpr std::size_t most_applied_commands = 1024;
 
+/// Bytes of their texts, scopes and identities. Without this bound, commands of the greatest length
+/// would take four times the largest value of the store.
+constexpr std::size_t most_applied_bytes = 256'000;
+
 /// A change with its identity.
 struct change_request {
     change what;
--- a/include/mimosavalve/config/settings_reader.hpp
+++ b/include/mimosavalve/config/settings_reader.hpp
@@ -29,7 +29,8 @@
 };
 
 /// Whether `text` can be a name of a region, host, route and the like: letters, digits, '-', '_'
-/// and '.', at most 64. Such names fit into paths, store keys and the command language.
+/// and '.', at most 64, not starting with '-' or '.'. Such names fit into paths, store keys and the
+/// command language, where a leading '-' would be read as an option.
 bool is_name(std::string_view text);
 
 /// Whether `text` is an IPv4 address with a port, as in "127.0.0.1:8080".
--- a/src/command/config_change.cpp
+++ b/src/command/config_change.cpp
@@ -128,11 +128,24 @@
                    {}};
 }
 
+std::size_t size_of(const config::applied_command& command) {
+    return command.id.size() + command.text.size() + command.scope.size();
+}
+
+// Adds a command and forgets the oldest ones that exceed the bounds.
 void remember(config::fleet_config& next, config::applied_command command) {
-    next.applied.push_back(std::move(command));
-    if (next.applied.size() > most_applied_commands) {
-        next.applied.erase(next.applied.begin());
+    auto& applied = next.applied;
+    applied.push_back(std::move(command));
+    std::size_t bytes = 0;
+    std::size_t kept = 0;
+    while (kept < std::min(applied.size(), most_applied_commands)) {
+        bytes += size_of(applied[applied.size() - 1 - kept]);
+        if (bytes > most_applied_bytes) {
+            break;
+        }
+        ++kept;
     }
+    applied.erase(applied.begin(), applied.end() - static_cast<std::ptrdiff_t>(kept));
 }
 
 }  // namespace detail
--- a/src/command/token_reader.cpp
+++ b/src/command/token_reader.cpp
@@ -109,7 +109,8 @@
 
 std::string token_reader::name(std::string_view what) {
     if (!has_text() || !config::is_name(next().text)) {
-        fail(std::string(what) + " (1 to 64 letters, digits, '-', '_' or '.')");
+        fail(std::string(what) +
+             " (1 to 64 letters, digits, '-', '_' or '.', not starting with '-' or '.')");
     }
     return take().text;
 }
--- a/src/config/fleet_config_check.cpp
+++ b/src/config/fleet_config_check.cpp
@@ -50,7 +50,8 @@
 
     void check_name(const std::string& field, const std::string& name, name_set& names) {
         if (!is_name(name)) {
-            add(field, name, "1 to 64 letters, digits, '-', '_' or '.'");
+            add(field, name,
+                "1 to 64 letters, digits, '-', '_' or '.', not starting with '-' or '.'");
         } else if (!names.insert(name).second) {
             add(field, name, "a name that is not used before");
         }
@@ -79,6 +80,10 @@
             const auto& region = config_.regions[index];
             const auto path = item("regions", index);
             check_name(path + ".name", region.name, regions_);
+            // The command language uses this word for "not bound to regions".
+            if (region.name == "any") {
+                add(path + ".name", region.name, "a name other than any");
+            }
             if (region.failure_domains.empty()) {
                 add(path + ".failure_domains", "", "at least one failure domain");
             }
--- a/src/config/settings_reader.cpp
+++ b/src/config/settings_reader.cpp
@@ -54,14 +54,15 @@
     return text;
 }
 
-constexpr std::string_view name_rule = "1 to 64 letters, digits, '-', '_' or '.'";
+constexpr std::string_view name_rule =
+    "1 to 64 letters, digits, '-', '_' or '.', not starting with '-' or '.'";
 constexpr std::string_view endpoint_rule = "an IPv4 address and port, as in 127.0.0.1:8080";
 
 }  // namespace detail
 
 bool is_name(std::string_view text) {
-    return !text.empty() && text.size() <= detail::longest_name &&
-           std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+    return !text.empty() && text.size() <= detail::longest_name && text.front() != '-' &&
+           text.front() != '.' && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
                return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
                       (letter >= '0' && letter <= '9') || letter == '-' || letter == '_' ||
                       letter == '.';
--- a/tests/command/config_change_test.cpp
+++ b/tests/command/config_change_test.cpp
@@ -196,3 +196,22 @@
     CHECK(accepted(config, "set limit open 5", "x", 2).version == config.version + 1);
     CHECK(accepted(config, "rule account/open uphold north", "x", 1).version == config.version + 1);
 }
+
+// Guards against a configuration that outgrows the store's values, so that nothing can be changed.
+TEST_CASE("remembered commands are bounded in bytes [config_change]") {
+    auto config = initial();
+    std::string long_home = "region-0";
+    config.regions.push_back({long_home, {"domain-0"}});
+    for (int each = 1; long_home.size() < 3000; ++each) {
+        const auto number = std::to_string(each);
+        config.regions.push_back({"region-" + number, {"domain-" + number}});
+        long_home += ",region-" + number;
+    }
+    for (int each = 0; each < 120; ++each) {
+        config = accepted(config, "set account open home " + long_home, std::to_string(each));
+    }
+    CHECK(config.applied.size() < 100);
+    CHECK(config.applied.size() > 50);
+    CHECK(config.applied.back().id == "119");
+    CHECK(refused(config, "set limit open 5", "x", 1).reason == cmd::refusal_reason::expired_base);
+}
--- a/tests/config/fleet_config_test.cpp
+++ b/tests/config/fleet_config_test.cpp
@@ -185,3 +185,23 @@
         }
     }
 }
+
+TEST_CASE("names that the command language would read otherwise are faults [fleet_config]") {
+    auto config = repair_service();
+    config.regions[0].name = "any";
+    CHECK(cfg::inconsistencies_of(config).front().field == "regions[0].name");
+    config = repair_service();
+    config.routes[0].name = "--id";
+    CHECK(cfg::inconsistencies_of(config).front().field == "routes[0].name");
+}
+
+// Guards against a stack overflow in the YAML library.
+TEST_CASE("deeply nested YAML is a fault [fleet_config]") {
+    for (const auto* opening : {"[", "{a: ", "- ", "? "}) {
+        std::string text;
+        for (int each = 0; each < 50'000; ++each) {
+            text += opening;
+        }
+        CHECK(!faults_of(text).empty());
+    }
+}
