--- a/src/router/admin.cpp
+++ b/src/router/admin.cpp
@@ -61,7 +61,7 @@
         adapters::make_response(static_cast<http::status>(command::http_status_of(result.how)),
                                 json ? command::to_json(result) : command::to_table(result),
                                 json ? "application/json" : "text/plain");
-    response.set("Outcome", std::string(command::to_string(result.how)));
+    response.set("Command-Outcome", std::string(command::to_string(result.how)));
     return response;
 }
 
