--- a/apps/mvctl/main.cpp
+++ b/apps/mvctl/main.cpp
@@ -7,7 +7,7 @@
 
 #include "mimosavalve/command/http_exchange.hpp"
 #include "mimosavalve/command/operator_client.hpp"
-#include "mimosavalve/config/settings_reader.hpp"
+#include "mimosavalve/config/names.hpp"
 
 INITIALIZE_EASYLOGGINGPP
 
--- a/include/mimosavalve/config/settings_reader.hpp
+++ b/include/mimosavalve/config/settings_reader.hpp
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <limits>
 #include <map>
 #include <span>
 #include <string>
@@ -12,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "mimosavalve/config/names.hpp"
 #include "mimosavalve/config/settings_fault.hpp"
 
 namespace mimosavalve::config {
@@ -28,14 +28,6 @@
     Value value;
 };
 
-/// Whether `text` can be a name of a region, host, route and the like: letters, digits, '-', '_'
-/// and '.', at most 64, not starting with '-' or '.'. Such names fit into paths, store keys and the
-/// command language, where a leading '-' would be read as an option.
-bool is_name(std::string_view text);
-
-/// Whether `text` is an IPv4 address with a port, as in "127.0.0.1:8080".
-bool is_endpoint(std::string_view text);
-
 /// What the sections of one file share.
 struct settings_context {
     std::string file;
--- a/src/command/config_change.cpp
+++ b/src/command/config_change.cpp
@@ -6,7 +6,7 @@
 #include "command/change_effect.hpp"
 #include "mimosavalve/command/scope.hpp"
 #include "mimosavalve/config/fleet_config_check.hpp"
-#include "mimosavalve/config/settings_reader.hpp"
+#include "mimosavalve/config/names.hpp"
 
 namespace mimosavalve::command {
 
--- a/src/command/scope.cpp
+++ b/src/command/scope.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <type_traits>
 
-#include "mimosavalve/config/settings_reader.hpp"
+#include "mimosavalve/config/names.hpp"
 
 namespace mimosavalve::command {
 
--- a/src/command/token_reader.cpp
+++ b/src/command/token_reader.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 
 #include "mimosavalve/command/scope.hpp"
-#include "mimosavalve/config/settings_reader.hpp"
+#include "mimosavalve/config/names.hpp"
 
 namespace mimosavalve::command {
 
@@ -109,8 +109,7 @@
 
 std::string token_reader::name(std::string_view what) {
     if (!has_text() || !config::is_name(next().text)) {
-        fail(std::string(what) +
-             " (1 to 64 letters, digits, '-', '_' or '.', not starting with '-' or '.')");
+        fail(std::string(what) + " (" + std::string(config::name_rule) + ")");
     }
     return take().text;
 }
--- a/src/config/fleet_config_check.cpp
+++ b/src/config/fleet_config_check.cpp
@@ -6,7 +6,7 @@
 #include <string_view>
 
 #include "config/fleet_limits.hpp"
-#include "mimosavalve/config/settings_reader.hpp"
+#include "mimosavalve/config/names.hpp"
 
 namespace mimosavalve::config {
 
@@ -50,8 +50,7 @@
 
     void check_name(const std::string& field, const std::string& name, name_set& names) {
         if (!is_name(name)) {
-            add(field, name,
-                "1 to 64 letters, digits, '-', '_' or '.', not starting with '-' or '.'");
+            add(field, name, std::string(name_rule));
         } else if (!names.insert(name).second) {
             add(field, name, "a name that is not used before");
         }
--- a/src/config/settings_reader.cpp
+++ b/src/config/settings_reader.cpp
@@ -1,7 +1,6 @@
 #include "mimosavalve/config/settings_reader.hpp"
 
 #include <algorithm>
-#include <boost/asio/ip/address_v4.hpp>
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -11,8 +10,6 @@
 
 namespace detail {
 
-constexpr std::size_t longest_name = 64;
-
 // yaml-cpp marks quoted scalars with this tag; a quoted "4" is a text, not a number.
 constexpr std::string_view quoted_tag = "!";
 
@@ -54,32 +51,8 @@
     return text;
 }
 
-constexpr std::string_view name_rule =
-    "1 to 64 letters, digits, '-', '_' or '.', not starting with '-' or '.'";
-constexpr std::string_view endpoint_rule = "an IPv4 address and port, as in 127.0.0.1:8080";
-
 }  // namespace detail
 
-bool is_name(std::string_view text) {
-    return !text.empty() && text.size() <= detail::longest_name && text.front() != '-' &&
-           text.front() != '.' && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
-               return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
-                      (letter >= '0' && letter <= '9') || letter == '-' || letter == '_' ||
-                      letter == '.';
-           });
-}
-
-bool is_endpoint(std::string_view text) {
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return false;
-    }
-    boost::system::error_code error;
-    boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
-    std::uint16_t port = 0;
-    return !error && detail::parse_whole(text.substr(colon + 1), port);
-}
-
 void settings_context::reject(std::string field, std::string value, std::string allowed) {
     auto above = field;
     auto found = lines.find(above);
@@ -160,18 +133,18 @@
 }
 
 void settings_section::read_name(std::string_view name, presence need, std::string& out) {
-    if (const auto* found = request_scalar(name, need, detail::name_rule)) {
+    if (const auto* found = request_scalar(name, need, name_rule)) {
         if (is_name(found->node.Scalar())) {
             out = found->node.Scalar();
         } else {
-            add_fault(fault_kind::impossible_value, *found, detail::name_rule);
+            add_fault(fault_kind::impossible_value, *found, name_rule);
         }
     }
 }
 
 void settings_section::read_names(std::string_view name, presence need,
                                   std::vector<std::string>& out) {
-    const auto allowed = "a list of names, each of " + std::string(detail::name_rule);
+    const auto allowed = "a list of names, each of " + std::string(name_rule);
     const auto* found = request(name, need, allowed);
     if (found == nullptr) {
         return;
@@ -187,20 +160,20 @@
         context_->lines.emplace(path_of(where.name), where.line);
         names.push_back(detail::shown(item));
         if (!item.IsScalar()) {
-            add_fault(fault_kind::wrong_type, where, detail::name_rule);
+            add_fault(fault_kind::wrong_type, where, name_rule);
         } else if (!is_name(item.Scalar())) {
-            add_fault(fault_kind::impossible_value, where, detail::name_rule);
+            add_fault(fault_kind::impossible_value, where, name_rule);
         }
     }
     out = std::move(names);
 }
 
 void settings_section::read_endpoint(std::string_view name, presence need, std::string& out) {
-    if (const auto* found = request_scalar(name, need, detail::endpoint_rule)) {
+    if (const auto* found = request_scalar(name, need, endpoint_rule)) {
         if (is_endpoint(found->node.Scalar())) {
             out = found->node.Scalar();
         } else {
-            add_fault(fault_kind::impossible_value, *found, detail::endpoint_rule);
+            add_fault(fault_kind::impossible_value, *found, endpoint_rule);
         }
     }
 }
