--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -97,10 +97,11 @@
 region: $region
 failure_domain: $domain
 checks_fence: $checks_fence
-slots: 4
-connections: 130
-history_file: $fleet_dir/$id.history
+slots: ${fleet_slots:-4}
+connections: ${fleet_connections:-130}
+history_file: "${fleet_history-$fleet_dir/$id.history}"
 work:
+  distribution: ${fleet_work:-lognormal}
   mean_ms: ${fleet_work_ms:-2}
 YAML
   rm -f "$fleet_dir/$id.port"
@@ -118,7 +119,8 @@
       read -r id service region domain checks_fence <<<"${fleet_target_line[$id]}"
       printf '  - {id: %s, role: target, service: %s, address: "%s", region: %s, ' \
         "$id" "$service" "${fleet_target_address[$id]}" "$region"
-      printf 'failure_domain: %s, slots: 4, connections: 130}\n' "$domain"
+      printf 'failure_domain: %s, slots: %s, connections: %s}\n' "$domain" \
+        "${fleet_slots:-4}" "${fleet_connections:-130}"
     done
   } >"$fleet_dir/hosts.yaml"
   fleet_start hosts mv-hosts --config "$fleet_dir/hosts.yaml"
