--- a/src/standins/hosts_settings.cpp
+++ b/src/standins/hosts_settings.cpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <set>
+#include <sstream>
 
 #include "mimosavalve/standins/settings_reader.hpp"
 
@@ -37,10 +38,11 @@
     for (std::size_t index = 0; index < hosts.size(); ++index) {
         const auto& id = hosts[index].id;
         if (!id.empty() && !ids.insert(id).second) {
-            const auto line = sequence[index].Mark().line + 1;
-            errors.push_back(file + ":" + std::to_string(line) + ": hosts[" +
-                             std::to_string(index) + "].id is \"" + id +
-                             "\" a second time; allowed: an id of its own for each host");
+            std::ostringstream text;
+            text << file << ":" << sequence[index].Mark().line + 1 << ": hosts[" << index
+                 << "].id is \"" << id
+                 << "\" a second time; allowed: an id of its own for each host";
+            errors.push_back(text.str());
         }
     }
 }
