--- /dev/null
+++ b/tools/failures.sh
@@ -0,0 +1,183 @@
+#!/usr/bin/env bash
+# Runs failure cases against a small fleet of separate processes under load, checks the histories
+# and prints one row for each case: what the callers saw, the longest unavailable time, the keys
+# whose owner changed, and the violations found. Exits 0 only when no case shows a violation.
+#
+#   tools/failures.sh [CASE...]     all cases when none is named; tools/failures.sh --list
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. tools/fleet.sh
+
+cases=(none target-kill target-freeze target-leave router-kill router-freeze router-stop
+  store-outage store-outage-target-kill store-lost-answers domain-kill domain-remove-return)
+if [ "${1:-}" = --list ]; then
+  printf '%s\n' "${cases[@]}"
+  exit 0
+fi
+[ "$#" -eq 0 ] || cases=("$@")
+load_ms="${FAILURES_LOAD_MS:-6000}"
+root="$(mktemp -d "${TMPDIR:-/tmp}/mimosavalve-failures.XXXXXX")"
+fleet_config="$PWD/examples/repair-service/fleet.yaml"
+
+start_fleet() {
+  local entry region domain number name
+  fleet_target_line=() fleet_target_address=() fleet_router_line=()
+  fleet_start_store
+  for entry in "${fleet_domains[@]}"; do
+    region="${entry%%:*}" domain="${entry##*:}"
+    for number in 1 2; do
+      fleet_start_target "status-$domain-$number" status "$region" "$domain" true
+    done
+    fleet_start_target "orders-$domain-1" orders "$region" "$domain" true
+    fleet_start_target "calibration-$domain-1" calibration "$region" "$domain" false
+  done
+  fleet_start_hosts
+  for entry in "${fleet_domains[@]}"; do
+    region="${entry%%:*}" domain="${entry##*:}"
+    for number in 1 2; do
+      fleet_start_router "router-$domain-$number" "$region" "$domain" "$fleet_config"
+    done
+  done
+  for name in "${!fleet_router_line[@]}"; do fleet_list_router "$name"; done
+  for name in "${!fleet_router_line[@]}"; do fleet_wait_ready "$name"; done
+  admin=$(fleet_router_address router-gandaki-a-1 admin)
+}
+
+write_load() {
+  local name region
+  {
+    echo "routers:"
+    for name in "${!fleet_router_line[@]}"; do
+      read -r _ region _ _ <<<"${fleet_router_line[$name]}"
+      printf '  - {address: "%s", region: %s}\n' "$(fleet_router_address "$name" callers)" "$region"
+    done
+    cat <<YAML
+mode: open
+rate: 500
+connections: 128
+duration_ms: $load_ms
+timeout_ms: 3000
+repeats: 3
+repeat_wait_ms: 50
+seed: 20261204
+history_file: $fleet_dir/load.history
+keys: {count: 100, exponent: 0.0}
+accounts:
+  - {name: ward-4, region: bagmati}
+  - {name: hill-clinics, region: gandaki}
+  - {name: workshop-ring, region: bagmati}
+mix:
+  - {name: status, kind: read, route: status, weight: 85}
+  - {name: payment, kind: payment, route: payments, weight: 13}
+  - {name: upload, kind: upload, route: recordings, weight: 2, bytes: 262144}
+YAML
+  } >"$fleet_dir/load.yaml"
+  cat >"$fleet_dir/homes.yaml" <<'YAML'
+accounts:
+  - {name: ward-4, home_regions: [bagmati]}
+  - {name: hill-clinics, home_regions: [gandaki]}
+YAML
+}
+
+store_faults() {
+  curl -fsS -m 5 -X POST "http://$fleet_store/faults" -d "$1" -o /dev/null
+}
+
+# The fault of a case, in the middle of the load.
+inject() {
+  local name
+  case "$1" in
+    none) ;;
+    target-kill) fleet_kill status-bagmati-a-1 ;;
+    target-freeze)
+      fleet_signal status-bagmati-a-1 STOP
+      sleep 2.5
+      fleet_signal status-bagmati-a-1 CONT
+      ;;
+    target-leave) fleet_signal status-bagmati-a-1 TERM ;;
+    router-kill) fleet_kill router-bagmati-a-1 ;;
+    router-freeze)
+      fleet_signal router-bagmati-a-1 STOP
+      sleep 2.5
+      fleet_signal router-bagmati-a-1 CONT
+      ;;
+    router-stop) fleet_signal router-bagmati-a-1 TERM ;;
+    store-outage)
+      store_faults '{"outage": "hang"}'
+      sleep 3
+      store_faults '{"outage": "none"}'
+      ;;
+    store-outage-target-kill)
+      store_faults '{"outage": "hang"}'
+      sleep 0.5
+      fleet_kill status-bagmati-a-1
+      sleep 1.5
+      store_faults '{"outage": "none"}'
+      ;;
+    store-lost-answers)
+      store_faults '{"lose_answers": 3}'
+      fleet_kill status-bagmati-a-1
+      ;;
+    domain-kill)
+      for name in "${!fleet_pid[@]}"; do
+        case "$name" in *-bagmati-a-*) fleet_kill "$name" ;; esac
+      done
+      ;;
+    domain-remove-return)
+      "$fleet_bin/mvctl" -r "$admin" "remove domain bagmati-a" >>"$fleet_dir/commands.out"
+      sleep 2
+      "$fleet_bin/mvctl" -r "$admin" "return domain bagmati-a" >>"$fleet_dir/commands.out"
+      ;;
+    *)
+      echo "unknown case $1; known: $(tools/failures.sh --list | tr '\n' ' ')" >&2
+      exit 2
+      ;;
+  esac
+}
+
+report_row() {
+  awk -v name="$1" -v verdict="$2" '
+    FILENAME ~ /load.out$/ && ($1 == "status" || $1 == "payment" || $1 == "upload") {
+      sent += $2; answered += $4; failed += $5; if ($1 == "status") { p50 = $7; p99 = $8 }
+    }
+    FILENAME ~ /load.out$/ && /^refused not-run/ { not_run += $NF }
+    FILENAME ~ /load.out$/ && /^refused may-have-run/ { may += $NF }
+    FILENAME ~ /check.out$/ && /^owners moved/ { moved = $3 }
+    FILENAME ~ /check.out$/ && /^longest unavailable time of a key/ { key = $7 }
+    FILENAME ~ /check.out$/ && /^longest unavailable time of all keys/ { all = $7 }
+    FILENAME ~ /check.out$/ && /^violations/ { violations = $2 }
+    END {
+      printf "%-25s %6d %8d %6d %8d %7d %8.2f %8.2f %10.0f %10.0f %6d %10s\n", name, sent, answered,
+        failed, not_run, may, p50, p99, key, all, moved, verdict == 0 ? violations : violations " !"
+    }' "$fleet_dir/load.out" "$fleet_dir/check.out"
+}
+
+printf '%-25s %6s %8s %6s %8s %7s %8s %8s %10s %10s %6s %10s\n' case sent answered failed not-run \
+  may-run p50_ms p99_ms key_gap_ms all_gap_ms moved violations
+failed_cases=()
+for case in "${cases[@]}"; do
+  fleet_init "$root/$case"
+  start_fleet
+  write_load
+  "$fleet_bin/mvload" --config "$fleet_dir/load.yaml" >"$fleet_dir/load.out" 2>"$fleet_dir/load.err" &
+  load_pid=$!
+  sleep "$(awk -v ms="$load_ms" 'BEGIN { print ms / 3000 }')"
+  inject "$case"
+  wait "$load_pid"
+  verdict=0
+  "$fleet_bin/mvcheck" --homes "$fleet_dir/homes.yaml" "$fleet_dir"/*.history \
+    >"$fleet_dir/check.out" 2>&1 || verdict=$?
+  report_row "$case" "$verdict"
+  fleet_stop
+  if [ "$verdict" -eq 0 ]; then
+    rm -rf "$fleet_dir"
+  else
+    failed_cases+=("$case")
+    grep -A3 '^violation' "$fleet_dir/check.out" | head -20 || true
+  fi
+done
+if [ "${#failed_cases[@]}" -gt 0 ]; then
+  echo "violations in: ${failed_cases[*]}; histories and logs are in $root"
+  exit 1
+fi
+rm -rf "$root"
