--- a/src/standins/target_core.cpp
+++ b/src/standins/target_core.cpp
@@ -241,6 +241,10 @@
 }
 
 std::string target_core::echoed_id(const std::string& request_id) {
+    // Probes and orders carry no id and take no part in the fault.
+    if (request_id.empty()) {
+        return request_id;
+    }
     auto echoed = faults_.wrong_request_id ? previous_id_ : request_id;
     previous_id_ = request_id;
     return echoed;
