End delayed calls of the store stand-in when it stops

Cause: a call held back by a delay fault of up to 10 minutes kept the stand-in alive after SIGTERM.

Change: delays wait like outages and watches do, so a stop ends them; a test covers delayed, hanging and watching calls.

--- a/include/mimosavalve/standins/store_service.hpp
+++ b/include/mimosavalve/standins/store_service.hpp
@@ -46,7 +46,8 @@
     /// Handler for an `http_server`; it may be used after the service has been destroyed.
     [[nodiscard]] adapters::http_handler handler() const;
 
-    /// Answers all waiting watches, so that a server can finish its running requests.
+    /// Ends delays and outages and answers all waiting watches, so that a server can finish its
+    /// running requests.
     void stop();
 
     [[nodiscard]] const store_data& data() const;
--- a/src/adapters/zmq_peers.cpp
+++ b/src/adapters/zmq_peers.cpp
@@ -204,7 +204,8 @@
     return &found->second.socket;
 }
 
-// ZeroMQ notices room in the queue late, unless it is asked for the socket's events.
+// ZeroMQ may not have taken in yet that the peer read messages; asking for the socket's events
+// makes it do so, which saves part of a burst that would otherwise be dropped.
 bool send_or_drop(zmq::socket_t& socket, zmq::message_t& message) {
     if (socket.send(message, zmq::send_flags::dontwait)) {
         return true;
--- a/src/standins/store_service.cpp
+++ b/src/standins/store_service.cpp
@@ -28,7 +28,7 @@
 
 /// A suspended call. Cancelling its timer makes it look at the state again.
 struct store_waiter {
-    std::string key;  // Empty: waits for the end of an outage only.
+    std::string key;  // Empty: waits for the end of an outage or delay only.
     asio::steady_timer timer;
 };
 
@@ -263,13 +263,11 @@
     }
 }
 
+// A stop or a change of the faults ends the delay early.
 void pass_delay(store_service_state& state, const asio::yield_context& yield) {
-    if (state.faults.delay.count() == 0) {
-        return;
+    if (state.faults.delay.count() != 0 && !state.stopping) {
+        wait_until(state, {}, std::chrono::steady_clock::now() + state.faults.delay, yield);
     }
-    asio::steady_timer timer(state.context, state.faults.delay);
-    boost::system::error_code ignored;
-    timer.async_wait(yield[ignored]);
 }
 
 bool over_limit(store_service_state& state) {
--- a/tests/standins/server_robustness_test.cpp
+++ b/tests/standins/server_robustness_test.cpp
@@ -188,6 +188,28 @@
     CHECK(loopback::run_until(context, [&] { return server.connections() == 0; }));
 }
 
+// SIGTERM must end the stand-in also while a fault holds calls back.
+TEST_CASE("a stop ends delayed, hanging and watching calls [store_service]") {
+    const std::vector<standins::store_faults> faults{
+        {.delay = 10min}, {.outage = standins::outage_kind::hang}, {}};
+    for (const auto& fault : faults) {
+        fixture test;
+        test.store.set_faults(fault);
+        const auto watches = [&] {
+            return standins::total_calls(test.store.counts(), standins::call_kind::watch);
+        };
+        boost::asio::post(test.context, [&] {
+            REQUIRE(loopback::run_until(test.context, [&] { return watches() == 1; }));
+            test.store_server.stop();
+            test.store.stop();
+        });
+        test.call(test.store_server.address(), "GET /v1/watch/a?revision=0&wait_ms=60000");
+        CHECK(watches() == 1);
+        CHECK(loopback::run_until(test.context,
+                                  [&] { return test.store_server.connections() == 0; }));
+    }
+}
+
 TEST_CASE("an exception of a handler is answered with 500 [http_server]") {
     boost::asio::io_context context;
     adapters::http_server server(
