Test that the store client reuses its connections

Cause: nothing would have failed if each call opened a connection or the bound of four were lost.

Change: one test for both; no change of the library.

--- a/tests/adapters/http_store_test.cpp
+++ b/tests/adapters/http_store_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/status.hpp>
 #include <memory>
@@ -204,6 +205,28 @@
     CHECK((*watch)->value.revision == first.value);
 }
 
+// A new connection costs about as much as the call itself, and the store bears only a few per
+// router.
+TEST_CASE("connections are reused and at most four carry operations [http_store]") {
+    fixture test;
+    for (int number = 0; number < 20; ++number) {
+        CHECK(test.read("config").error == errc::not_found);
+    }
+    CHECK(test.server.connections() == 1);
+    test.service.set_faults({.delay = 5ms});
+    std::size_t ended = 0;
+    std::size_t most = 0;
+    for (int number = 0; number < 40; ++number) {
+        test.store.read("config", loopback::in(5s), [&](std::error_code error, auto&&) {
+            CHECK(error == errc::not_found);
+            most = std::max(most, test.server.connections());
+            ++ended;
+        });
+    }
+    REQUIRE(loopback::run_until(test.context, [&] { return ended == 40; }));
+    CHECK(most == 4);
+}
+
 // Many watches must not keep other operations from getting a connection.
 TEST_CASE("waiting watches leave the connections to other operations [http_store]") {
     fixture test;
