Close gaps of the control plane after a restart and at a new leader

A late reply to the previous run of a host could match a request number of the new run and lengthen its lease. A promise was counted from a time read before the request arrived. A new leader removed voters that had not renewed with it yet. Routers that are no voters counted themselves as the only router.

Ruled out: a smaller window for late replies only makes the first fault rarer.

Change: message numbers start at a random value; the time of a message is read again on its arrival; voters are not removed as unheard within voter_timeout of the claim, unless a newer instance of their host is known; renewal replies carry the number of live routers.

--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -79,6 +79,8 @@
                              control_outputs outputs, config_decoder decode_config)
     : state_(std::make_unique<detail::control_state>()) {
     state_->random.seed(settings.seed);
+    // A late reply to the previous run of this host must not match a request of this one.
+    state_->next_number = state_->random() >> 1U;
     state_->settings = std::move(settings);
     state_->ports = std::move(ports);
     state_->outputs = std::move(outputs);
@@ -88,7 +90,8 @@
 control_plane::~control_plane() = default;
 
 void control_plane::on_message(const wire::Envelope& message, steady_time now) {
-    detail::dispatch(*state_, message, now);
+    // Promises are counted from the answer; a time read before the arrival would end them early.
+    detail::dispatch(*state_, message, std::max(now, detail::now_of(*state_)));
     detail::settle(*state_);
 }
 
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -83,7 +83,8 @@
     steady_time next_read;
     std::optional<std::uint64_t> revision;  ///< Of the state in the store, as last read or written.
     std::optional<state_write> write;
-    bool claimed = false;  ///< The held state was claimed under the lease that is held.
+    steady_time led_since;  ///< Adoption of the own claim.
+    bool claimed = false;   ///< The held state was claimed under the lease that is held.
     in_force_progress progress;
     std::optional<steady_time> in_force_since;
     std::vector<handover> handovers;
@@ -185,7 +186,8 @@
 
     bool stopping = false;
     std::optional<steady_time>
-        resigning_since;  ///< Hands leadership on: it stops or must not lead.
+        resigning_since;                 ///< Hands leadership on: it stops or must not lead.
+    std::uint32_t reported_routers = 1;  ///< Live routers as a voter counts them.
     bool snapshot_changed = true;
     std::shared_ptr<const router::routing_snapshot> snapshot;
 };
--- a/src/control/leader_plan.cpp
+++ b/src/control/leader_plan.cpp
@@ -33,10 +33,23 @@
     return std::find(removed.begin(), removed.end(), failure_domain) != removed.end();
 }
 
-std::vector<candidate> candidates_of(const control_state& self) {
+/// Routers of the region heard lately. A new leader gives the voters time to renew with it, but
+/// not those that are known to be dead.
+std::vector<candidate> candidates_of(const control_state& self, const shard_entry& entry,
+                                     steady_time now) {
     std::vector<candidate> result;
+    const auto& leader = *entry.leader;
+    const bool new_leader = now < leader.led_since + self.settings.intervals.voter_timeout;
+    for (const auto& voter : entry.state->voters) {
+        const bool unheard =
+            new_leader && !self.routers.contains(voter.id) && !leader.replaced.contains(voter.id);
+        if (unheard) {
+            result.push_back({voter.id, voter.address, voter.failure_domain, true,
+                              is_removed(self, voter.failure_domain)});
+        }
+    }
     for (const auto& [id, peer] : self.routers) {
-        if (peer.region == self.settings.region) {
+        if (peer.region == self.settings.region && !leader.replaced.contains(id)) {
             result.push_back({id, peer.address, peer.failure_domain, true,
                               peer.stopping || is_removed(self, peer.failure_domain)});
         }
@@ -52,8 +65,10 @@
     return result;
 }
 
-void plan_membership(const control_state& self, planned_state& plan) {
-    const auto step = next_membership_step(plan.next, candidates_of(self), self.settings.intervals);
+void plan_membership(const control_state& self, const shard_entry& entry, planned_state& plan,
+                     steady_time now) {
+    const auto step =
+        next_membership_step(plan.next, candidates_of(self, entry, now), self.settings.intervals);
     if (!step) {
         return;
     }
@@ -126,7 +141,7 @@
         plan_targets(self, entry, plan, now);
         plan_placement(self, entry, plan, now);
     }
-    plan_membership(self, plan);
+    plan_membership(self, entry, plan, now);
     plan_config(self, plan);
     if (rebalance_was_due) {
         fade_load(*entry.leader);
--- a/src/control/leader_role.cpp
+++ b/src/control/leader_role.cpp
@@ -99,7 +99,7 @@
 void note_in_force(control_state& self, shard_entry& entry, steady_time now) {
     auto& leader = *entry.leader;
     if (leader.in_force_since ||
-        !is_in_force(leader.progress, *entry.state, has_store_lease(entry, now), now)) {
+        !is_in_force(leader.progress, *entry.state, has_store_lease(entry, now_of(self)), now)) {
         return;
     }
     leader.in_force_since = now;
@@ -176,6 +176,7 @@
     if (new_epoch) {
         leader.claims = {};
         leader.handovers.clear();
+        leader.led_since = now;
     }
     follow_handovers(entry, new_epoch);
     spread_state(self, entry, now);
--- a/src/control/router_role.cpp
+++ b/src/control/router_role.cpp
@@ -201,7 +201,10 @@
     auto next = std::make_shared<router::routing_snapshot>();
     next->config = self.config;
     next->own_region = self.settings.region;
-    next->live_routers = static_cast<std::uint32_t>(std::max<std::size_t>(1, self.routers.size()));
+    // Only voters hear of all routers; the others use a voter's count.
+    const auto live = self.routers.empty() ? self.reported_routers
+                                           : static_cast<std::uint32_t>(self.routers.size());
+    next->live_routers = std::max(1U, live);
     for (const auto& [fingerprint, until] : self.quarantined) {
         next->quarantined.push_back(fingerprint);
     }
@@ -247,6 +250,10 @@
     if (sent == self.sent.end()) {
         return;
     }
+    if (self.routers.empty() && reply.live_routers() != self.reported_routers) {
+        self.reported_routers = reply.live_routers();
+        self.snapshot_changed = true;
+    }
     for (const auto& from : reply.shards()) {
         const auto found = self.shards.find(ownership::from_wire(from.shard()));
         if (found == self.shards.end() || !found->second.state) {
--- a/src/control/voter_role.cpp
+++ b/src/control/voter_role.cpp
@@ -117,6 +117,7 @@
     wire::Envelope answer;
     auto& reply = *answer.mutable_renew_reply();
     reply.set_number(request.number());
+    reply.set_live_routers(static_cast<std::uint32_t>(self.routers.size()));
     add_quarantine(self, *reply.mutable_quarantined(), now);
     renewal from;
     from.router = ownership::from_wire(message.sender());
--- a/tests/history/scenario_test.cpp
+++ b/tests/history/scenario_test.cpp
@@ -176,3 +176,43 @@
     CHECK_MESSAGE(fleet.unserved_since(since).empty(), text_of(fleet.unserved_since(since)));
     CHECK_MESSAGE(fleet.violations.empty(), text_of(fleet.violations));
 }
+
+// Guarantee of the design page: no new work for a removed failure domain within 3 s.
+TEST_CASE("a removed failure domain loses its slots, voters and leaders within 3 s [scenario]") {
+    for (const std::string domain : {"a", "b"}) {
+        simulation fleet(mixed_targets(6));
+        fleet.run_for(start_up);
+        fleet.start_measuring();
+        fleet.change_config([&](config::fleet_config& next) { next.removed_domains = {domain}; });
+        fleet.run_for(milliseconds(3000));
+        const auto state = fleet.stored_state();
+        for (const auto& run : state->assignments) {
+            CHECK(ownership::find_target(*state, run.owner)->failure_domain != domain);
+            CHECK(run.previous_owner.empty());
+        }
+        for (const auto& voter : state->voters) {
+            CHECK(voter.failure_domain != domain);
+        }
+        CHECK(fleet.hosts[*fleet.leader()].settings.failure_domain != domain);
+        check_pause(fleet, milliseconds(1000));
+        fleet.change_config([](config::fleet_config& next) { next.removed_domains.clear(); });
+        fleet.run_for(milliseconds(6000));
+        CHECK(fleet.stored_state()->voters.size() == 6);
+        check_pause(fleet, milliseconds(1000));
+    }
+}
+
+// Reverting an accepted configuration would break a promise to an operator.
+TEST_CASE("a changed configuration is stamped on the shard and never reverts [scenario]") {
+    simulation fleet(mixed_targets(7));
+    fleet.run_for(start_up);
+    for (std::uint64_t version = 2; version <= 5; ++version) {
+        fleet.change_config([](config::fleet_config&) {});
+        fleet.run_for(milliseconds(700));
+        CHECK(fleet.stored_state()->config_version == version);
+        for (const auto& host : fleet.hosts) {
+            CHECK(host.snapshot->config->version == version);
+        }
+    }
+    CHECK_MESSAGE(fleet.violations.empty(), text_of(fleet.violations));
+}
