Plan a shard's next state at most every 10 ms

Cause: each renewal of each router made the leader plan, and a plan copies the whole state (up to 1 MB), although almost all plans change nothing.

Change: plan_interval bounds it. A new test checks that a settled fleet sends only renewals and writes nothing.

--- a/include/mimosavalve/control/timing.hpp
+++ b/include/mimosavalve/control/timing.hpp
@@ -45,6 +45,7 @@
 
     std::uint32_t moves_per_round = 8;  ///< Slots moved in one round of rebalancing.
     milliseconds rebalance_interval{1000};
+    milliseconds plan_interval{10};  ///< A plan copies the state, so not after each message.
 
     milliseconds claim_clock_skew{250};  ///< Largest difference of two wall clocks.
     milliseconds claim_retention{600000};
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -97,6 +97,7 @@
     std::vector<ownership::slot_load> slot_load;
     bool rebalancing = false;
     steady_time next_rebalance;
+    steady_time next_plan;
     idempotency_table claims;
 };
 
--- a/src/control/leader_role.cpp
+++ b/src/control/leader_role.cpp
@@ -245,7 +245,10 @@
     note_in_force(self, entry, now);
     advance_handovers(self, entry, now);
     spread_state(self, entry, now);
-    plan_and_write(self, entry, now);
+    if (now >= entry.leader->next_plan) {
+        entry.leader->next_plan = now + self.settings.intervals.plan_interval;
+        plan_and_write(self, entry, now);
+    }
 }
 
 void tick_leader(control_state& self, steady_time now) {
--- a/tests/history/good_path_test.cpp
+++ b/tests/history/good_path_test.cpp
@@ -46,3 +46,16 @@
         CHECK(view->state->at == state->at);
     }
 }
+
+// Repeats that never end would use up the budget for control messages and store writes.
+TEST_CASE("a settled fleet sends only renewals and writes nothing [control_plane]") {
+    simulation fleet({});
+    fleet.run_for(milliseconds(6000));
+    const auto before = fleet.stored_state()->at;
+    const auto messages = fleet.messages;
+    fleet.run_for(milliseconds(5000));
+    CHECK(fleet.stored_state()->at == before);
+    // 7 routers renew 10 times a second with 7 voters; each renewal has one reply.
+    CHECK(fleet.messages - messages <= 5 * 10 * 7 * 7 * 2);
+    MESSAGE("messages in 5 s: " << fleet.messages - messages);
+}
