--- a/src/control/leader_role.cpp
+++ b/src/control/leader_role.cpp
@@ -99,7 +99,7 @@
 void note_in_force(control_state& self, shard_entry& entry, steady_time now) {
     auto& leader = *entry.leader;
     if (leader.in_force_since ||
-        !is_in_force(leader.progress, *entry.state, has_store_lease(entry, now), now)) {
+        !is_in_force(leader.progress, *entry.state, has_store_lease(entry, now_of(self)), now)) {
         return;
     }
     leader.in_force_since = now;
@@ -176,6 +176,7 @@
     if (new_epoch) {
         leader.claims = {};
         leader.handovers.clear();
+        leader.led_since = now;
     }
     follow_handovers(entry, new_epoch);
     spread_state(self, entry, now);
@@ -244,7 +245,10 @@
     note_in_force(self, entry, now);
     advance_handovers(self, entry, now);
     spread_state(self, entry, now);
-    plan_and_write(self, entry, now);
+    if (now >= entry.leader->next_plan) {
+        entry.leader->next_plan = now + self.settings.intervals.plan_interval;
+        plan_and_write(self, entry, now);
+    }
 }
 
 void tick_leader(control_state& self, steady_time now) {
