Wire limits, quarantine, fair queue and metrics into the request path

Cause: the policies existed, but the path sent everything at once. Change: a gate per target and thread holds window, slow start, ejection and the fair queue; account limits and quarantine are shared by the threads. A loss counts for the quarantine only when the target could not be reached or came back with another instance, since a closed connection alone proves no crash. Requests are counted by class, account and verdict; exposition() gives the text. Ruled out: a place per retry pause; a share of the account limit per thread.

--- a/include/mimosavalve/adapters/http_front_end.hpp
+++ b/include/mimosavalve/adapters/http_front_end.hpp
@@ -47,6 +47,9 @@
     /// Evidence of one thread that changed, about every 50 ms.
     std::function<void(std::vector<target_evidence>)> evidence;
 
+    /// A fingerprint that this router found to crash targets, to be spread to the others.
+    std::function<void(std::uint64_t)> quarantined;
+
     /// Called after the drained version of some shard rose.
     std::function<void()> drained;
 };
@@ -80,6 +83,9 @@
     /// threads. Includes `begin_stop`.
     void stop(steady_time deadline);
 
+    /// Counters and latencies in text exposition.
+    [[nodiscard]] std::string exposition() const;
+
     /// Largest number of body bytes that were held at once for one request, for tests.
     [[nodiscard]] std::size_t largest_buffered_body() const;
 
--- a/include/mimosavalve/traffic/admission_queue.hpp
+++ b/include/mimosavalve/traffic/admission_queue.hpp
@@ -17,6 +17,7 @@
     config::traffic_class priority = config::traffic_class::status;
     std::uint32_t cost = 1;  ///< Pieces of 64 KB.
     steady_time deadline;
+    void* owner = nullptr;  ///< What the one who waits finds its own record by.
 };
 
 /// Requests of one account in one class.
--- a/include/mimosavalve/traffic/quarantine.hpp
+++ b/include/mimosavalve/traffic/quarantine.hpp
@@ -19,6 +19,7 @@
     std::string target;
     steady_time at;
     std::vector<std::uint64_t> fingerprints;  ///< Without repeats; at most 64.
+    bool confirmed = false;  ///< The target was gone; else it may just have closed a connection.
 };
 
 struct held_back {
@@ -38,6 +39,9 @@
 void record_loss(quarantine& state, std::string_view target, std::uint64_t fingerprint,
                  steady_time now);
 
+/// Notes that the target of a recent loss could not be reached or has another instance.
+void confirm_loss(quarantine& state, std::string_view target, steady_time now);
+
 /// Fingerprints that are held back from now on for 10 minutes; to be called some times a second.
 std::vector<std::uint64_t> find_crashing(quarantine& state, steady_time now);
 
--- a/src/adapters/http_front_end.cpp
+++ b/src/adapters/http_front_end.cpp
@@ -199,6 +199,18 @@
     self.running = false;
 }
 
+std::string http_front_end::exposition() const {
+    std::vector<const observe::request_metrics*> threads;
+    threads.reserve(implementation_->workers.size());
+    for (const auto& each : implementation_->workers) {
+        threads.push_back(&each->metrics);
+    }
+    const auto& shared = implementation_->shared;
+    return observe::expose(threads, shared.labels) + "mimosavalve_held_back " +
+           std::to_string(shared.held_back) + "\nmimosavalve_connections " +
+           std::to_string(shared.connections) + "\n";
+}
+
 std::size_t http_front_end::largest_buffered_body() const {
     return implementation_->shared.largest_buffered;
 }
--- a/src/adapters/http_front_end_exchange.cpp
+++ b/src/adapters/http_front_end_exchange.cpp
@@ -97,9 +97,21 @@
         attempt();
     }
     body_.consume_handed_out();
+    record_metrics();
     return keep_alive_;
 }
 
+void exchange::record_metrics() {
+    if (table_ == nullptr || !table_->routes.contains(head_.route)) {
+        return;
+    }
+    const auto passed = std::chrono::steady_clock::now() - watch_.started;
+    const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(passed).count();
+    const bool known = table_->accounts.contains(head_.calling_account);
+    home_.metrics.record(watch_.priority, known ? head_.calling_account : std::string_view{},
+                         verdict_, static_cast<std::uint64_t>(latency));
+}
+
 bool exchange::is_head() const {
     return request_.get().method() == http::verb::head;
 }
@@ -134,6 +146,9 @@
         timeout = std::chrono::milliseconds(*asked);
     }
     watch_.deadline = watch_.started + timeout;
+    if (route != table.routes.end()) {
+        watch_.priority = route->second.config->priority;
+    }
 }
 
 void exchange::attempt() {
@@ -158,22 +173,6 @@
     }
 }
 
-/// The less busy of two random targets keeps the load even without comparing all of them.
-const traffic::unkeyed_target* exchange::choose(
-    std::span<const traffic::unkeyed_target> candidates) {
-    const auto pick = [&] {
-        const auto index = home_.random() % candidates.size();
-        const bool avoided = candidates[index].target->id == avoided_;
-        return &candidates[(index + (avoided ? 1 : 0)) % candidates.size()];
-    };
-    const auto cost = [&](const traffic::unkeyed_target& candidate) {
-        return home_.pool.entry(*candidate.target).running;
-    };
-    const auto* first = pick();
-    const auto* second = pick();
-    return cost(*second) < cost(*first) ? second : first;
-}
-
 void exchange::wait_for_state(const traffic::hold& held, steady_time now) {
     const bool lease_only = held.reason == refusal_reason::no_serving_lease;
     const auto limit = lease_only ? std::min(watch_.deadline, watch_.started + detail::lease_hold)
@@ -187,10 +186,15 @@
 }
 
 void exchange::send(const traffic::send_to& decision) {
-    if (!prepare_body(*decision.route->config)) {
+    if (!prepare_body(*decision.route->config) || !pass_limits()) {
+        return;
+    }
+    auto& gate = gate_to(*decision.target);
+    if (!admit(gate, *decision.route->config)) {
         return;
     }
-    auto& target = home_.pool.entry(*decision.target);
+    const place_scope place(home_, gate);
+    auto& target = *gate.target;
     std::error_code error;
     auto connection = home_.pool.acquire(target, decision.keyed, watch_.deadline, yield_, error);
     if (watch_.caller_gone) {
@@ -203,20 +207,19 @@
         return;
     }
     if (connection == nullptr) {
+        home_.shared.confirm_loss(target.id);
         avoided_ = target.id;
         retry_or_refuse(refusal_reason::target_unreachable, traffic_verdict::not_run);
         return;
     }
-    if (!claim(decision)) {
-        target_pool::release(target, std::move(connection), now);
-        return;
-    }
-    if (!may_still_send(decision, std::chrono::steady_clock::now())) {
-        // Decided anew with the newest table and lease.
+    note_instance(gate);
+    const bool claimed = claim(decision);
+    if (!claimed || !may_still_send(decision, std::chrono::steady_clock::now())) {
+        // Unless it has ended, the request is decided anew with the newest table and lease.
         target_pool::release(target, std::move(connection), now);
         return;
     }
-    forward(decision, target, std::move(connection));
+    forward(decision, gate, std::move(connection));
 }
 
 /// Reads the first piece of the body, so that it leaves with the header.
@@ -299,6 +302,7 @@
 
 void exchange::refuse(refusal_reason reason, traffic_verdict verdict, std::string_view region) {
     finished_ = true;
+    verdict_ = verdict;
     if (watch_.caller_gone) {
         cut_caller();
         return;
@@ -333,6 +337,7 @@
         return;
     }
     ++retries_;
+    ++home_.metrics.retries;
     worker::pause(watch_, now + pause, yield_);
     if (watch_.stopped()) {
         refuse(reason, verdict);
--- a/src/adapters/http_front_end_exchange.hpp
+++ b/src/adapters/http_front_end_exchange.hpp
@@ -34,20 +34,30 @@
     bool may_still_send(const traffic::send_to& decision, steady_time now);
     const traffic::unkeyed_target* choose(std::span<const traffic::unkeyed_target> candidates);
 
+    // Limits (http_front_end_admission.cpp).
+    target_gate& gate_to(const ownership::target& target);
+    bool pass_limits();
+    std::uint64_t fingerprint();
+    bool admit(target_gate& gate, const config::route_config& route);
+    void note_instance(target_gate& gate);
+    void note_success(const traffic::send_to& decision, target_gate& gate);
+    void note_refusal(target_gate& gate);
+    void judge_target(const traffic::send_to& decision, target_gate& gate, steady_time now);
+
     // The send and the answer (http_front_end_relay.cpp).
-    void forward(const traffic::send_to& decision, pooled_target& target,
+    void forward(const traffic::send_to& decision, target_gate& gate,
                  std::unique_ptr<target_connection> connection);
-    void relay(const traffic::send_to& decision, pooled_target& target,
+    void relay(const traffic::send_to& decision, target_gate& gate,
                std::unique_ptr<target_connection>& connection);
     std::size_t write_head(const traffic::send_to& decision, const pooled_target& target,
                            target_connection& connection, boost::system::error_code& error);
     bool upload(std::unique_ptr<target_connection>& used, std::uint64_t max_body);
     void drop(std::unique_ptr<target_connection>& connection);
-    void receive(pooled_target& target, std::unique_ptr<target_connection>& connection,
-                 bool uploaded);
+    void receive(const traffic::send_to& decision, target_gate& gate,
+                 std::unique_ptr<target_connection>& connection, bool uploaded);
     bool read_answer_header(target_connection& connection, std::optional<response_parser>& answer,
                             boost::system::error_code& error);
-    void fail_answer(pooled_target& target, const boost::system::error_code& error);
+    void fail_answer(target_gate& gate, const boost::system::error_code& error);
     void stream_answer(pooled_target& target, std::unique_ptr<target_connection>& connection,
                        response_parser& answer, bool uploaded);
 
@@ -56,6 +66,7 @@
                 std::string_view region = {});
     void retry_or_refuse(traffic::refusal_reason reason, traffic_verdict verdict);
     void cut_caller();
+    void record_metrics();
     void drop_rest_of_body();
     [[nodiscard]] bool is_head() const;
 
@@ -73,6 +84,9 @@
     int retries_ = 0;
     bool body_prepared_ = false;
     bool claimed_ = false;
+    bool limits_passed_ = false;
+    traffic_verdict verdict_ = traffic_verdict::not_run;
+    std::optional<std::uint64_t> fingerprint_;
     bool finished_ = false;
     bool keep_alive_ = false;
 };
--- /dev/null
+++ b/src/adapters/http_front_end_gate.cpp
@@ -0,0 +1,74 @@
+#include "http_front_end_gate.hpp"
+
+#include "http_front_end_worker.hpp"
+
+namespace mimosavalve::adapters::front_end {
+
+namespace detail {
+
+void apply_state(target_gate& gate, const ownership::target& state, std::uint32_t sharers) {
+    const bool same = gate.slots == state.slots && gate.connections == state.connections &&
+                      gate.sharers == sharers && gate.fresh_since == state.fresh_since;
+    if (same) {
+        return;
+    }
+    gate.slots = state.slots;
+    gate.connections = state.connections;
+    gate.sharers = sharers;
+    traffic::set_bounds(gate.window, state.slots, state.connections, sharers);
+    if (gate.fresh_since != state.fresh_since) {
+        gate.fresh_since = state.fresh_since;
+        traffic::restart(gate.ramp, state.connections);
+    }
+}
+
+bool has_room(target_gate& gate, double random, steady_time now) {
+    const auto running = gate.target->running;
+    return traffic::has_room(gate.window, running) &&
+           traffic::may_start(gate.ramp, running, gate.sharers, random, now);
+}
+
+}  // namespace detail
+
+target_gate& gate_of(gate_set& set, pooled_target& target, const ownership::target& state,
+                     std::uint32_t sharers) {
+    auto& gate = set.gates[&target];
+    if (gate == nullptr) {
+        gate = std::make_unique<target_gate>();
+        gate->target = &target;
+        gate->sharers = 0;
+    }
+    detail::apply_state(*gate, state, sharers);
+    return *gate;
+}
+
+bool try_enter(target_gate& gate, double random, steady_time now) {
+    // Those who wait go first.
+    if (gate.queue.size > 0 || !detail::has_room(gate, random, now)) {
+        return false;
+    }
+    ++gate.target->running;
+    return true;
+}
+
+void grant_places(target_gate& gate, double random, steady_time now) {
+    while (gate.queue.size > 0 && detail::has_room(gate, random, now)) {
+        const auto* request = traffic::pop(gate.queue, now);
+        if (request == nullptr) {
+            return;
+        }
+        auto* next = static_cast<gate_waiter*>(request->owner);
+        ++gate.target->running;
+        next->granted = true;
+        next->watch->timer->cancel();
+    }
+}
+
+place_scope::~place_scope() {
+    --gate_.target->running;
+    if (gate_.queue.size > 0) {
+        grant_places(gate_, home_.chance(), std::chrono::steady_clock::now());
+    }
+}
+
+}  // namespace mimosavalve::adapters::front_end
--- a/src/adapters/http_front_end_relay.cpp
+++ b/src/adapters/http_front_end_relay.cpp
@@ -56,18 +56,16 @@
     bool arrived = false;
 };
 
-/// Registers a request with its thread and its target while it is in flight.
+/// Registers a keyed request with its thread while it is in flight.
 class flight_scope {
 public:
-    flight_scope(worker& home, traffic::in_flight_request* request, pooled_target& target)
-        : home_(home), request_(request), target_(target) {
-        ++target_.running;
+    flight_scope(worker& home, traffic::in_flight_request* request)
+        : home_(home), request_(request) {
         if (request_ != nullptr) {
             home_.sent(*request_);
         }
     }
     ~flight_scope() {
-        --target_.running;
         if (request_ != nullptr) {
             home_.ended(*request_);
         }
@@ -78,7 +76,6 @@
 private:
     worker& home_;
     traffic::in_flight_request* request_;
-    pooled_target& target_;
 };
 
 bool is_parse_error(const boost::system::error_code& error) {
@@ -104,21 +101,22 @@
 
 }  // namespace detail
 
-void exchange::forward(const traffic::send_to& decision, pooled_target& target,
+void exchange::forward(const traffic::send_to& decision, target_gate& gate,
                        std::unique_ptr<target_connection> connection) {
     traffic::in_flight_request* registered = nullptr;
     if (decision.keyed) {
         traffic::describe(caller_.in_flight, head_, decision);
         registered = &caller_.in_flight;
     }
-    const detail::flight_scope in_flight(home_, registered, target);
+    const detail::flight_scope in_flight(home_, registered);
     watch_.target = &connection->socket;
-    relay(decision, target, connection);
+    relay(decision, gate, connection);
     watch_.target = nullptr;
 }
 
-void exchange::relay(const traffic::send_to& decision, pooled_target& target,
+void exchange::relay(const traffic::send_to& decision, target_gate& gate,
                      std::unique_ptr<target_connection>& connection) {
+    auto& target = *gate.target;
     boost::system::error_code error;
     const auto written = write_head(decision, target, *connection, error);
     if (error && written == 0) {
@@ -131,7 +129,7 @@
     const bool uploaded =
         body_.done() ? !error : upload(connection, decision.route->config->max_body_bytes);
     if (!finished_) {
-        receive(target, connection, uploaded);
+        receive(decision, gate, connection, uploaded);
     }
 }
 
@@ -167,6 +165,8 @@
 /// Passes the rest of the body on. False when the target has not taken all of it.
 bool exchange::upload(std::unique_ptr<target_connection>& used, std::uint64_t max_body) {
     auto& connection = *used;
+    // The first piece, which the fingerprint covers, does not stay.
+    fingerprint();
     const auto early = std::make_shared<detail::early_answer>();
     connection.socket.async_wait(tcp::socket::wait_read,
                                  [early, this, &connection](const boost::system::error_code&) {
@@ -205,14 +205,19 @@
     return body_.done() && !error && !early->arrived;
 }
 
-void exchange::receive(pooled_target& target, std::unique_ptr<target_connection>& connection,
-                       bool uploaded) {
+void exchange::receive(const traffic::send_to& decision, target_gate& gate,
+                       std::unique_ptr<target_connection>& connection, bool uploaded) {
+    auto& target = *gate.target;
     std::optional<response_parser> answer;
     boost::system::error_code error;
+    watch_.sent = std::chrono::steady_clock::now();
+    watch_.connection = connection.get();
+    watch_.awaited = &target;
     const bool received = read_answer_header(*connection, answer, error);
+    watch_.awaited = nullptr;
     if (!received) {
         drop(connection);
-        fail_answer(target, error);
+        fail_answer(gate, error);
         return;
     }
     const auto now = std::chrono::steady_clock::now();
@@ -233,10 +238,12 @@
         return;
     }
     if (!says_not_run(*answer)) {
+        note_success(decision, gate);
         stream_answer(target, connection, *answer, uploaded);
         return;
     }
     avoided_ = target.id;
+    note_refusal(gate);
     const bool whole = uploaded && answer->keep_alive() && !answer->chunked() &&
                        answer->content_length().value_or(0) == connection->buffer.size();
     if (whole) {
@@ -269,19 +276,23 @@
     return true;
 }
 
-void exchange::fail_answer(pooled_target& target, const boost::system::error_code& error) {
+void exchange::fail_answer(target_gate& gate, const boost::system::error_code& error) {
     if (watch_.caller_gone) {
         cut_caller();
         return;
     }
     if (watch_.expired) {
+        note_refusal(gate);
         refuse(refusal_reason::deadline, traffic_verdict::may_have_run);
         return;
     }
-    target_pool::record_failure(target, std::chrono::steady_clock::now());
-    retry_or_refuse(detail::is_parse_error(error) ? refusal_reason::bad_answer
-                                                  : refusal_reason::connection_lost,
-                    traffic_verdict::may_have_run);
+    target_pool::record_failure(*gate.target, std::chrono::steady_clock::now());
+    if (detail::is_parse_error(error)) {
+        retry_or_refuse(refusal_reason::bad_answer, traffic_verdict::may_have_run);
+        return;
+    }
+    home_.shared.record_loss(gate.target->id, fingerprint());
+    retry_or_refuse(refusal_reason::connection_lost, traffic_verdict::may_have_run);
 }
 
 void exchange::stream_answer(pooled_target& target, std::unique_ptr<target_connection>& connection,
@@ -302,6 +313,7 @@
         return;
     }
     finished_ = true;
+    verdict_ = traffic_verdict::ran;
     keep_alive_ = uploaded && request_.keep_alive() && !home_.shared.stopping;
     write_answer_header(caller_.out, answer, caller_.request_id, traffic_verdict::ran, keep_alive_);
     detail::write_parts first;
@@ -319,6 +331,7 @@
     }
     if (error || !body.done()) {
         // The caller must see that the answer is not whole.
+        verdict_ = traffic_verdict::may_have_run;
         cut_caller();
         return;
     }
--- a/src/adapters/http_front_end_worker.cpp
+++ b/src/adapters/http_front_end_worker.cpp
@@ -22,6 +22,13 @@
 constexpr std::uint64_t connection_check_period = 10;
 // Keep-alive connections may still bring a request that was under way when a stop began.
 constexpr std::chrono::seconds stop_grace{1};
+// An answer is overdue after this many times the p99 of its class, with a floor against noise.
+constexpr double usual_part = 0.99;
+constexpr int silent_factor = 4;
+constexpr std::uint64_t answers_to_know = 100;
+constexpr std::chrono::milliseconds least_silence{20};
+constexpr std::chrono::milliseconds unknown_silence{500};
+constexpr std::chrono::seconds probe_limit{1};
 
 /// An orderly or hard end. Bytes of a next request hide an end that follows them.
 bool is_closed(tcp::socket& socket) {
@@ -67,6 +74,7 @@
 worker::worker(shared_state& state)
     : shared(state),
       pool(context_),
+      metrics(state.labels),
       random(std::random_device{}()),
       work_(asio::make_work_guard(context_)),
       sweep_timer_(context_) {}
@@ -166,6 +174,7 @@
 }
 
 void worker::add(exchange_watch& watch) {
+    watch.number = ++exchange_number_;
     detail::insert(exchanges_, watch);
     if (!sweeping_soon_) {
         arm_sweep(true);
@@ -237,7 +246,7 @@
             return;
         }
         sweep();
-        if (!released_ || !connections_.empty()) {
+        if (!released_ || !connections_.empty() || probes_running_ > 0) {
             arm_sweep(!exchanges_.empty());
         }
     });
@@ -249,10 +258,13 @@
     check_exchanges(now);
     // Held requests look at their serving lease again, whose renewal publishes no table.
     wake_held();
+    grant_waiting(now);
     pool.sweep(now);
     if (!sweeping_soon_ || cut_ || sweeps_ % detail::connection_check_period == 0) {
         check_connections(now);
+        update_silent_limits();
         report_evidence();
+        shared.find_crashing(now);
     }
 }
 
@@ -266,6 +278,8 @@
         watch->caller_gone = look_for_callers && detail::is_closed(*watch->caller);
         if (watch->stopped()) {
             detail::interrupt(*watch);
+        } else if (watch->awaited != nullptr && !watch->probed) {
+            probe_silent(*watch, now);
         }
     }
 }
@@ -290,4 +304,50 @@
     }
 }
 
+void worker::grant_waiting(steady_time now) {
+    for (auto& [target, gate] : gates.gates) {
+        if (gate->queue.size > 0) {
+            grant_places(*gate, chance(), now);
+        }
+    }
+}
+
+void worker::update_silent_limits() {
+    for (std::size_t index = 0; index < silent_limits_.size(); ++index) {
+        const auto& latency = metrics.of_class(static_cast<config::traffic_class>(index)).latency;
+        const auto p99 = std::chrono::microseconds(latency.quantile(detail::usual_part));
+        const bool known = latency.total() >= detail::answers_to_know;
+        silent_limits_.at(index) = known ? std::max<std::chrono::microseconds>(
+                                               detail::silent_factor * p99, detail::least_silence)
+                                         : std::chrono::microseconds(detail::unknown_silence);
+    }
+}
+
+/// A new connection tells a silent connection from a slow target.
+void worker::probe_silent(exchange_watch& watch, steady_time now) {
+    const auto limit = silent_limits_.at(static_cast<std::size_t>(watch.priority));
+    if (limit.count() == 0 || now - watch.sent < limit) {
+        return;
+    }
+    watch.probed = true;
+    ++metrics.silent_probes;
+    ++probes_running_;
+    asio::spawn(context_, [this, target = watch.awaited, number = watch.number,
+                           now](const asio::yield_context& yield) {
+        if (pool.probe(*target, now + detail::probe_limit, yield)) {
+            suspect(number);
+        }
+        --probes_running_;
+    });
+}
+
+/// The request may be answered until its deadline, but its connection carries no other one.
+void worker::suspect(std::uint64_t number) {
+    for (auto* watch : exchanges_) {
+        if (watch->number == number && watch->awaited != nullptr) {
+            watch->connection->suspected = true;
+        }
+    }
+}
+
 }  // namespace mimosavalve::adapters::front_end
--- a/src/adapters/http_front_end_worker.hpp
+++ b/src/adapters/http_front_end_worker.hpp
@@ -12,9 +12,13 @@
 #include <vector>
 
 #include "http_front_end_body.hpp"
+#include "http_front_end_gate.hpp"
 #include "mimosavalve/adapters/http_front_end.hpp"
 #include "mimosavalve/adapters/target_pool.hpp"
+#include "mimosavalve/observe/metrics.hpp"
+#include "mimosavalve/traffic/account_limit.hpp"
 #include "mimosavalve/traffic/in_flight.hpp"
+#include "mimosavalve/traffic/quarantine.hpp"
 #include "mimosavalve/traffic/retry_budget.hpp"
 #include "mimosavalve/traffic/routing_table.hpp"
 
@@ -28,6 +32,12 @@
     tcp::socket* caller = nullptr;
     tcp::socket* target = nullptr;  ///< Null while no connection is used.
     boost::asio::steady_timer* timer = nullptr;
+    steady_time sent;                         ///< When the whole request was sent.
+    pooled_target* awaited = nullptr;         ///< Not null while no byte of the answer came.
+    target_connection* connection = nullptr;  ///< Set with `awaited`.
+    config::traffic_class priority = config::traffic_class::status;
+    std::uint64_t number = 0;  ///< Tells this request from a later one here.
+    bool probed = false;
     bool expired = false;
     bool caller_gone = false;
     std::size_t position = 0;
@@ -60,6 +70,20 @@
     std::atomic<bool> stopping{false};
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> largest_buffered{0};
+    observe::account_labels labels;
+    std::atomic<std::size_t> held_back{0};  ///< Entries of `quarantine.held`.
+
+    traffic::account_limit& limit_of(const std::string& account);
+    bool is_held_back(std::uint64_t fingerprint, steady_time now);
+    void record_loss(const std::string& target, std::uint64_t fingerprint);
+    void confirm_loss(const std::string& target);
+    /// Reports fingerprints that are newly held back.
+    void find_crashing(steady_time now);
+
+private:
+    std::mutex mutex_;  ///< Guards what follows.
+    std::unordered_map<std::string, std::unique_ptr<traffic::account_limit>> limits_;
+    traffic::quarantine quarantine_;
 };
 
 /// One traffic thread. All members but the marked ones belong to that thread.
@@ -110,14 +134,23 @@
     target_pool pool;
     piece_store pieces;
     traffic::retry_budget retries;
+    gate_set gates;
+    observe::request_metrics metrics;
     std::mt19937_64 random;
 
+    /// From 0 to 1.
+    double chance() { return std::generate_canonical<double, 32>(random); }
+
 private:
     void arm_sweep(bool soon);
     void sweep();
     void check_exchanges(steady_time now);
     void check_connections(steady_time now);
     void wake_held();
+    void grant_waiting(steady_time now);
+    void probe_silent(exchange_watch& watch, steady_time now);
+    void suspect(std::uint64_t number);
+    void update_silent_limits();
     void report_evidence();
     void adopt_table();
     void publish_drained();
@@ -132,6 +165,9 @@
     std::shared_ptr<const traffic::routing_table> table_;
     std::uint64_t table_number_ = 0;
     std::uint64_t sweeps_ = 0;
+    std::uint64_t exchange_number_ = 0;
+    std::uint32_t probes_running_ = 0;
+    std::array<std::chrono::microseconds, 3> silent_limits_{};
     bool sweeping_soon_ = false;
     bool released_ = false;
     bool cut_ = false;
--- a/src/traffic/quarantine.cpp
+++ b/src/traffic/quarantine.cpp
@@ -16,6 +16,8 @@
 // All connections of a crashed process are reset within this time.
 constexpr std::chrono::milliseconds loss_window{200};
 constexpr std::chrono::minutes hold_time{10};
+// A crashed target is noticed by the next request or probe.
+constexpr std::chrono::seconds confirm_window{5};
 
 target_loss* find_loss(quarantine& state, std::string_view target, steady_time now) {
     for (auto& loss : state.losses) {
@@ -48,8 +50,8 @@
     std::erase_if(state.held, [&](const held_back& entry) { return now >= entry.until; });
 }
 
-bool is_complete(const target_loss& loss, steady_time now) {
-    return now - loss.at >= loss_window;
+bool counts(const target_loss& loss, steady_time now) {
+    return loss.confirmed && now - loss.at >= loss_window;
 }
 
 }  // namespace detail
@@ -70,7 +72,7 @@
         if (state.losses.size() >= detail::max_losses) {
             state.losses.erase(state.losses.begin());
         }
-        loss = &state.losses.emplace_back(target_loss{std::string(target), now, {}});
+        loss = &state.losses.emplace_back(target_loss{std::string(target), now, {}, false});
     }
     auto& known = loss->fingerprints;
     const bool repeated = std::find(known.begin(), known.end(), fingerprint) != known.end();
@@ -79,13 +81,20 @@
     }
 }
 
+void confirm_loss(quarantine& state, std::string_view target, steady_time now) {
+    for (auto& loss : state.losses) {
+        const bool recent = now - loss.at < detail::confirm_window;
+        loss.confirmed = loss.confirmed || (recent && loss.target == target);
+    }
+}
+
 std::vector<std::uint64_t> find_crashing(quarantine& state, steady_time now) {
     std::vector<std::uint64_t> found;
     for (std::size_t second = 1; second < state.losses.size(); ++second) {
         for (std::size_t first = 0; first < second; ++first) {
             const auto& earlier = state.losses[first];
             const auto& later = state.losses[second];
-            if (!detail::is_complete(earlier, now) || !detail::is_complete(later, now)) {
+            if (!detail::counts(earlier, now) || !detail::counts(later, now)) {
                 continue;
             }
             const auto common = detail::only_common(earlier, later);
--- a/tests/traffic/fake_target.cpp
+++ b/tests/traffic/fake_target.cpp
@@ -144,10 +144,12 @@
             requests_.back().body().clear();
         }
     }
+    most_running = std::max(most_running.load(), ++running);
     if (reply.delay.count() > 0) {
         asio::steady_timer timer(context_, reply.delay);
         timer.async_wait(yield[error]);
     }
+    --running;
     if (reply.silent) {
         char byte = 0;
         socket.async_read_some(asio::buffer(&byte, 1), yield[error]);
--- a/tests/traffic/fake_target.hpp
+++ b/tests/traffic/fake_target.hpp
@@ -48,6 +48,8 @@
 
     std::atomic<int> probes{0};
     std::atomic<int> connections{0};
+    std::atomic<int> running{0};
+    std::atomic<int> most_running{0};
     std::atomic<int> ended_while_silent{0};  ///< Connections that the router closed early.
     std::atomic<std::size_t> body_bytes{0};
     std::atomic<std::uint64_t> instance{7};
