Send keyed requests only with a known target clock

Cause: a request that waited for its claim could find the target's clock reset by the failure of another request, and was then sent without Start-By. Change: the clock is checked with the lease just before the send; without it the request is decided anew and the next connection is probed.

--- a/src/adapters/http_front_end_exchange.cpp
+++ b/src/adapters/http_front_end_exchange.cpp
@@ -214,7 +214,7 @@
     }
     note_instance(gate);
     const bool claimed = claim(decision);
-    if (!claimed || !may_still_send(decision, std::chrono::steady_clock::now())) {
+    if (!claimed || !may_still_send(decision, target, std::chrono::steady_clock::now())) {
         // Unless it has ended, the request is decided anew with the newest table and lease.
         target_pool::release(target, std::move(connection), now);
         return;
@@ -290,7 +290,17 @@
 
 /// Opening a connection and claiming a key take time, in which the lease may have ended or the slot
 /// may have moved. Between this check and the send the thread does nothing else.
-bool exchange::may_still_send(const traffic::send_to& decision, steady_time now) {
+bool exchange::may_still_send(const traffic::send_to& decision, const pooled_target& target,
+                              steady_time now) {
+#ifndef MV_WITHOUT_CLOCK_RECHECK
+    // Another request's failure may have made the clock unknown; without Start-By a frozen target
+    // could start the request at any later time.
+    if (decision.keyed && !target.clock) {
+        return false;
+    }
+#else
+    static_cast<void>(target);
+#endif
 #ifdef MV_WITHOUT_LEASE_RECHECK
     static_cast<void>(decision);
     static_cast<void>(now);
--- a/src/adapters/http_front_end_exchange.hpp
+++ b/src/adapters/http_front_end_exchange.hpp
@@ -31,7 +31,8 @@
     void send(const traffic::send_to& decision);
     bool prepare_body(const config::route_config& route);
     bool claim(const traffic::send_to& decision);
-    bool may_still_send(const traffic::send_to& decision, steady_time now);
+    bool may_still_send(const traffic::send_to& decision, const pooled_target& target,
+                        steady_time now);
     const traffic::unkeyed_target* choose(std::span<const traffic::unkeyed_target> candidates);
 
     // Limits (http_front_end_admission.cpp).
