--- a/src/adapters/http_front_end_header.cpp
+++ b/src/adapters/http_front_end_header.cpp
@@ -167,6 +167,10 @@
     }
 }
 
+bool expects_continue(const request_parser& request) {
+    return beast::iequals(request.get()[http::field::expect], "100-continue");
+}
+
 bool says_not_run(const response_parser& answer) {
     return beast::iequals(answer.get()["Not-Run"], "true");
 }
--- a/src/adapters/http_front_end_header.hpp
+++ b/src/adapters/http_front_end_header.hpp
@@ -48,6 +48,9 @@
 
 void write_own_answer(std::string& out, const own_answer& answer);
 
+/// Whether the caller waits for 100 before it sends the body.
+bool expects_continue(const request_parser& request);
+
 /// Whether the target said that it did not run the request.
 bool says_not_run(const response_parser& answer);
 
