--- a/src/adapters/http_front_end_exchange.cpp
+++ b/src/adapters/http_front_end_exchange.cpp
@@ -20,9 +20,6 @@
 constexpr std::chrono::seconds default_timeout{2};
 // Renewals come every 100 ms; a router that gets no lease for this long is cut off.
 constexpr std::chrono::milliseconds lease_hold{300};
-constexpr std::chrono::milliseconds retry_pause{10};
-constexpr std::chrono::seconds answer_write_limit{5};
-constexpr std::uint64_t max_dropped_body = piece_size;
 constexpr unsigned http_1_1 = 11;
 
 /// Chunked is the only coding that the router decodes and encodes again.
@@ -31,10 +28,6 @@
     return coding.empty() || beast::iequals(coding, "chunked");
 }
 
-bool expects_continue(const request_parser& request) {
-    return beast::iequals(request.get()[http::field::expect], "100-continue");
-}
-
 refusal_reason reason_of(claim_result result) {
     switch (result) {
         case claim_result::duplicate:
@@ -97,6 +90,7 @@
         attempt();
     }
     body_.consume_handed_out();
+    record_metrics();
     return keep_alive_;
 }
 
@@ -134,6 +128,9 @@
         timeout = std::chrono::milliseconds(*asked);
     }
     watch_.deadline = watch_.started + timeout;
+    if (route != table.routes.end()) {
+        watch_.priority = route->second.config->priority;
+    }
 }
 
 void exchange::attempt() {
@@ -158,22 +155,6 @@
     }
 }
 
-/// The less busy of two random targets keeps the load even without comparing all of them.
-const traffic::unkeyed_target* exchange::choose(
-    std::span<const traffic::unkeyed_target> candidates) {
-    const auto pick = [&] {
-        const auto index = home_.random() % candidates.size();
-        const bool avoided = candidates[index].target->id == avoided_;
-        return &candidates[(index + (avoided ? 1 : 0)) % candidates.size()];
-    };
-    const auto cost = [&](const traffic::unkeyed_target& candidate) {
-        return home_.pool.entry(*candidate.target).running;
-    };
-    const auto* first = pick();
-    const auto* second = pick();
-    return cost(*second) < cost(*first) ? second : first;
-}
-
 void exchange::wait_for_state(const traffic::hold& held, steady_time now) {
     const bool lease_only = held.reason == refusal_reason::no_serving_lease;
     const auto limit = lease_only ? std::min(watch_.deadline, watch_.started + detail::lease_hold)
@@ -187,10 +168,15 @@
 }
 
 void exchange::send(const traffic::send_to& decision) {
-    if (!prepare_body(*decision.route->config)) {
+    if (!prepare_body(*decision.route->config) || !pass_limits()) {
         return;
     }
-    auto& target = home_.pool.entry(*decision.target);
+    auto& gate = gate_to(*decision.target);
+    if (!admit(gate, *decision.route->config)) {
+        return;
+    }
+    const place_scope place(home_, gate);
+    auto& target = *gate.target;
     std::error_code error;
     auto connection = home_.pool.acquire(target, decision.keyed, watch_.deadline, yield_, error);
     if (watch_.caller_gone) {
@@ -203,20 +189,19 @@
         return;
     }
     if (connection == nullptr) {
+        home_.shared.confirm_loss(target.id);
         avoided_ = target.id;
         retry_or_refuse(refusal_reason::target_unreachable, traffic_verdict::not_run);
         return;
     }
-    if (!claim(decision)) {
-        target_pool::release(target, std::move(connection), now);
-        return;
-    }
-    if (!may_still_send(decision, std::chrono::steady_clock::now())) {
-        // Decided anew with the newest table and lease.
+    note_instance(gate);
+    const bool claimed = claim(decision);
+    if (!claimed || !may_still_send(decision, target, std::chrono::steady_clock::now())) {
+        // Unless it has ended, the request is decided anew with the newest table and lease.
         target_pool::release(target, std::move(connection), now);
         return;
     }
-    forward(decision, target, std::move(connection));
+    forward(decision, gate, std::move(connection));
 }
 
 /// Reads the first piece of the body, so that it leaves with the header.
@@ -233,7 +218,7 @@
         return true;
     }
     boost::system::error_code error;
-    if (detail::expects_continue(request_) && caller_.buffer.size() == 0) {
+    if (expects_continue(request_) && caller_.buffer.size() == 0) {
         std::array parts{asio::const_buffer("HTTP/1.1 100 Continue\r\n\r\n", 25)};
         write_all(caller_.socket, parts, yield_, error);
     }
@@ -287,7 +272,17 @@
 
 /// Opening a connection and claiming a key take time, in which the lease may have ended or the slot
 /// may have moved. Between this check and the send the thread does nothing else.
-bool exchange::may_still_send(const traffic::send_to& decision, steady_time now) {
+bool exchange::may_still_send(const traffic::send_to& decision, const pooled_target& target,
+                              steady_time now) {
+#ifndef MV_WITHOUT_CLOCK_RECHECK
+    // Another request's failure may have made the clock unknown; without Start-By a frozen target
+    // could start the request at any later time.
+    if (decision.keyed && !target.clock) {
+        return false;
+    }
+#else
+    static_cast<void>(target);
+#endif
 #ifdef MV_WITHOUT_LEASE_RECHECK
     static_cast<void>(decision);
     static_cast<void>(now);
@@ -297,62 +292,4 @@
 #endif
 }
 
-void exchange::refuse(refusal_reason reason, traffic_verdict verdict, std::string_view region) {
-    finished_ = true;
-    if (watch_.caller_gone) {
-        cut_caller();
-        return;
-    }
-    caller_.watch.limit = std::chrono::steady_clock::now() + detail::answer_write_limit;
-    drop_rest_of_body();
-    keep_alive_ = body_.done() && request_.keep_alive() && !home_.shared.stopping &&
-                  reason != refusal_reason::bad_request;
-    const own_answer answer{reason, verdict, caller_.request_id, region, keep_alive_, !is_head()};
-    write_own_answer(caller_.out, answer);
-    std::array parts{asio::const_buffer(asio::buffer(caller_.out))};
-    boost::system::error_code error;
-    write_all(caller_.socket, parts, yield_, error);
-    if (error) {
-        cut_caller();
-    }
-}
-
-/// Only what was not run may be sent again, and only while the body can be sent again too.
-void exchange::retry_or_refuse(refusal_reason reason, traffic_verdict verdict) {
-#ifdef MV_WITHOUT_NOT_RUN_ONLY_RETRY
-    const bool permitted = true;
-#else
-    const bool permitted = verdict == traffic_verdict::not_run;
-#endif
-    const auto now = std::chrono::steady_clock::now();
-    const auto pause = detail::retry_pause * (retries_ + 1);
-    const bool possible =
-        permitted && body_.pieces_read() <= 1 && !watch_.stopped() && now + pause < watch_.deadline;
-    if (!possible || !traffic::take_retry(home_.retries, now)) {
-        refuse(reason, verdict);
-        return;
-    }
-    ++retries_;
-    worker::pause(watch_, now + pause, yield_);
-    if (watch_.stopped()) {
-        refuse(reason, verdict);
-    }
-}
-
-void exchange::cut_caller() {
-    finished_ = true;
-    keep_alive_ = false;
-    caller_.cut = true;
-}
-
-/// Reads the rest of a short body, which is cheaper than a new connection.
-void exchange::drop_rest_of_body() {
-    const bool short_rest = !body_.chunked() && !detail::expects_continue(request_) &&
-                            body_.content_length() <= detail::max_dropped_body;
-    boost::system::error_code error;
-    while (short_rest && !body_.done() && !error) {
-        body_.next(yield_, error);
-    }
-}
-
 }  // namespace mimosavalve::adapters::front_end
--- a/src/adapters/http_front_end_worker.cpp
+++ b/src/adapters/http_front_end_worker.cpp
@@ -1,10 +1,7 @@
 #include "http_front_end_worker.hpp"
 
-#include <sys/socket.h>
-
 #include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
-#include <cerrno>
 
 #include "http_front_end_session.hpp"
 
@@ -14,22 +11,8 @@
 
 namespace detail {
 
-// Deadlines are kept to within this time while requests run.
-constexpr std::chrono::milliseconds busy_sweep{5};
-constexpr std::chrono::milliseconds quiet_sweep{50};
-// Sweeps between looks for callers that are gone, and between checks of connections and evidence.
-constexpr std::uint64_t caller_check_period = 4;
-constexpr std::uint64_t connection_check_period = 10;
 // Keep-alive connections may still bring a request that was under way when a stop began.
 constexpr std::chrono::seconds stop_grace{1};
-
-/// An orderly or hard end. Bytes of a next request hide an end that follows them.
-bool is_closed(tcp::socket& socket) {
-    char byte = 0;
-    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 template <typename Watch>
 void insert(std::vector<Watch*>& list, Watch& watch) {
     watch.position = list.size();
@@ -44,15 +27,6 @@
     list.pop_back();
 }
 
-void interrupt(exchange_watch& watch) {
-    boost::system::error_code ignored;
-    watch.caller->cancel(ignored);
-    if (watch.target != nullptr) {
-        watch.target->cancel(ignored);
-    }
-    watch.timer->cancel();
-}
-
 /// The table with a reference count of this thread's own, so that threads do not contend for one
 /// counter with every request.
 std::shared_ptr<const traffic::routing_table> own_reference(
@@ -67,6 +41,7 @@
 worker::worker(shared_state& state)
     : shared(state),
       pool(context_),
+      metrics(state.labels),
       random(std::random_device{}()),
       work_(asio::make_work_guard(context_)),
       sweep_timer_(context_) {}
@@ -166,6 +141,7 @@
 }
 
 void worker::add(exchange_watch& watch) {
+    watch.number = ++exchange_number_;
     detail::insert(exchanges_, watch);
     if (!sweeping_soon_) {
         arm_sweep(true);
@@ -228,66 +204,4 @@
     }
 }
 
-void worker::arm_sweep(bool soon) {
-    sweeping_soon_ = soon;
-    sweep_timer_.expires_after(soon ? detail::busy_sweep : detail::quiet_sweep);
-    sweep_timer_.async_wait([this](const boost::system::error_code& error) {
-        // A sweep that was armed anew cancels this one.
-        if (error) {
-            return;
-        }
-        sweep();
-        if (!released_ || !connections_.empty()) {
-            arm_sweep(!exchanges_.empty());
-        }
-    });
-}
-
-void worker::sweep() {
-    const auto now = std::chrono::steady_clock::now();
-    ++sweeps_;
-    check_exchanges(now);
-    // Held requests look at their serving lease again, whose renewal publishes no table.
-    wake_held();
-    pool.sweep(now);
-    if (!sweeping_soon_ || cut_ || sweeps_ % detail::connection_check_period == 0) {
-        check_connections(now);
-        report_evidence();
-    }
-}
-
-void worker::check_exchanges(steady_time now) {
-    const bool look_for_callers = sweeps_ % detail::caller_check_period == 0;
-    for (auto* watch : exchanges_) {
-        if (watch->stopped()) {
-            continue;
-        }
-        watch->expired = now >= watch->deadline || cut_;
-        watch->caller_gone = look_for_callers && detail::is_closed(*watch->caller);
-        if (watch->stopped()) {
-            detail::interrupt(*watch);
-        }
-    }
-}
-
-void worker::check_connections(steady_time now) {
-    for (auto* connection : connections_) {
-        if (cut_ || (!connection->timed_out && now >= connection->limit)) {
-            connection->timed_out = true;
-            boost::system::error_code ignored;
-            connection->socket->cancel(ignored);
-        }
-    }
-}
-
-void worker::report_evidence() {
-    if (!shared.hooks.evidence) {
-        return;
-    }
-    auto changed = pool.take_evidence();
-    if (!changed.empty()) {
-        shared.hooks.evidence(std::move(changed));
-    }
-}
-
 }  // namespace mimosavalve::adapters::front_end
