End the slow start of a target at twice its slots

Cause: without any fault the p99 of status reads was 503 ms. Fresh targets ramped until the allowance reached their 130 connections; at 4 requests/s per router and target that took many seconds in which each request waited for a drawn turn. Ruled out: the cold service time (the stand-ins start warm) and the lease (no refusals). Beyond twice the slots the adaptive window limits the target.

--- a/include/mimosavalve/traffic/slow_start.hpp
+++ b/include/mimosavalve/traffic/slow_start.hpp
@@ -21,8 +21,12 @@
     bool has_turn = false;
 };
 
-/// Starts the ramp. `connections` of the target end it.
-void restart(slow_start& ramp, std::uint32_t connections);
+/// Allowance at which the ramp ends: twice the target's slots, since beyond that requests only wait
+/// at the target and the adaptive window limits them; never more than its connections.
+std::uint32_t ramp_end(std::uint32_t slots, std::uint32_t connections);
+
+/// Starts the ramp, which ends at the allowance `end`.
+void restart(slow_start& ramp, std::uint32_t end);
 
 /// Whether one more request may run. With a share below 1 a turn of 20 ms is drawn with the share
 /// as its chance (`random` from 0 to 1), so that over all threads the allowance holds on average.
@@ -32,7 +36,7 @@
 /// Doubles the allowance with each `slots * 8` successes over all threads, unless the latency grew.
 /// A jump of the latency together with refusals starts the ramp again: the target is cold.
 void record_success(slow_start& ramp, std::chrono::microseconds latency, std::uint32_t slots,
-                    std::uint32_t connections, std::uint32_t sharers);
+                    std::uint32_t end, std::uint32_t sharers);
 void record_refusal(slow_start& ramp);
 
 }  // namespace mimosavalve::traffic
--- a/src/adapters/http_front_end_admission.cpp
+++ b/src/adapters/http_front_end_admission.cpp
@@ -131,7 +131,7 @@
     }
     if (gate.instance != 0) {
         home_.shared.confirm_loss(gate.target->id);
-        traffic::restart(gate.ramp, gate.connections);
+        traffic::restart(gate.ramp, traffic::ramp_end(gate.slots, gate.connections));
     }
     gate.instance = seen;
 }
@@ -141,7 +141,8 @@
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - watch_.sent);
     note_instance(gate);
     traffic::record_success(gate.window, latency, now);
-    traffic::record_success(gate.ramp, latency, gate.slots, gate.connections, gate.sharers);
+    const auto end = traffic::ramp_end(gate.slots, gate.connections);
+    traffic::record_success(gate.ramp, latency, gate.slots, end, gate.sharers);
     if (decision.keyed) {
         return;
     }
--- a/src/adapters/http_front_end_gate.cpp
+++ b/src/adapters/http_front_end_gate.cpp
@@ -18,7 +18,7 @@
     traffic::set_bounds(gate.window, state.slots, state.connections, sharers);
     if (gate.fresh_since != state.fresh_since) {
         gate.fresh_since = state.fresh_since;
-        traffic::restart(gate.ramp, state.connections);
+        traffic::restart(gate.ramp, traffic::ramp_end(state.slots, state.connections));
     }
 }
 
--- a/src/traffic/slow_start.cpp
+++ b/src/traffic/slow_start.cpp
@@ -40,10 +40,14 @@
 
 }  // namespace detail
 
-void restart(slow_start& ramp, std::uint32_t connections) {
+std::uint32_t ramp_end(std::uint32_t slots, std::uint32_t connections) {
+    return std::min(std::max(1U, connections), 2 * std::max(1U, slots));
+}
+
+void restart(slow_start& ramp, std::uint32_t end) {
     ramp.ramping = true;
     ramp.allowance = 1;
-    ramp.largest = std::max(1U, connections);
+    ramp.largest = std::max(1U, end);
     ramp.successes = 0;
     ramp.jumps = 0;
     ramp.refusals = 0;
@@ -68,12 +72,12 @@
 }
 
 void record_success(slow_start& ramp, std::chrono::microseconds latency, std::uint32_t slots,
-                    std::uint32_t connections, std::uint32_t sharers) {
+                    std::uint32_t end, std::uint32_t sharers) {
     const auto value = std::chrono::duration<double, std::milli>(latency).count();
     const bool jump = detail::update_median(ramp, value);
     detail::count_signs(ramp, jump);
     if (detail::looks_cold(ramp)) {
-        restart(ramp, connections);
+        restart(ramp, end);
         return;
     }
     if (!ramp.ramping || jump) {
--- a/tests/traffic/policies_test.cpp
+++ b/tests/traffic/policies_test.cpp
@@ -109,6 +109,13 @@
     CHECK(running / turns < 1.2);
 }
 
+// A ramp to all connections kept a target with little load on small turns for many seconds.
+TEST_CASE("the ramp ends at twice the slots, within the connections [slow_start]") {
+    CHECK(ramp_end(4, 130) == 8);
+    CHECK(ramp_end(4, 5) == 5);
+    CHECK(ramp_end(0, 0) == 1);
+}
+
 TEST_CASE(
     "the allowance doubles with answers and restarts when the target is cold "
     "[slow_start]") {
