Keep a target's allowance when several shards list it

Cause: each shard's leader records fresh_since at its own version. The gate of a target compared it with that of the deciding shard only, so requests of two shards restarted the slow start in turn and the target stayed at one request over all routers. Ruled out: the length of the ramp (the case stayed slow with the shorter one when shard versions differed).

--- a/src/adapters/http_front_end_admission.cpp
+++ b/src/adapters/http_front_end_admission.cpp
@@ -26,7 +26,7 @@
     std::span<const traffic::unkeyed_target> candidates) {
     const auto now = std::chrono::steady_clock::now();
     const auto usable = [&](const traffic::unkeyed_target& candidate) {
-        auto& gate = gate_to(*candidate.target);
+        auto& gate = gate_to(*candidate.target, *candidate.shard);
         return candidate.target->id != avoided_ &&
                traffic::may_take(gate.latency, gate.target->running, now);
     };
@@ -48,10 +48,10 @@
     return running(*second) < running(*first) ? second : first;
 }
 
-target_gate& exchange::gate_to(const ownership::target& target) {
+target_gate& exchange::gate_to(const ownership::target& target, const router::shard_view& shard) {
     const auto sharers =
         table_->snapshot->live_routers * std::max(1U, home_.shared.settings.threads);
-    return gate_of(home_.gates, home_.pool.entry(target), target, sharers);
+    return gate_of(home_.gates, home_.pool.entry(target), target, shard.state->shard, sharers);
 }
 
 /// The rate of the calling account, and requests that crashed targets before. Checked once.
@@ -157,7 +157,7 @@
     std::vector<const traffic::target_latency*> all;
     all.reserve(candidates.size());
     for (const auto& candidate : candidates) {
-        all.push_back(&gate_to(*candidate.target).latency);
+        all.push_back(&gate_to(*candidate.target, *candidate.shard).latency);
     }
     traffic::judge(gate.latency, all, now);
 }
--- a/src/adapters/http_front_end_exchange.cpp
+++ b/src/adapters/http_front_end_exchange.cpp
@@ -171,7 +171,7 @@
     if (!prepare_body(*decision.route->config) || !pass_limits()) {
         return;
     }
-    auto& gate = gate_to(*decision.target);
+    auto& gate = gate_to(*decision.target, *decision.shard);
     if (!admit(gate, *decision.route->config)) {
         return;
     }
--- a/src/adapters/http_front_end_exchange.hpp
+++ b/src/adapters/http_front_end_exchange.hpp
@@ -36,7 +36,7 @@
     const traffic::unkeyed_target* choose(std::span<const traffic::unkeyed_target> candidates);
 
     // Limits (http_front_end_admission.cpp).
-    target_gate& gate_to(const ownership::target& target);
+    target_gate& gate_to(const ownership::target& target, const router::shard_view& shard);
     bool pass_limits();
     std::uint64_t fingerprint();
     bool admit(target_gate& gate, const config::route_config& route);
--- a/src/adapters/http_front_end_gate.cpp
+++ b/src/adapters/http_front_end_gate.cpp
@@ -1,23 +1,39 @@
 #include "http_front_end_gate.hpp"
 
+#include <algorithm>
+
 #include "http_front_end_worker.hpp"
 
 namespace mimosavalve::adapters::front_end {
 
 namespace detail {
 
-void apply_state(target_gate& gate, const ownership::target& state, std::uint32_t sharers) {
-    const bool same = gate.slots == state.slots && gate.connections == state.connections &&
-                      gate.sharers == sharers && gate.fresh_since == state.fresh_since;
-    if (same) {
-        return;
+/// Whether the shard's leader has recorded anew that the target is fresh. A further shard that
+/// lists a known target does not make it fresh.
+bool became_fresh(target_gate& gate, const shard_id& shard, const version& since) {
+    const auto known =
+        std::find_if(gate.freshness.begin(), gate.freshness.end(),
+                     [&](const shard_freshness& entry) { return entry.shard == shard; });
+    if (known == gate.freshness.end()) {
+        gate.freshness.push_back({shard, since});
+        return gate.freshness.size() == 1 && since != version{};
+    }
+    const bool changed = known->since != since;
+    known->since = since;
+    return changed;
+}
+
+void apply_state(target_gate& gate, const ownership::target& state, const shard_id& shard,
+                 std::uint32_t sharers) {
+    const bool same_bounds = gate.slots == state.slots && gate.connections == state.connections &&
+                             gate.sharers == sharers;
+    if (!same_bounds) {
+        gate.slots = state.slots;
+        gate.connections = state.connections;
+        gate.sharers = sharers;
+        traffic::set_bounds(gate.window, state.slots, state.connections, sharers);
     }
-    gate.slots = state.slots;
-    gate.connections = state.connections;
-    gate.sharers = sharers;
-    traffic::set_bounds(gate.window, state.slots, state.connections, sharers);
-    if (gate.fresh_since != state.fresh_since) {
-        gate.fresh_since = state.fresh_since;
+    if (became_fresh(gate, shard, state.fresh_since)) {
         traffic::restart(gate.ramp, traffic::ramp_end(state.slots, state.connections));
     }
 }
@@ -31,14 +47,14 @@
 }  // namespace detail
 
 target_gate& gate_of(gate_set& set, pooled_target& target, const ownership::target& state,
-                     std::uint32_t sharers) {
+                     const shard_id& shard, std::uint32_t sharers) {
     auto& gate = set.gates[&target];
     if (gate == nullptr) {
         gate = std::make_unique<target_gate>();
         gate->target = &target;
         gate->sharers = 0;
     }
-    detail::apply_state(*gate, state, sharers);
+    detail::apply_state(*gate, state, shard, sharers);
     return *gate;
 }
 
--- a/src/adapters/http_front_end_gate.hpp
+++ b/src/adapters/http_front_end_gate.hpp
@@ -21,13 +21,19 @@
     bool granted = false;  ///< A place was taken in its name.
 };
 
+struct shard_freshness {
+    shard_id shard;
+    version since;
+};
+
 /// What one thread lets through to one target.
 struct target_gate {
     pooled_target* target = nullptr;
     std::uint32_t slots = 1;
     std::uint32_t connections = 1;
     std::uint32_t sharers = 1;  ///< Threads over all routers.
-    version fresh_since;
+    /// `fresh_since` of the target as each shard's leader recorded it: their versions differ.
+    std::vector<shard_freshness> freshness;
     std::uint64_t instance = 0;  ///< As last seen; 0 before.
     traffic::target_window window;
     traffic::slow_start ramp;
@@ -40,9 +46,10 @@
     std::unordered_map<const pooled_target*, std::unique_ptr<target_gate>> gates;
 };
 
-/// Gate of a target under the newest state of it. A fresh target starts its ramp.
+/// Gate of a target under the newest state that `shard` holds of it. A target that became fresh
+/// starts its ramp.
 target_gate& gate_of(gate_set& set, pooled_target& target, const ownership::target& state,
-                     std::uint32_t sharers);
+                     const shard_id& shard, std::uint32_t sharers);
 
 /// Takes a place when there is room; `random` is from 0 to 1.
 bool try_enter(target_gate& gate, double random, steady_time now);
