--- a/tools/failures.sh
+++ b/tools/failures.sh
@@ -18,67 +18,6 @@
 load_ms="${FAILURES_LOAD_MS:-6000}"
 warm_ms="${FAILURES_WARM_MS:-3000}"
 root="$(mktemp -d "${TMPDIR:-/tmp}/mimosavalve-failures.XXXXXX")"
-fleet_config="$PWD/examples/repair-service/fleet.yaml"
-
-start_fleet() {
-  local entry region domain number name
-  fleet_target_line=() fleet_target_address=() fleet_router_line=()
-  fleet_start_store
-  for entry in "${fleet_domains[@]}"; do
-    region="${entry%%:*}" domain="${entry##*:}"
-    for number in 1 2; do
-      fleet_start_target "status-$domain-$number" status "$region" "$domain" true
-    done
-    fleet_start_target "orders-$domain-1" orders "$region" "$domain" true
-    fleet_start_target "calibration-$domain-1" calibration "$region" "$domain" false
-  done
-  fleet_start_hosts
-  for entry in "${fleet_domains[@]}"; do
-    region="${entry%%:*}" domain="${entry##*:}"
-    for number in 1 2; do
-      fleet_start_router "router-$domain-$number" "$region" "$domain" "$fleet_config"
-    done
-  done
-  for name in "${!fleet_router_line[@]}"; do fleet_list_router "$name"; done
-  for name in "${!fleet_router_line[@]}"; do fleet_wait_ready "$name"; done
-  admin=$(fleet_router_address router-gandaki-a-1 admin)
-}
-
-write_load() {
-  local name region
-  {
-    echo "routers:"
-    for name in "${!fleet_router_line[@]}"; do
-      read -r _ region _ _ <<<"${fleet_router_line[$name]}"
-      printf '  - {address: "%s", region: %s}\n' "$(fleet_router_address "$name" callers)" "$region"
-    done
-    cat <<YAML
-mode: open
-rate: 500
-connections: 128
-duration_ms: $load_ms
-timeout_ms: 3000
-repeats: 3
-repeat_wait_ms: 50
-seed: 20261204
-history_file: $fleet_dir/load.history
-keys: {count: 100, exponent: 0.0}
-accounts:
-  - {name: ward-4, region: bagmati}
-  - {name: hill-clinics, region: gandaki}
-  - {name: workshop-ring, region: bagmati}
-mix:
-  - {name: status, kind: read, route: status, weight: 85}
-  - {name: payment, kind: payment, route: payments, weight: 13}
-  - {name: upload, kind: upload, route: recordings, weight: 2, bytes: 262144}
-YAML
-  } >"$fleet_dir/load.yaml"
-  cat >"$fleet_dir/homes.yaml" <<'YAML'
-accounts:
-  - {name: ward-4, home_regions: [bagmati]}
-  - {name: hill-clinics, home_regions: [gandaki]}
-YAML
-}
 
 store_faults() {
   curl -fsS -m 5 -X POST "http://$fleet_store/faults" -d "$1" -o /dev/null
@@ -138,7 +77,8 @@
 
 report_row() {
   awk -v name="$1" -v verdict="$2" '
-    FILENAME ~ /load.out$/ && ($1 == "status" || $1 == "payment" || $1 == "upload") {
+    FILENAME ~ /load.out$/ && ($1 == "status" || $1 == "booking" || $1 == "payment" ||
+        $1 == "upload") {
       sent += $2; answered += $4; failed += $5; if ($1 == "status") { p50 = $7; p99 = $8 }
     }
     FILENAME ~ /load.out$/ && /^refused not-run/ { not_run += $NF }
@@ -158,8 +98,9 @@
 failed_cases=()
 for case in "${cases[@]}"; do
   fleet_init "$root/$case"
-  start_fleet
-  write_load
+  fleet_start_repair_service 2
+  fleet_write_load 500 "$load_ms"
+  admin=$(fleet_router_address router-gandaki-a-1 admin)
   # Fresh targets get little at first; the case is measured after this slow start.
   "$fleet_bin/mvload" --config "$fleet_dir/load.yaml" --duration-ms "$warm_ms" \
     --history-file "$fleet_dir/warm.history" >"$fleet_dir/warm.out" 2>&1
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -170,3 +170,65 @@
   tail -5 "$fleet_dir/$1.log" >&2
   return 1
 }
+
+# fleet_start_repair_service ROUTERS: the store, the host list, four targets and ROUTERS routers in
+# each failure domain; returns when all routers are ready.
+fleet_start_repair_service() {
+  local entry region domain number name config="$PWD/examples/repair-service/fleet.yaml"
+  fleet_target_line=() fleet_target_address=() fleet_router_line=()
+  fleet_start_store
+  for entry in "${fleet_domains[@]}"; do
+    region="${entry%%:*}" domain="${entry##*:}"
+    for number in 1 2; do
+      fleet_start_target "status-$domain-$number" status "$region" "$domain" true
+    done
+    fleet_start_target "orders-$domain-1" orders "$region" "$domain" true
+    fleet_start_target "calibration-$domain-1" calibration "$region" "$domain" false
+  done
+  fleet_start_hosts
+  for entry in "${fleet_domains[@]}"; do
+    for number in $(seq 1 "$1"); do
+      fleet_start_router "router-${entry##*:}-$number" "${entry%%:*}" "${entry##*:}" "$config"
+    done
+  done
+  for name in "${!fleet_router_line[@]}"; do fleet_list_router "$name"; done
+  for name in "${!fleet_router_line[@]}"; do fleet_wait_ready "$name"; done
+}
+
+# fleet_write_load RATE DURATION_MS: settings of the load program and of the checker.
+fleet_write_load() {
+  local name region
+  {
+    echo "routers:"
+    for name in "${!fleet_router_line[@]}"; do
+      read -r _ region _ _ <<<"${fleet_router_line[$name]}"
+      printf '  - {address: "%s", region: %s}\n' "$(fleet_router_address "$name" callers)" "$region"
+    done
+    cat <<YAML
+mode: open
+rate: $1
+connections: 128
+duration_ms: $2
+timeout_ms: 3000
+repeats: 3
+repeat_wait_ms: 50
+seed: 20261204
+history_file: $fleet_dir/load.history
+keys: {count: 100, exponent: 0.5}
+accounts:
+  - {name: ward-4, region: bagmati}
+  - {name: hill-clinics, region: gandaki}
+  - {name: workshop-ring, region: bagmati}
+mix:
+  - {name: status, kind: read, route: status, weight: 80}
+  - {name: booking, kind: order, route: bookings, weight: 8}
+  - {name: payment, kind: payment, route: payments, weight: 10}
+  - {name: upload, kind: upload, route: recordings, weight: 2, bytes: 262144}
+YAML
+  } >"$fleet_dir/load.yaml"
+  cat >"$fleet_dir/homes.yaml" <<'YAML'
+accounts:
+  - {name: ward-4, home_regions: [bagmati]}
+  - {name: hill-clinics, home_regions: [gandaki]}
+YAML
+}
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -1,6 +1,13 @@
 #!/usr/bin/env bash
-# Installs what is missing, builds, and runs all tests. Arguments go to ctest.
+# Installs what is missing, builds, and runs all tests but those listed in KNOWN-RED.txt, which it
+# prints. Arguments go to ctest.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 tools/build.sh build
-ctest --test-dir build --output-on-failure --no-tests=error "$@"
+mapfile -t known_red < <(sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null)
+exclude=()
+if [ "${#known_red[@]}" -gt 0 ]; then
+  printf 'known to fail, not run (KNOWN-RED.txt): %s\n' "${known_red[@]}"
+  exclude=(-E "^($(IFS='|'; echo "${known_red[*]}"))\$")
+fi
+ctest --test-dir build --output-on-failure --no-tests=error "${exclude[@]}" "$@"
