--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Compares, in one run, the router with a direct call of the target and with a minimal relay: a
-# closed loop of small reads at 1, 16 and 128 connections. Prints processor time per request of the
+# closed loop of small reads at 1, 16 and 128 connections, and an open loop at half load. Prints processor time per request of the
 # process in the middle and of all processes, p50, p99 and requests/s, and their ratios to the relay.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -48,13 +48,15 @@
 cpu_of() { if [ "$1" = direct ]; then echo 0; else fleet_cpu_ms "$1"; fi; }
 
 # One measurement: prints "answered p50 p99 own_us all_us per_second failed".
+# Further arguments go to the load program.
 measure() {
   local path="$1" connections="$2" milliseconds="$3" own target load_before load_after
+  shift 3
   own=$(cpu_of "$path")
   target=$(fleet_cpu_ms target)
   load_before=$(awk -v tick="$(getconf CLK_TCK)" '{ print ($16 + $17) * 1000 / tick }' /proc/$$/stat)
   "$fleet_bin/mvload" --config "$fleet_dir/load.yaml" --router "${address[$path]}" \
-    --connections "$connections" --duration-ms "$milliseconds" >"$fleet_dir/out"
+    --connections "$connections" --duration-ms "$milliseconds" "$@" >"$fleet_dir/out"
   load_after=$(awk -v tick="$(getconf CLK_TCK)" '{ print ($16 + $17) * 1000 / tick }' /proc/$$/stat)
   awk -v own="$(awk -v a="$(cpu_of "$path")" -v b="$own" 'BEGIN { print a - b }')" \
     -v target="$(awk -v a="$(fleet_cpu_ms target)" -v b="$target" 'BEGIN { print a - b }')" \
@@ -86,5 +88,11 @@
       b[4] / a[4], b[5] / a[5], b[2] / a[2], b[3] / a[3], b[3] - a[3], a[4] / b[4]
   }'
 done
+read -r _ _ _ _ _ full_rate _ <<<"$(measure router 16 $((seconds * 1000)))"
+half_rate=$((full_rate / 2))
+read -r _ p50_relay p99_relay _ <<<"$(measure relay 128 $((seconds * 1000)) --mode open --rate "$half_rate")"
+read -r _ p50_router p99_router _ <<<"$(measure router 128 $((seconds * 1000)) --mode open --rate "$half_rate")"
+echo "half load, $half_rate requests/s: relay p50 $p50_relay p99 $p99_relay ms," \
+  "router p50 $p50_router p99 $p99_router ms"
 fleet_stop
 rm -rf "$fleet_dir"
