--- a/src/router/admin.cpp
+++ b/src/router/admin.cpp
@@ -1,8 +1,9 @@
 #include "router/admin.hpp"
 
-#include <algorithm>
 #include <chrono>
 
+#include "router/readiness.hpp"
+
 namespace mimosavalve::router {
 
 namespace http = boost::beast::http;
@@ -15,14 +16,6 @@
     return options;
 }
 
-bool is_ready(const routing_snapshot& snapshot, steady_time now) {
-    const auto serves = [&](const shard_view& view) { return view.serving_lease->until() > now; };
-    const bool complete = snapshot.config != nullptr && !snapshot.shards.empty() &&
-                          snapshot.shards.size() ==
-                              snapshot.config->regions.size() * snapshot.config->shards_per_region;
-    return complete && std::all_of(snapshot.shards.begin(), snapshot.shards.end(), serves);
-}
-
 }  // namespace detail
 
 admin::admin(boost::asio::io_context& context, const std::string& address,
@@ -67,9 +60,10 @@
 
 adapters::http_response admin::readiness() const {
     const auto snapshot = plane_.snapshot();
-    const bool ready = snapshot && detail::is_ready(*snapshot, std::chrono::steady_clock::now());
-    return adapters::make_response(ready ? http::status::ok : http::status::service_unavailable,
-                                   ready ? "ready\n" : "no serving lease for some shard\n");
+    const bool ready = snapshot && is_ready(*snapshot, std::chrono::steady_clock::now());
+    return adapters::make_response(
+        ready ? http::status::ok : http::status::service_unavailable,
+        ready ? "ready\n" : "no serving lease for some shard of the region\n");
 }
 
 }  // namespace mimosavalve::router
--- a/src/router/admin.hpp
+++ b/src/router/admin.hpp
@@ -14,7 +14,8 @@
 ///
 /// `POST /command` runs a command; the header `Output` is "table" (default) or "json".
 /// `GET /metrics` answers counters and histograms in the text exposition format.
-/// `GET /ready` answers 200 while the router may serve every shard, else 503.
+/// `GET /ready` answers 200 while the router may serve every shard of its
+/// region, else 503.
 class admin {
 public:
     admin(boost::asio::io_context& context, const std::string& address,
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -158,7 +158,7 @@
   awk -v name="$2" '$1 == name { print "127.0.0.1:" $2 }' "$fleet_dir/$1.ports"
 }
 
-# fleet_wait_ready NAME: waits until the router may serve every shard.
+# fleet_wait_ready NAME: waits until the router may serve its own region.
 fleet_wait_ready() {
   local address attempt
   address=$(fleet_router_address "$1" admin)
