Let one piece of code serve clocks, overrides and settings files

The daemon and the operators' service each had the two clocks; mv-target and mvload each built the arguments that replace fields; two readers repeated the fault of an unreadable file.

--- a/apps/mv-target/main.cpp
+++ b/apps/mv-target/main.cpp
@@ -19,37 +19,9 @@
 
 namespace {
 
-struct override_argument {
-    std::string field;
-    std::unique_ptr<TCLAP::ValueArg<std::string>> argument;
-};
-
 // Fields that differ between the instances of one settings file.
-std::vector<override_argument> add_overrides(TCLAP::CmdLine& command_line) {
-    const std::vector<std::string> fields{"id",     "listen",         "port_file",   "service",
-                                          "region", "failure_domain", "history_file"};
-    std::vector<override_argument> overrides;
-    for (const auto& field : fields) {
-        auto name = field;
-        for (auto& letter : name) {
-            letter = letter == '_' ? '-' : letter;
-        }
-        overrides.push_back(
-            {field, std::make_unique<TCLAP::ValueArg<std::string>>(
-                        "", name, "replaces the field " + field, false, "", "text", command_line)});
-    }
-    return overrides;
-}
-
-std::vector<load::settings_override> values_of(const std::vector<override_argument>& overrides) {
-    std::vector<load::settings_override> values;
-    for (const auto& item : overrides) {
-        if (item.argument->isSet()) {
-            values.emplace_back(item.field, item.argument->getValue());
-        }
-    }
-    return values;
-}
+const std::vector<std::string> instance_fields{"id",     "listen",         "port_file",   "service",
+                                               "region", "failure_domain", "history_file"};
 
 int run(const standins::target_settings& settings) {
     boost::asio::io_context context(1);
@@ -79,14 +51,14 @@
     TCLAP::CmdLine command_line("stand-in of a platform target", ' ', MV_VERSION);
     TCLAP::ValueArg<std::string> config("c", "config", "settings in YAML", false, "", "file",
                                         command_line);
-    const auto overrides = add_overrides(command_line);
+    const load::override_arguments overrides(command_line, instance_fields);
     int exit_code = 0;
     if (!load::parse_arguments(command_line, argc, argv, exit_code)) {
         return exit_code;
     }
     std::vector<load::settings_problem> problems;
     const auto settings =
-        standins::read_target_settings(config.getValue(), values_of(overrides), problems);
+        standins::read_target_settings(config.getValue(), overrides.values(), problems);
     if (!problems.empty()) {
         load::print_problems(std::cerr, problems);
         return load::bad_settings_exit_code;
--- a/apps/mvload/main.cpp
+++ b/apps/mvload/main.cpp
@@ -18,29 +18,9 @@
 
 namespace {
 
-using text_argument = TCLAP::ValueArg<std::string>;
-
-struct override_argument {
-    std::string field;
-    std::unique_ptr<text_argument> argument;
-};
-
-std::vector<override_argument> add_overrides(TCLAP::CmdLine& command_line) {
-    const std::vector<std::string> fields{
-        "mode",    "rate",           "duration_ms", "count", "connections", "timeout_ms",
-        "repeats", "repeat_wait_ms", "seed",        "run",   "history_file"};
-    std::vector<override_argument> overrides;
-    for (const auto& field : fields) {
-        auto name = field;
-        for (auto& letter : name) {
-            letter = letter == '_' ? '-' : letter;
-        }
-        overrides.push_back(
-            {field, std::make_unique<text_argument>("", name, "replaces the field " + field, false,
-                                                    "", "value", command_line)});
-    }
-    return overrides;
-}
+const std::vector<std::string> override_fields{
+    "mode",    "rate",           "duration_ms", "count", "connections", "timeout_ms",
+    "repeats", "repeat_wait_ms", "seed",        "run",   "history_file"};
 
 int run(const load::load_settings& settings) {
     boost::asio::io_context context(1);
@@ -67,24 +47,19 @@
 
 int main(int argc, char** argv) {
     TCLAP::CmdLine command_line("load program of mimosavalve", ' ', MV_VERSION);
-    text_argument config("c", "config", "settings in YAML", false, "", "file", command_line);
+    TCLAP::ValueArg<std::string> config("c", "config", "settings in YAML", false, "", "file",
+                                        command_line);
     TCLAP::MultiArg<std::string> routers("r", "router",
                                          "ip:port[@region]; replaces the field routers", false,
                                          "address", command_line);
-    const auto overrides = add_overrides(command_line);
+    const load::override_arguments overrides(command_line, override_fields);
     int exit_code = 0;
     if (!load::parse_arguments(command_line, argc, argv, exit_code)) {
         return exit_code;
     }
-    std::vector<load::settings_override> values;
-    for (const auto& item : overrides) {
-        if (item.argument->isSet()) {
-            values.emplace_back(item.field, item.argument->getValue());
-        }
-    }
     std::vector<load::settings_problem> problems;
-    const auto settings =
-        load::read_load_settings(config.getValue(), values, routers.getValue(), problems);
+    const auto settings = load::read_load_settings(config.getValue(), overrides.values(),
+                                                   routers.getValue(), problems);
     if (!problems.empty()) {
         load::print_problems(std::cerr, problems);
         return load::bad_settings_exit_code;
--- a/include/mimosavalve/config/settings_reader.hpp
+++ b/include/mimosavalve/config/settings_reader.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -118,7 +119,8 @@
 /// Top mapping of a YAML text. A syntax error is listed as a fault and gives an empty section.
 settings_section open_settings(settings_context& context, std::string_view text);
 
-/// Whole text of a file; a file that cannot be read is listed as a fault and gives false.
-bool load_settings_text(settings_context& context, std::string& text);
+/// Whole text of a file; nothing, with a fault added, when it cannot be read.
+std::optional<std::string> load_settings_text(const std::string& path,
+                                              std::vector<settings_fault>& faults);
 
 }  // namespace mimosavalve::config
--- a/src/config/fleet_config_yaml.cpp
+++ b/src/config/fleet_config_yaml.cpp
@@ -115,13 +115,8 @@
 
 std::optional<fleet_config> load_fleet_config(const std::string& path,
                                               std::vector<settings_fault>& faults) {
-    settings_context context{path, {}, {}};
-    std::string text;
-    if (!load_settings_text(context, text)) {
-        faults.insert(faults.end(), context.faults.begin(), context.faults.end());
-        return std::nullopt;
-    }
-    return read_fleet_config(text, path, faults);
+    const auto text = load_settings_text(path, faults);
+    return text ? read_fleet_config(*text, path, faults) : std::nullopt;
 }
 
 }  // namespace mimosavalve::config
--- a/src/config/process_settings.cpp
+++ b/src/config/process_settings.cpp
@@ -134,13 +134,8 @@
 
 std::optional<process_settings> load_process_settings(const std::string& path,
                                                       std::vector<settings_fault>& faults) {
-    settings_context context{path, {}, {}};
-    std::string text;
-    if (!load_settings_text(context, text)) {
-        faults.insert(faults.end(), context.faults.begin(), context.faults.end());
-        return std::nullopt;
-    }
-    return read_process_settings(text, path, faults);
+    const auto text = load_settings_text(path, faults);
+    return text ? read_process_settings(*text, path, faults) : std::nullopt;
 }
 
 }  // namespace mimosavalve::config
--- a/src/config/settings_reader.cpp
+++ b/src/config/settings_reader.cpp
@@ -313,17 +313,16 @@
     return {context, "", YAML::Node(), 1};
 }
 
-bool load_settings_text(settings_context& context, std::string& text) {
-    std::ifstream file(context.file, std::ios::binary);
+std::optional<std::string> load_settings_text(const std::string& path,
+                                              std::vector<settings_fault>& faults) {
+    std::ifstream file(path, std::ios::binary);
     std::ostringstream content;
     content << file.rdbuf();
     if (!file) {
-        context.faults.push_back(
-            {fault_kind::unreadable_file, context.file, 0, "", "", "a readable YAML file"});
-        return false;
+        faults.push_back({fault_kind::unreadable_file, path, 0, "", "", "a readable YAML file"});
+        return std::nullopt;
     }
-    text = content.str();
-    return true;
+    return content.str();
 }
 
 }  // namespace mimosavalve::config
--- a/src/load/program_arguments.cpp
+++ b/src/load/program_arguments.cpp
@@ -1,5 +1,6 @@
 #include "mimosavalve/load/program_arguments.hpp"
 
+#include <algorithm>
 #include <iostream>
 
 namespace mimosavalve::load {
@@ -21,6 +22,27 @@
     return false;
 }
 
+override_arguments::override_arguments(TCLAP::CmdLine& command_line,
+                                       std::span<const std::string> fields)
+    : fields_(fields.begin(), fields.end()) {
+    for (const auto& field : fields_) {
+        auto name = field;
+        std::replace(name.begin(), name.end(), '_', '-');
+        arguments_.push_back(std::make_unique<TCLAP::ValueArg<std::string>>(
+            "", name, "replaces the field " + field, false, "", "value", command_line));
+    }
+}
+
+std::vector<settings_override> override_arguments::values() const {
+    std::vector<settings_override> given;
+    for (std::size_t index = 0; index < fields_.size(); ++index) {
+        if (arguments_[index]->isSet()) {
+            given.emplace_back(fields_[index], arguments_[index]->getValue());
+        }
+    }
+    return given;
+}
+
 void print_problems(std::ostream& out, std::span<const settings_problem> problems) {
     for (const auto& problem : problems) {
         out << to_string(problem) << "\n";
--- a/src/router/admin.cpp
+++ b/src/router/admin.cpp
@@ -1,7 +1,6 @@
 #include "router/admin.hpp"
 
-#include <chrono>
-
+#include "router/clock.hpp"
 #include "router/readiness.hpp"
 
 namespace mimosavalve::router {
@@ -60,7 +59,7 @@
 
 adapters::http_response admin::readiness() const {
     const auto snapshot = plane_.snapshot();
-    const bool ready = snapshot && is_ready(*snapshot, std::chrono::steady_clock::now());
+    const bool ready = snapshot && is_ready(*snapshot, steady_now());
     return adapters::make_response(
         ready ? http::status::ok : http::status::service_unavailable,
         ready ? "ready\n" : "no serving lease for some shard of the region\n");
--- a/src/router/daemon.cpp
+++ b/src/router/daemon.cpp
@@ -24,6 +24,7 @@
 #include "mimosavalve/observe/event_log.hpp"
 #include "mimosavalve/observe/log.hpp"
 #include "router/admin.hpp"
+#include "router/clock.hpp"
 #include "router/event_codec.hpp"
 #include "router/evidence_merge.hpp"
 #include "router/operator_service.hpp"
@@ -45,16 +46,6 @@
 // Longest planned stop. An upload of 64 MB over the link between regions takes about 17 s.
 constexpr std::chrono::seconds stop_limit{60};
 
-steady_time steady_now() {
-    return std::chrono::steady_clock::now();
-}
-
-std::uint64_t unix_ms_now() {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
-}
-
 std::uint64_t random_number() {
     std::random_device device;
     return (std::uint64_t{device()} << 32U) | device();
@@ -160,7 +151,7 @@
       peers(context, detail::peer_options(options.settings),
             [this](const wire::Envelope& message) {
                 if (!operators->on_message(message)) {
-                    plane->on_message(message, detail::steady_now());
+                    plane->on_message(message, steady_now());
                 }
             }),
       front_end(detail::front_end_options(options.settings), hooks()),
@@ -179,12 +170,12 @@
     };
     hooks.quarantined = [this](std::uint64_t fingerprint) {
         boost::asio::post(context, [this, fingerprint] {
-            plane->add_quarantined({&fingerprint, 1}, detail::steady_now());
+            plane->add_quarantined({&fingerprint, 1}, steady_now());
         });
     };
     // A finished drain is passed on at once: it shortens the pause of a planned move.
     hooks.drained = [this] {
-        boost::asio::post(context, [this] { plane->on_tick(detail::steady_now()); });
+        boost::asio::post(context, [this] { plane->on_tick(steady_now()); });
     };
     return hooks;
 }
@@ -207,7 +198,7 @@
     signals.async_wait([this](const boost::system::error_code& error, int) {
         if (!error) {
             observe::write_log({config::log_level::info, "daemon", "", "planned stop begins"});
-            stop_deadline = detail::steady_now() + detail::stop_limit;
+            stop_deadline = steady_now() + detail::stop_limit;
             front_end.begin_stop();
         }
     });
@@ -229,8 +220,8 @@
     ports.host_list = hosts.port();
     ports.targets = targets.port();
     ports.peers = peers.port();
-    ports.now = detail::steady_now;
-    ports.unix_ms = detail::unix_ms_now;
+    ports.now = steady_now;
+    ports.unix_ms = unix_ms_now;
     control::control_outputs outputs;
     outputs.publish = [this](const std::shared_ptr<const routing_snapshot>& snapshot) {
         front_end.publish(snapshot);
@@ -260,7 +251,7 @@
 /// Tries again until the store has answered, since a router may start during an outage.
 void daemon::implementation::record_initial_config() {
     command::load_or_record_config(
-        config_writer, options.initial_config, detail::steady_now() + detail::initial_config_limit,
+        config_writer, options.initial_config, steady_now() + detail::initial_config_limit,
         [this](std::error_code error, const command::stored_config&) {
             if (error == errc::store_unavailable) {
                 record_initial_config();
@@ -296,7 +287,7 @@
 }
 
 void daemon::implementation::tick() {
-    const auto now = detail::steady_now();
+    const auto now = steady_now();
     if (now >= next_report) {
         next_report = now + detail::report_interval;
         send_report(now);
@@ -343,7 +334,7 @@
 
 void daemon::implementation::claim(const adapters::claim_request& request,
                                    const adapters::front_end_hooks::claim_handler& handler) {
-    const auto deadline = std::min(request.deadline, detail::steady_now() + detail::claim_limit);
+    const auto deadline = std::min(request.deadline, steady_now() + detail::claim_limit);
     plane->claim(
         request.shard, request.key, request.first_attempt_unix_ms, deadline,
         [handler](control::claim_status status) { handler(detail::to_claim_result(status)); });
@@ -357,7 +348,7 @@
     line.component = "control";
     line.message = message;
     observe::write_log(line);
-    for (auto& entry : to_records(event, detail::unix_ms_now())) {
+    for (auto& entry : to_records(event, unix_ms_now())) {
         events->append(std::move(entry));
     }
 }
@@ -391,7 +382,7 @@
 
 void daemon::run() {
     implementation_->context.run();
-    implementation_->front_end.stop(detail::steady_now());
+    implementation_->front_end.stop(steady_now());
 }
 
 }  // namespace mimosavalve::router
--- a/src/router/operator_service.cpp
+++ b/src/router/operator_service.cpp
@@ -7,22 +7,13 @@
 #include <utility>
 
 #include "control.pb.h"
+#include "router/clock.hpp"
 #include "router/event_codec.hpp"
 
 namespace mimosavalve::router {
 
 namespace detail {
 
-steady_time operator_now() {
-    return std::chrono::steady_clock::now();
-}
-
-std::uint64_t operator_unix_ms() {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
-}
-
 /// A result that a coroutine waits for.
 struct pending_result {
     explicit pending_result(boost::asio::io_context& context)
@@ -38,7 +29,7 @@
                                                     ports::store store) {
     command::writer_environment made;
     made.store = std::move(store);
-    made.now = detail::operator_now;
+    made.now = steady_now;
     made.after = [&context](std::chrono::milliseconds delay, std::function<void()> action) {
         auto timer = std::make_shared<boost::asio::steady_timer>(context, delay);
         timer->async_wait(
@@ -89,8 +80,8 @@
     made.make_identity = [this] {
         return to_string(environment_.self) + "-" + std::to_string(next_number_++);
     };
-    made.now = detail::operator_now;
-    made.unix_ms = detail::operator_unix_ms;
+    made.now = steady_now;
+    made.unix_ms = unix_ms_now;
     return made;
 }
 
@@ -127,7 +118,7 @@
             auto& progress = progress_[view.state->shard];
             if (view.in_force > progress.in_force) {
                 progress.in_force = view.in_force;
-                progress.since_unix_ms = detail::operator_unix_ms();
+                progress.since_unix_ms = unix_ms_now();
             }
             if (view.in_force >= view.state->at) {
                 progress.config_version =
