--- a/include/mimosavalve/core/error.hpp
+++ b/include/mimosavalve/core/error.hpp
@@ -7,8 +7,10 @@
 /// Errors of the library's own operations.
 enum class errc {
     store_unavailable = 1,  ///< The store did not answer in time; a write may have taken effect.
+    store_refused,          ///< The store refused the call; nothing was done.
     store_conflict,         ///< The compare-and-swap did not find the expected revision.
     store_lease_expired,    ///< The store does not know the lease (any more).
+    history_lost,           ///< The store no longer has the changes asked for.
     not_found,              ///< The key does not exist.
     invalid_settings,       ///< Settings or a command did not pass their check.
     malformed_message,      ///< A message could not be decoded.
--- /dev/null
+++ b/include/mimosavalve/gateway/call_client.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "mimosavalve/gateway/http_message.hpp"
+#include "mimosavalve/gateway/stream.hpp"
+
+namespace mimosavalve::gateway {
+
+/// A small HTTP call with a body that fits into memory.
+struct call {
+    std::string method = "GET";
+    std::string target;
+    std::string content_type;  ///< Empty: no body.
+    std::string body;
+    std::vector<header_field> fields;  ///< Besides Host, length and type.
+};
+
+struct call_answer {
+    message_head head;
+    std::string body;
+};
+
+using call_deadline = std::chrono::steady_clock::time_point;
+
+/// Makes small calls and keeps idle connections for the next ones. A connection whose call failed
+/// is closed, since a late answer on it would belong to that call. Single-threaded.
+class call_client {
+public:
+    /// On an error the call may have been carried out, except for errors of the connect, which are
+    /// reported as `errc::target_unreachable`.
+    using handler = std::function<void(std::error_code, call_answer)>;
+
+    explicit call_client(boost::asio::io_context& context);
+    ~call_client();
+    call_client(const call_client&) = delete;
+    call_client& operator=(const call_client&) = delete;
+
+    void send(const tcp::endpoint& to, call what, call_deadline deadline, handler done);
+
+    /// Closes the idle connections to an endpoint.
+    void forget(const tcp::endpoint& to);
+
+    [[nodiscard]] std::size_t running() const;
+
+private:
+    struct exchange;
+    void start(exchange& running, bool fresh_only);
+    void begin(exchange& running, std::unique_ptr<stream> connection, bool reused);
+    void read(exchange& running);
+    void end(exchange& running, std::error_code error);
+
+    boost::asio::io_context& context_;
+    std::uint64_t next_number_ = 1;
+    std::map<std::uint64_t, std::unique_ptr<exchange>> running_;
+    struct idle_connection {
+        std::unique_ptr<stream> connection;
+        std::chrono::steady_clock::time_point since;
+    };
+    std::map<tcp::endpoint, std::vector<idle_connection>> idle_;
+};
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mimosavalve/gateway/key_load.hpp"
+#include "mimosavalve/gateway/key_map.hpp"
+#include "mimosavalve/gateway/target_registry.hpp"
+
+namespace mimosavalve::gateway {
+
+/// Router to leader, about every 300 ms: what the router knows and what it has seen.
+struct sync_request {
+    std::string host;
+    std::uint64_t run = 0;  ///< Random at each start of the router's process.
+    std::uint64_t epoch = 0;  ///< Of the leader that the router follows.
+    std::uint64_t config_version = 0;
+    std::uint64_t registry_number = 0;                  ///< As numbered by the leader.
+    std::map<std::string, std::uint64_t> map_numbers;   ///< By service, as numbered by the leader.
+    std::map<std::string, key_load> key_loads;          ///< By service, since the last report.
+};
+
+/// Leader to router: whatever the router does not have yet.
+struct sync_reply {
+    std::uint64_t epoch = 0;
+    std::uint32_t routers = 1;
+    std::uint32_t rank = 0;          ///< Of the router that asked.
+    std::uint64_t store_age_ms = 0;  ///< Since the leader's last good read of the store.
+    std::uint64_t config_version = 0;
+    std::string config_text;  ///< Empty when the router's version is as new.
+    std::uint64_t registry_number = 0;
+    std::optional<registry_state> registry;
+    std::map<std::string, std::uint64_t> map_numbers;
+    std::map<std::string, key_map> maps;  ///< The changed ones.
+};
+
+std::string encode(const sync_request& message);
+std::string encode(const sync_reply& message);
+std::optional<sync_request> decode_sync_request(std::string_view bytes);
+std::optional<sync_reply> decode_sync_reply(std::string_view bytes);
+
+/// Recorded form of the owners of one service.
+std::string encode(const key_map& map);
+std::optional<key_map> decode_key_map(std::string_view bytes);
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "mimosavalve/gateway/clock.hpp"
+#include "mimosavalve/gateway/gateway_settings.hpp"
+#include "mimosavalve/gateway/key_map.hpp"
+#include "mimosavalve/gateway/platform_port.hpp"
+#include "mimosavalve/gateway/rate_gate.hpp"
+#include "mimosavalve/gateway/route_config.hpp"
+#include "mimosavalve/gateway/target_registry.hpp"
+
+namespace mimosavalve::gateway {
+
+/// What this router knows of a target beyond its entry.
+struct target_state {
+    target_entry entry;
+    std::uint32_t running = 0;      ///< Requests of this router at the target.
+    std::uint32_t connections = 0;  ///< Open ones of this router, idle ones too.
+    target_load load;               ///< As last reported.
+    boot_time load_at;
+    double latency_ms = 0;         ///< Running mean of whole answers.
+    std::uint32_t failures = 0;    ///< In a row, without any answer.
+    boot_time avoid_until;         ///< Set after failures in a row.
+    boot_time cold_until;          ///< Cold until then, as far as is known.
+    bool fresh = true;             ///< Started while this router ran and not yet known to be warm.
+    rate_gate cold_gate;           ///< This router's share of what a cold target bears.
+};
+
+/// Everything that routing decisions read; changed by the control side only.
+struct routing_state {
+    route_config config;
+    route_index routes;
+    registry_state registry;
+    std::map<std::string, key_map, std::less<>> keys;  ///< By service.
+    std::map<std::string, std::unique_ptr<target_state>, std::less<>> targets;
+    std::map<std::string, std::string> regions;  ///< Of failure domains.
+    std::string own_domain;
+    std::string own_region;
+    platform_bounds bounds;
+    std::uint32_t routers = 1;  ///< Routers that share limits which hold for their sum.
+    std::uint32_t rank = 0;     ///< Of this router among them, from 0.
+};
+
+/// Brings `targets` in line with the registry. A target that started anew gets a new state; the
+/// removed ones are returned, since their connections may still be in use.
+std::vector<std::unique_ptr<target_state>> update_targets(routing_state& state, boot_time now);
+
+/// Notes the load that came with an answer.
+void note_load(target_state& target, const target_load& load, boot_time now);
+void note_success(target_state& target, milliseconds latency);
+/// A request or connection ended without any answer.
+void note_failure(target_state& target, boot_time now);
+
+enum class choice_kind {
+    target,
+    wait_for_owner,  ///< The key is changing hands: try again when the map changes.
+    wait_for_room,   ///< All targets have as many requests as this router may send.
+    none,            ///< Nobody can run the request.
+};
+
+struct target_choice {
+    choice_kind kind = choice_kind::none;
+    target_state* target = nullptr;
+};
+
+struct choice_request {
+    const route* on = nullptr;
+    std::string_view service;
+    std::optional<std::uint32_t> key;
+    std::span<const std::string> tried;  ///< Ids of targets that had the request already.
+};
+
+/// Where a request goes now. Keyed services: the owner. Others: the target with the least expected
+/// wait, preferring the own region and failure domain.
+target_choice choose_target(routing_state& state, const choice_request& request, boot_time now);
+
+/// Requests that this router may have at the target at a time.
+std::uint32_t window_of(const routing_state& state, const target_state& target,
+                        const service& kind);
+
+bool is_cold(const target_state& target, boot_time now);
+
+/// Whether a target's region is among the homes of a route.
+bool is_at_home(const routing_state& state, const target_entry& target, const route& on);
+
+/// Whether new requests may be sent to the target at all.
+bool may_send(const routing_state& state, const target_state& target, boot_time now);
+
+}  // namespace mimosavalve::gateway
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -14,10 +14,14 @@
         switch (static_cast<errc>(value)) {
             case errc::store_unavailable:
                 return "the store did not answer in time";
+            case errc::store_refused:
+                return "the store refused the call and did nothing";
             case errc::store_conflict:
                 return "the stored value has another revision than expected";
             case errc::store_lease_expired:
                 return "the store lease has expired";
+            case errc::history_lost:
+                return "the store no longer has these changes";
             case errc::not_found:
                 return "not found";
             case errc::invalid_settings:
--- /dev/null
+++ b/src/gateway/admission.cpp
@@ -0,0 +1,31 @@
+#include "mimosavalve/gateway/admission.hpp"
+
+#include <algorithm>
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// Callers wait at most a third of the time they have left before they come back.
+constexpr double waited_part = 1.0 / 3;
+constexpr double shortest_return_ms = 50;
+
+}  // namespace detail
+
+double expected_wait_ms(const wait_estimate& estimate) {
+    return (estimate.ahead + 1.0) * estimate.work_ms / std::max(estimate.places, 1U);
+}
+
+bool should_refuse(const wait_estimate& estimate, milliseconds objective_left) {
+    return expected_wait_ms(estimate) + estimate.work_ms >
+           static_cast<double>(objective_left.count());
+}
+
+milliseconds retry_after(const wait_estimate& estimate, milliseconds caller_left, double random) {
+    const auto longest = static_cast<double>(caller_left.count()) * detail::waited_part;
+    const auto wanted = expected_wait_ms(estimate) * (0.5 + random);
+    return milliseconds(static_cast<std::int64_t>(
+        std::max(std::min(wanted, longest), std::min(detail::shortest_return_ms, longest))));
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/caller_session.cpp
@@ -0,0 +1,216 @@
+#include "caller_session.hpp"
+
+#include <array>
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+constexpr std::size_t session_read_bytes = 16384;
+// A pipelined request waits for the answer before it; more than this is not read ahead.
+constexpr std::size_t most_read_ahead = 16384;
+// Callers reuse connections up to four fifths of the announced time, so a little more is enough.
+constexpr std::chrono::milliseconds idle_margin{1000};
+
+}  // namespace detail
+
+caller_session::caller_session(router_core& core, std::unique_ptr<stream> connection,
+                               std::function<void(caller_session*)> closed)
+    : core_(core), connection_(std::move(connection)), closed_(std::move(closed)) {
+    connection_->set_callbacks({[this] { read(); },
+                                [this] {
+                                    if (closing_) {
+                                        close();
+                                    }
+                                },
+                                [this](std::error_code) { caller_left(); }});
+    new_parser();
+    connection_->want_read(true);
+}
+
+caller_session::~caller_session() = default;
+
+void caller_session::new_parser() {
+    message_bounds bounds;
+    bounds.header_bytes = core_.state.config.limits.header_bytes;
+    bounds.body_bytes = core_.state.config.limits.body_bytes;
+    message_events events;
+    events.head = [this](message_head head) { begin_exchange(std::move(head)); };
+    events.body = [this](std::string_view data) {
+        if (exchange_) {
+            exchange_->add_body(data);
+        }
+    };
+    events.done = [this] {
+        request_read_ = true;
+        if (exchange_) {
+            exchange_->end_body();
+        }
+    };
+    parser_ = std::make_unique<message_parser>(message_kind::request, bounds, events);
+    request_read_ = false;
+    answered_ = false;
+}
+
+void caller_session::read() {
+    std::array<char, detail::session_read_bytes> chunk{};
+    const auto got = connection_->read(chunk);
+    if (got.would_block) {
+        return;
+    }
+    active_ = steady::now();
+    if (got.closed || got.error) {
+        caller_left();
+        return;
+    }
+    input_.append(chunk.data(), got.bytes);
+    take_input();
+}
+
+void caller_session::take_input() {
+    if (is_closed_ || in_parser_) {
+        return;
+    }
+    while (!input_.empty() && !request_read_) {
+        in_parser_ = true;
+        const auto fed = parser_->feed(input_);
+        in_parser_ = false;
+        input_.erase(0, fed.used);
+        if (fed.error != parse_error::none) {
+            constexpr unsigned bad_request = 400;
+            constexpr unsigned too_large = 413;
+            constexpr unsigned header_too_large = 431;
+            reject(fed.error == parse_error::header_too_large ? header_too_large
+                   : fed.error == parse_error::body_too_large ? too_large
+                                                              : bad_request);
+            return;
+        }
+        if (fed.used == 0) {
+            break;
+        }
+    }
+    if (request_read_ && answered_) {
+        end_exchange();
+        return;
+    }
+    const bool more = request_read_ ? input_.size() < detail::most_read_ahead
+                                    : !exchange_ || exchange_->wants_body();
+    connection_->want_read(more);
+}
+
+void caller_session::begin_exchange(message_head head) {
+    const bool expects_go_on = !field_of(head, "expect").empty();
+    answer_sink sink;
+    sink.whole = [this](const std::string& text) {
+        answered_ = true;
+        connection_->write(text);
+        if (request_read_ && !in_parser_) {
+            later(&caller_session::end_exchange);
+        }
+    };
+    sink.part = [this](const std::string& text) { connection_->write(text); };
+    sink.end = [this] {
+        answered_ = true;
+        if (request_read_ && !in_parser_) {
+            later(&caller_session::end_exchange);
+        }
+    };
+    sink.abort = [this] { later(&caller_session::close); };
+    sink.flow_changed = [this] {
+        if (!request_read_ && exchange_ && exchange_->wants_body()) {
+            connection_->want_read(true);
+        }
+    };
+    exchange_ = std::make_unique<exchange>(core_, std::move(head), std::move(sink));
+    exchange_->start();
+    if (expects_go_on && !exchange_->is_done()) {
+        connection_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void caller_session::reject(unsigned status) {
+    if (!exchange_ || !exchange_->is_done()) {
+        std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+        text.append(reason_phrase(status));
+        text.append("\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        connection_->write(text);
+    }
+    core_.log.write("request_rejected", {{"status", std::int64_t{status}}});
+    if (exchange_) {
+        exchange_->cancel();
+    }
+    connection_->want_read(false);
+    closing_ = true;
+    connection_->finish_writing();
+    if (connection_->queued() == 0) {
+        later(&caller_session::close);
+    }
+}
+
+void caller_session::end_exchange() {
+    if (is_closed_ || !answered_ || !exchange_) {
+        return;
+    }
+    const bool keep = exchange_->keeps_alive();
+    core_.defer([kept = std::shared_ptr<exchange>(std::move(exchange_))] {});
+    active_ = steady::now();
+    if (!keep) {
+        closing_ = true;
+        connection_->want_read(false);
+        if (connection_->queued() == 0) {
+            connection_->finish_writing();
+            later(&caller_session::close);
+        }
+        return;
+    }
+    new_parser();
+    input_.shrink_to_fit();
+    connection_->want_read(true);
+    if (!input_.empty()) {
+        take_input();
+    }
+}
+
+void caller_session::caller_left() {
+    if (exchange_) {
+        exchange_->cancel();
+    }
+    close();
+}
+
+void caller_session::check_time(steady::time_point now) {
+    if (exchange_ || closing_) {
+        return;
+    }
+    const auto& limits = core_.state.config.limits;
+    const auto allowed =
+        input_.empty() ? limits.idle_time + detail::idle_margin : limits.header_time;
+    if (now - active_ > allowed) {
+        close();
+    }
+}
+
+void caller_session::close_if_idle() {
+    if (!is_busy()) {
+        close();
+    }
+}
+
+void caller_session::later(void (caller_session::*step)()) {
+    core_.defer([this, step, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired()) {
+            (this->*step)();
+        }
+    });
+}
+
+void caller_session::close() {
+    if (is_closed_) {
+        return;
+    }
+    is_closed_ = true;
+    connection_->close();
+    closed_(this);
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/exchange.cpp
@@ -0,0 +1,611 @@
+#include "exchange.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <random>
+
+#include "mimosavalve/core/error.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// Bodies up to this size are kept until the answer, so that a refused request can be sent again.
+constexpr std::size_t replay_bytes = 1U << 20U;
+// Answers up to this size are passed on as a whole, so that a broken one can be replaced.
+constexpr std::size_t whole_answer_bytes = 128U << 10U;
+// Body bytes that wait for a target before the caller's connection is no longer read.
+constexpr std::size_t body_queue_bytes = 256U << 10U;
+// An opening packet that was dropped is sent again only after seconds; another target is faster.
+constexpr milliseconds connect_time{300};
+constexpr std::uint32_t most_connect_failures = 3;
+// Sends that a target refused without running them, in all.
+constexpr std::uint32_t most_sends = 4;
+// After a target said that it does not hold a key, news of the owner takes about this long.
+constexpr milliseconds owner_news_time{60};
+constexpr milliseconds default_deadline{30000};
+constexpr std::int64_t shortest_send_ms = 10;
+
+double random_part() {
+    static std::minstd_rand source{std::random_device{}()};
+    return std::uniform_real_distribution<double>(0, 1)(source);
+}
+
+std::optional<std::uint32_t> number_of(std::string_view text) {
+    std::uint32_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc{} && !text.empty() && end == text.data() + text.size()
+               ? std::optional(value)
+               : std::nullopt;
+}
+
+bool equals(std::string_view left, std::string_view right) {
+    return left.size() == right.size() &&
+           std::equal(left.begin(), left.end(), right.begin(), [](char one, char other) {
+               return std::tolower(static_cast<unsigned char>(one)) ==
+                      std::tolower(static_cast<unsigned char>(other));
+           });
+}
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_multiple_choices = 300;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+
+}  // namespace detail
+
+const std::string& choose_part(router_core& core, const route& on) {
+    if (on.services.size() == 1) {
+        return on.services.front().service;
+    }
+    double total = 0;
+    const weighted_service* best = nullptr;
+    double best_credit = 0;
+    for (const auto& part : on.services) {
+        total += part.weight;
+        auto& credit = core.split_credit[on.name + "\n" + part.service];
+        credit += part.weight;
+        if (part.weight > 0 && (best == nullptr || credit > best_credit)) {
+            best = &part;
+            best_credit = credit;
+        }
+    }
+    core.split_credit[on.name + "\n" + best->service] -= total;
+    return best->service;
+}
+
+exchange::exchange(router_core& core, message_head head, answer_sink sink)
+    : core_(core), head_(std::move(head)), sink_(std::move(sink)) {
+    id_ = field_of(head_, core_.platform.headers.request_id);
+    keep_alive_ = head_.keep_alive && !core_.stopping;
+    body_complete_ = !head_.chunked && head_.content_length.value_or(0) == 0;
+}
+
+exchange::~exchange() {
+    stop_waiting();
+    leave_target();
+    if (deadline_place_) {
+        core_.deadlines.erase(*deadline_place_);
+    }
+}
+
+std::int64_t exchange::age_ms() const {
+    return std::chrono::duration_cast<milliseconds>(steady::now() - arrived_).count();
+}
+
+void exchange::start() {
+    const auto given = detail::number_of(field_of(head_, core_.platform.headers.deadline));
+    auto patience = given ? milliseconds(*given) : detail::default_deadline;
+    if (core_.state.config.version == 0) {
+        refuse(detail::status_unavailable, "no-configuration");
+        return;
+    }
+    const auto found = core_.state.routes.find(field_of(head_, "host"), path_of(head_));
+    if (!found) {
+        refuse(detail::status_not_found, "unknown-route");
+        return;
+    }
+    route_ = core_.state.config.routes[*found];
+    patience = std::min(patience, route_->timeout);
+    answer_by_ = arrived_ + patience;
+    deadline_place_ = core_.deadlines.emplace(answer_by_, this);
+    core_.deadlines_changed();
+    service_ = choose_part(core_, *route_);
+    key_ = detail::number_of(field_of(head_, core_.platform.headers.key));
+    const auto now = boot_clock::now();
+    note_request(core_.repeats[service_], core_.settings.bounds, now);
+    const auto kind = core_.state.config.services.find(service_);
+    if (key_ && kind != core_.state.config.services.end() && kind->second.keyed) {
+        if (*key_ >= key_count) {
+            refuse(detail::status_bad_request, "key-out-of-range");
+            return;
+        }
+        count_key(core_.key_loads[service_], *key_);
+    }
+    dispatch();
+}
+
+void exchange::dispatch() {
+    const auto now = boot_clock::now();
+    const choice_request request{&*route_, service_, key_, tried_};
+    const auto choice = choose_target(core_.state, request, now);
+    if (choice.kind == choice_kind::target) {
+        stop_waiting();
+        open_link(*choice.target);
+    } else if (choice.kind == choice_kind::none) {
+        stop_waiting();
+        refuse(verdict_ == traffic_verdict::not_run ? detail::status_unavailable
+                                                    : detail::status_bad_gateway,
+               "no-target");
+    } else if (!waiting_) {
+        begin_waiting(choice.kind);
+    }
+}
+
+void exchange::begin_waiting(choice_kind why) {
+    if (why == choice_kind::wait_for_room) {
+        wait_estimate estimate;
+        std::uint32_t places = 0;
+        double work = 0;
+        std::uint32_t measured = 0;
+        const auto kind = core_.state.config.services.find(service_);
+        for (const auto& [id, target] : core_.state.targets) {
+            if (target->entry.service == service_ && kind != core_.state.config.services.end()) {
+                places += window_of(core_.state, *target, kind->second);
+                work += target->latency_ms;
+                measured += target->latency_ms > 0 ? 1 : 0;
+            }
+        }
+        for (const auto* other : core_.waiting) {
+            estimate.ahead += other->service_ == service_ ? 1 : 0;
+        }
+        estimate.places = std::max(places, 1U);
+        estimate.work_ms = measured > 0 ? work / measured : 0;
+        const auto left = route_->objective - milliseconds(age_ms());
+        if (should_refuse(estimate, left)) {
+            refuse(detail::status_unavailable, "overloaded");
+            return;
+        }
+    }
+    waiting_ = true;
+    const auto before = std::find_if(
+        core_.waiting.begin(), core_.waiting.end(),
+        [this](const exchange* other) { return other->priority() > priority(); });
+    waiting_place_ = core_.waiting.insert(before, this);
+}
+
+void exchange::stop_waiting() {
+    if (waiting_) {
+        core_.waiting.erase(waiting_place_);
+        waiting_ = false;
+    }
+}
+
+void exchange::try_waiting() {
+    if (!done_ && waiting_) {
+        dispatch();
+    }
+}
+
+void exchange::open_link(target_state& target) {
+    target_id_ = target.entry.id;
+    target_run_ = target.entry.started_unix_ms;
+    target_address_ = target.entry.address;
+    ++target.running;
+    auto& idle = core_.idle_links[target_id_];
+    while (!idle.empty()) {
+        auto link = std::move(idle.back());
+        idle.pop_back();
+        if (link->is_quiet()) {
+            send_on(std::move(link));
+            return;
+        }
+        --target.connections;
+    }
+    ++target.connections;
+    count(core_.metrics, "target_connections_opened");
+    const auto to = parse_endpoint(target_address_);
+    const auto by = std::min(steady::now() + detail::connect_time, answer_by_);
+    opening_ = std::make_unique<connector>(
+        core_.context, *to, by, [this](std::error_code error, std::unique_ptr<stream> connection) {
+            if (error) {
+                // Destroys the connector, which allows it in its last step.
+                take_loss(make_error_code(errc::target_unreachable));
+                return;
+            }
+            send_on(std::make_unique<target_link>(std::move(connection),
+                                                  core_.platform.headers.request_id));
+        });
+}
+
+std::string exchange::request_head() const {
+    const auto& names = core_.platform.headers;
+    std::string text = head_.method + " " + head_.target + " HTTP/1.1\r\n";
+    for (const auto& field : head_.fields) {
+        if (!is_hop_by_hop(head_, field.name) && !detail::equals(field.name, names.deadline) &&
+            !detail::equals(field.name, names.expected_target) &&
+            !detail::equals(field.name, "expect")) {
+            append_field(text, field.name, field.value);
+        }
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(answer_by_ - steady::now()).count();
+    append_field(text, names.deadline, std::to_string(std::max<std::int64_t>(left, 1)));
+    append_field(text, names.expected_target, target_id_);
+    if (head_.chunked) {
+        append_field(text, "Transfer-Encoding", "chunked");
+    } else if (head_.content_length) {
+        append_field(text, "Content-Length", std::to_string(*head_.content_length));
+    }
+    return text + "\r\n";
+}
+
+void exchange::send_on(std::unique_ptr<target_link> link) {
+    opening_.reset();
+    link_ = std::move(link);
+    link_->target_id = target_id_;
+    answer_ = {};
+    answer_body_.clear();
+    body_sent_ = 0;
+    body_end_sent_ = false;
+    sent_at_ = steady::now();
+    tried_.push_back(target_id_);
+    ++attempts_;
+    verdict_ = traffic_verdict::may_have_run;
+    target_link::callbacks handlers;
+    handlers.head = [this](const message_head& head) { take_answer_head(head); };
+    handlers.body = [this](std::string_view data) { take_answer_body(data); };
+    handlers.done = [this] { take_answer_end(); };
+    handlers.lost = [this](std::error_code error) { take_loss(error); };
+    handlers.drained = [this] {
+        pump_body();
+        sink_.flow_changed();
+    };
+    auto first = request_head();
+    // Small bodies travel with the head in one packet.
+    if (!head_.chunked && body_complete_ && body_.size() <= detail::body_queue_bytes) {
+        first.append(body_);
+        body_sent_ = body_.size();
+    }
+    link_->begin(first, id_, head_.method != "HEAD", std::move(handlers));
+    pump_body();
+}
+
+void exchange::pump_body() {
+    if (!link_ || link_->queued() > 0) {
+        return;
+    }
+    const auto rest = std::string_view(body_).substr(body_sent_);
+    if (head_.chunked) {
+        if (!rest.empty()) {
+            char size[24];
+            const auto end = std::to_chars(size, size + sizeof size, rest.size(), 16).ptr;
+            std::string piece(size, end);
+            piece.append("\r\n").append(rest).append("\r\n");
+            link_->write(piece);
+        }
+        if (body_complete_ && !body_end_sent_) {
+            link_->write("0\r\n\r\n");
+            body_end_sent_ = true;
+        }
+    } else if (!rest.empty()) {
+        link_->write(rest);
+    }
+    body_sent_ = body_.size();
+    if (body_.size() > detail::replay_bytes) {
+        body_replayable_ = false;
+        body_.clear();
+        body_sent_ = 0;
+    }
+}
+
+void exchange::add_body(std::string_view data) {
+    if (done_) {
+        return;
+    }
+    body_.append(data);
+    pump_body();
+}
+
+void exchange::end_body() {
+    if (done_ || body_complete_) {
+        return;
+    }
+    body_complete_ = true;
+    if (head_.chunked) {
+        pump_body();
+    }
+}
+
+bool exchange::wants_body() const {
+    if (done_) {
+        return true;  // The rest is dropped.
+    }
+    const auto unsent = body_.size() - std::min(body_sent_, body_.size());
+    return unsent < detail::body_queue_bytes &&
+           (!link_ || link_->queued() < detail::body_queue_bytes);
+}
+
+void exchange::leave_target() {
+    opening_.reset();
+    if (target_id_.empty()) {
+        return;
+    }
+    const auto found = core_.state.targets.find(target_id_);
+    auto* target = found != core_.state.targets.end() &&
+                           found->second->entry.started_unix_ms == target_run_
+                       ? found->second.get()
+                       : nullptr;
+    if (target != nullptr) {
+        --target->running;
+    }
+    if (link_) {
+        link_->end_use();
+        // A body that was not sent to its end would be read as the next request.
+        const bool whole_body = body_complete_ && body_sent_ >= body_.size() &&
+                                (!head_.chunked || body_end_sent_);
+        if (link_->is_reusable() && whole_body && target != nullptr) {
+            core_.idle_links[target_id_].push_back(std::move(link_));
+        } else {
+            if (target != nullptr) {
+                --target->connections;
+            }
+            core_.defer([kept = std::shared_ptr<target_link>(std::move(link_))] {});
+        }
+    } else if (target != nullptr) {
+        --target->connections;
+    }
+    link_.reset();
+    target_id_.clear();
+    core_.wake_waiting();
+}
+
+void exchange::take_answer_head(const message_head& head) {
+    answer_ = head;
+    const auto found = core_.state.targets.find(target_id_);
+    if (found != core_.state.targets.end()) {
+        const auto load = core_.platform.decode_load(field_of(head, core_.platform.headers.load));
+        if (load) {
+            note_load(*found->second, *load, boot_clock::now());
+        }
+    }
+}
+
+void exchange::take_answer_body(std::string_view data) {
+    answer_body_.append(data);
+    const bool own = has_field(answer_, core_.platform.headers.signature);
+    if (!streaming_ && answer_body_.size() > detail::whole_answer_bytes && own) {
+        streaming_ = true;
+        sink_.part(answer_head(answer_, answer_.content_length));
+    }
+    if (streaming_) {
+        sink_.part(std::move(answer_body_));
+        answer_body_.clear();
+    }
+}
+
+void exchange::take_answer_end() {
+    const auto& names = core_.platform.headers;
+    const bool not_run = has_field(answer_, names.not_run) ||
+                         answer_.status == detail::status_misdirected;
+    const bool success =
+        answer_.status >= detail::status_ok && answer_.status < detail::status_multiple_choices;
+    if (not_run && !streaming_) {
+        verdict_ = traffic_verdict::not_run;
+        take_refusal();
+        return;
+    }
+    if (success && !has_field(answer_, names.signature)) {
+        take_loss(make_error_code(errc::malformed_message));
+        return;
+    }
+    verdict_ = traffic_verdict::ran;
+    const auto found = core_.state.targets.find(target_id_);
+    if (found != core_.state.targets.end()) {
+        note_success(*found->second,
+                     std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_));
+    }
+    answer_from_target();
+}
+
+bool exchange::may_repeat(bool reached_target) {
+    const auto left = std::chrono::duration_cast<milliseconds>(answer_by_ - steady::now()).count();
+    if (left < detail::shortest_send_ms || !body_replayable_ || core_.stopping) {
+        return false;
+    }
+    if (!reached_target) {
+        return ++connect_failures_ < detail::most_connect_failures;
+    }
+    return attempts_ < detail::most_sends &&
+           take_repeat(core_.repeats[service_], core_.settings.bounds, core_.state.routers,
+                       boot_clock::now());
+}
+
+void exchange::take_refusal() {
+    const auto from = target_id_;
+    const auto status = answer_.status;
+    const bool misdirected = status == detail::status_misdirected;
+    leave_target();
+    count(core_.metrics, misdirected ? "target_misdirected" : "target_refused");
+    core_.log.write("target_refused", {{"request", id_},
+                                       {"target", from},
+                                       {"status", std::int64_t{status}},
+                                       {"age_ms", age_ms()},
+                                       {"sends", std::int64_t{attempts_}}});
+    const auto kind = core_.state.config.services.find(service_);
+    const bool keyed = key_ && kind != core_.state.config.services.end() && kind->second.keyed;
+    if (keyed && !misdirected) {
+        // Only the owner can run it, and the owner is full.
+        refuse(detail::status_unavailable, "owner-full");
+        return;
+    }
+    if (!may_repeat(true)) {
+        refuse(detail::status_unavailable, "refused-by-target");
+        return;
+    }
+    if (keyed) {
+        tried_.clear();
+        waiting_ = true;
+        waiting_place_ = core_.waiting.insert(core_.waiting.end(), this);
+        return;
+    }
+    dispatch();
+}
+
+void exchange::take_loss(std::error_code error) {
+    const auto from = target_id_;
+    const bool reached = link_ != nullptr && link_->has_sent();
+    const auto found = core_.state.targets.find(target_id_);
+    if (found != core_.state.targets.end()) {
+        note_failure(*found->second, boot_clock::now());
+    }
+    leave_target();
+    count(core_.metrics, reached ? "target_connection_lost" : "target_unreachable");
+    core_.log.write("target_lost", {{"request", id_},
+                                    {"target", from},
+                                    {"error", std::string_view(error.message())},
+                                    {"sent", std::int64_t{reached}},
+                                    {"age_ms", age_ms()}});
+    if (streaming_) {
+        finish("answer-broke-off", answer_.status);
+        sink_.abort();
+        return;
+    }
+    if (!reached && attempts_ == 0) {
+        verdict_ = traffic_verdict::not_run;
+    }
+    const bool repeatable = !reached || (route_->kind == request_kind::idempotent &&
+                                         attempts_ < route_->most_targets);
+    if (repeatable && may_repeat(reached)) {
+        if (!reached) {
+            tried_.push_back(from);
+        }
+        const auto kind = core_.state.config.services.find(service_);
+        if (key_ && kind != core_.state.config.services.end() && kind->second.keyed) {
+            tried_.clear();
+        }
+        dispatch();
+        return;
+    }
+    if (verdict_ == traffic_verdict::not_run) {
+        refuse(detail::status_unavailable, "target-unreachable");
+    } else {
+        refuse(detail::status_bad_gateway, "target-lost");
+    }
+}
+
+void exchange::expire() {
+    if (done_) {
+        return;
+    }
+    deadline_place_.reset();
+    if (streaming_) {
+        finish("timeout-in-answer", answer_.status);
+        sink_.abort();
+        return;
+    }
+    refuse(verdict_ == traffic_verdict::not_run ? detail::status_unavailable
+                                                : detail::status_gateway_timeout,
+           "timeout");
+}
+
+void exchange::cancel() {
+    if (done_) {
+        return;
+    }
+    count(core_.metrics, "callers_left");
+    finish("caller-left", 0);
+}
+
+std::string exchange::answer_head(const message_head& head,
+                                  std::optional<std::uint64_t> length) const {
+    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
+    text.append(reason_phrase(head.status)).append("\r\n");
+    for (const auto& field : head.fields) {
+        if (!is_hop_by_hop(head, field.name)) {
+            append_field(text, field.name, field.value);
+        }
+    }
+    if (length) {
+        append_field(text, "Content-Length", std::to_string(*length));
+    }
+    if (!keep_alive_ || !length) {
+        append_field(text, "Connection", "close");
+    }
+    return text + "\r\n";
+}
+
+void exchange::answer_from_target() {
+    const auto status = answer_.status;
+    record_latency(core_.metrics, to_string(route_->kind),
+                   static_cast<std::uint64_t>(
+                       std::chrono::duration_cast<std::chrono::microseconds>(steady::now() -
+                                                                             arrived_)
+                           .count()));
+    keep_alive_ = keep_alive_ && !core_.stopping;
+    if (streaming_) {
+        if (!answer_.content_length) {
+            keep_alive_ = false;
+        }
+        finish("answered", status);
+        sink_.end();
+        return;
+    }
+    const bool without_body = head_.method == "HEAD";
+    auto text = answer_head(answer_, without_body ? answer_.content_length.value_or(0)
+                                                  : answer_body_.size());
+    text.append(answer_body_);
+    finish("answered", status);
+    sink_.whole(std::move(text));
+}
+
+void exchange::refuse(unsigned status, std::string_view reason) {
+    message_head head;
+    head.status = status;
+    keep_alive_ = keep_alive_ && !core_.stopping;
+    head.fields.push_back({core_.platform.headers.request_id, id_});
+    head.fields.push_back({"Mimosavalve-Reason", std::string(reason)});
+    head.fields.push_back({"Mimosavalve-Verdict", std::string(to_string(verdict_))});
+    if (status == detail::status_unavailable) {
+        const auto given = detail::number_of(field_of(head_, core_.platform.headers.deadline));
+        const auto left =
+            milliseconds(given.value_or(detail::default_deadline.count())) - milliseconds(age_ms());
+        wait_estimate estimate;
+        estimate.work_ms = route_ ? static_cast<double>(route_->objective.count()) / 2 : 0;
+        const auto wait = retry_after(estimate, std::max(left, milliseconds(0)),
+                                      detail::random_part());
+        constexpr double ms_per_s = 1000;
+        head.fields.push_back({core_.platform.headers.retry_after,
+                               std::to_string(static_cast<double>(wait.count()) / ms_per_s)});
+    }
+    count(core_.metrics, "refused_" + std::string(reason));
+    finish(reason, status);
+    sink_.whole(answer_head(head, 0));
+}
+
+void exchange::finish(std::string_view outcome, unsigned status) {
+    done_ = true;
+    const auto target = target_id_.empty() && !tried_.empty() ? tried_.back() : target_id_;
+    stop_waiting();
+    leave_target();
+    if (deadline_place_) {
+        core_.deadlines.erase(*deadline_place_);
+        deadline_place_.reset();
+    }
+    count(core_.metrics, "requests_finished");
+    core_.log.write("request", {{"request", id_},
+                                {"route", route_ ? std::string_view(route_->name) : "none"},
+                                {"config", static_cast<std::int64_t>(core_.state.config.version)},
+                                {"target", target},
+                                {"outcome", outcome},
+                                {"status", std::int64_t{status}},
+                                {"verdict", to_string(verdict_)},
+                                {"sends", std::int64_t{attempts_}},
+                                {"age_ms", age_ms()}});
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/fleet_control.cpp
@@ -0,0 +1,732 @@
+#include "fleet_control.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "mimosavalve/core/error.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// The leader's right ends this long after its last renewal arrived; holds of keys outlast it.
+constexpr milliseconds lease_time{1500};
+constexpr milliseconds lease_keep_time{400};
+// The leader stops this much before the store may have ended its lease.
+constexpr milliseconds lease_margin{150};
+// Candidates wait a random part of this, so that mostly one of them writes.
+constexpr milliseconds election_spread{120};
+// Pause after a failed candidacy: the watch tells meanwhile who leads.
+constexpr milliseconds election_pause{600};
+constexpr milliseconds store_call_time{800};
+// A watch is one call however long it waits; keep-alive probes find a silent connection sooner.
+constexpr milliseconds watch_time{20000};
+constexpr milliseconds watch_slack{2000};
+// After failed calls, the pause grows up to a bit over a second: every refused call is charged and
+// loads a store that is in trouble.
+constexpr milliseconds first_pause{200};
+constexpr milliseconds longest_pause{1200};
+// A leaving target has to be known everywhere within 2.5 s (leave time of the platform).
+constexpr milliseconds registry_time{300};
+constexpr milliseconds own_registry_time{800};
+// Silence of the leader after which a router reads the store itself.
+constexpr milliseconds leader_silence{900};
+constexpr milliseconds records_time{1500};
+// The leader keeps a router's call this long when there is nothing new.
+constexpr milliseconds reply_wait{300};
+constexpr milliseconds sync_call_time{900};
+constexpr milliseconds sync_retry{150};
+// A router that was not heard of for this long no longer shares limits. Longer than a cut after
+// which a router may go on sending without our knowledge.
+constexpr milliseconds follower_life{10000};
+constexpr milliseconds control_tick{50};
+constexpr const char* sync_path = "/sync";
+constexpr const char* cbor_type = "application/cbor";
+
+call_deadline call_in(milliseconds time) { return std::chrono::steady_clock::now() + time; }
+
+milliseconds next_pause(milliseconds pause) {
+    return std::min(std::max(pause * 2, first_pause), longest_pause);
+}
+
+std::uint64_t random_number() {
+    std::random_device device;
+    return (std::uint64_t{device()} << 20U) ^ device();
+}
+
+}  // namespace detail
+
+fleet_control::fleet_control(router_core& core, call_client& calls)
+    : core_(core),
+      calls_(calls),
+      decider_(core, [this] { state_changed(); }),
+      run_(detail::random_number()) {
+    // Until the leader tells the number of routers, as many as a fleet of today's size has.
+    constexpr std::uint32_t assumed_routers = 16;
+    core_.state.routers = assumed_routers;
+    core_.state.rank = assumed_routers - 1;
+}
+
+fleet_control::~fleet_control() = default;
+
+void fleet_control::every(milliseconds period, std::function<void()> step) {
+    auto& timer = *timers_.emplace_back(
+        std::make_unique<boost::asio::steady_timer>(core_.context, period));
+    auto repeat = std::make_shared<std::function<void()>>();
+    *repeat = [this, &timer, period, step = std::move(step),
+               again = std::weak_ptr<std::function<void()>>(repeat)] {
+        timer.async_wait([this, &timer, period, step, again,
+                          alive = std::weak_ptr<bool>(alive_)](auto error) {
+            if (error || alive.expired()) {
+                return;
+            }
+            timer.expires_after(period);
+            step();
+            if (const auto next = again.lock()) {
+                (*next)();
+            }
+        });
+    };
+    (*repeat)();
+    repeats_.push_back(std::move(repeat));
+}
+
+void fleet_control::start() {
+    list_operators();
+    list_leader();
+    every(detail::control_tick, [this] {
+        const auto now = boot_clock::now();
+        if (leading_) {
+            keep_lease();
+            if (!core_.key_loads.empty()) {
+                decider_.add_loads(core_.key_loads);
+                core_.key_loads.clear();
+            }
+            decider_.tick();
+            for (auto& waiting : waiting_replies_) {
+                if (now >= waiting.due) {
+                    reply_to(waiting);
+                }
+            }
+            std::erase_if(waiting_replies_, [](const auto& waiting) { return !waiting.respond; });
+        } else if (!sync_running_ && now >= next_sync_) {
+            sync();
+        }
+        if (leader_epoch_ == 0 && leader_revision_ != 0) {
+            stand_for_election();
+        }
+        const bool followed = !leading_ && now - synced_ < detail::leader_silence;
+        if (!followed && now >= next_registry_ && !stopping_) {
+            read_registry();
+        }
+        if (!leading_ && !followed && now >= next_records_ && !stopping_) {
+            read_key_records();
+        }
+    });
+}
+
+void fleet_control::stop() {
+    stopping_ = true;
+    if (leading_) {
+        core_.platform.store.end_lease(lease_, detail::call_in(detail::store_call_time),
+                                       [](std::error_code, std::uint64_t) {});
+        step_down("stopping");
+    }
+}
+
+bool fleet_control::is_ready() const {
+    if (core_.state.config.version == 0 || core_.state.targets.empty()) {
+        return false;
+    }
+    return std::all_of(core_.state.config.services.begin(), core_.state.config.services.end(),
+                       [&](const auto& named) {
+                           if (!named.second.keyed) {
+                               return true;
+                           }
+                           const auto map = core_.state.keys.find(named.first);
+                           return map != core_.state.keys.end() &&
+                                  map->second.segments.front().fence > 0;
+                       });
+}
+
+// --- The operators' items ---
+
+void fleet_control::list_operators() {
+    operators_running_ = true;
+    core_.platform.store.list(
+        core_.platform.keys.operators, "", detail::call_in(detail::store_call_time),
+        [this](std::error_code error, const store_items& items) {
+            operators_running_ = false;
+            note_store(!error, "list operators");
+            if (error) {
+                retry_operators();
+                return;
+            }
+            operators_pause_ = {};
+            operators_known_ = true;
+            operators_revision_ = items.revision;
+            evacuated_.clear();
+            for (const auto& item : items.items) {
+                take_operator_item(item);
+            }
+            apply_evacuations();
+            watch_operators();
+        });
+}
+
+void fleet_control::watch_operators() {
+    core_.platform.store.watch(
+        core_.platform.keys.operators, operators_revision_, detail::watch_time,
+        detail::call_in(detail::watch_time + detail::watch_slack),
+        [this](std::error_code error, const store_items& items) {
+            if (error) {
+                note_store(error == errc::history_lost, "watch operators");
+                retry_operators();
+                return;
+            }
+            note_store(true, "watch operators");
+            operators_revision_ = std::max(items.revision, operators_revision_);
+            for (const auto& item : items.items) {
+                take_operator_item(item);
+            }
+            apply_evacuations();
+            watch_operators();
+        });
+}
+
+void fleet_control::retry_operators() {
+    operators_pause_ = detail::next_pause(operators_pause_);
+    auto timer = std::make_shared<boost::asio::steady_timer>(core_.context, operators_pause_);
+    timer->async_wait([this, timer, alive = std::weak_ptr<bool>(alive_)](auto error) {
+        if (!error && !alive.expired() && !operators_running_) {
+            list_operators();
+        }
+    });
+}
+
+void fleet_control::take_operator_item(const store_item& item) {
+    const auto& keys = core_.platform.keys;
+    if (item.key == keys.config && item.revision != 0) {
+        take_config(item.value, item.revision);
+    } else if (item.key.starts_with(keys.evacuations)) {
+        const auto domain = item.key.substr(keys.evacuations.size());
+        const bool on = item.revision != 0;
+        if (on != evacuated_.contains(domain)) {
+            core_.log.write_always("evacuation", {{"failure_domain", domain},
+                                                  {"on", std::int64_t{on}}});
+        }
+        if (on) {
+            evacuated_.insert(domain);
+        } else {
+            evacuated_.erase(domain);
+        }
+    }
+}
+
+void fleet_control::apply_evacuations() {
+    if (core_.state.registry.evacuated_domains != evacuated_) {
+        auto next = core_.state.registry;
+        next.evacuated_domains = evacuated_;
+        take_registry(next);
+    }
+}
+
+void fleet_control::take_config(const std::string& text, std::uint64_t revision) {
+    std::string problem;
+    auto config = core_.platform.decode_config(text, problem);
+    if (config && config->version == core_.state.config.version) {
+        return;
+    }
+    if (config) {
+        problem = problem_of(*config, core_.state.config.version);
+    }
+    if (!problem.empty()) {
+        core_.log.write_always(
+            "config_rejected",
+            {{"problem", problem},
+             {"revision", static_cast<std::int64_t>(revision)},
+             {"in_force", static_cast<std::int64_t>(core_.state.config.version)}});
+        count(core_.metrics, "configs_rejected");
+        return;
+    }
+    core_.state.config = std::move(*config);
+    core_.state.routes = route_index(core_.state.config);
+    config_text_ = text;
+    core_.log.write_always(
+        "config_in_force",
+        {{"version", static_cast<std::int64_t>(core_.state.config.version)},
+         {"revision", static_cast<std::int64_t>(revision)},
+         {"routes", static_cast<std::int64_t>(core_.state.config.routes.size())}});
+    count(core_.metrics, "configs_applied");
+    state_changed();
+}
+
+// --- The leader ---
+
+void fleet_control::list_leader() {
+    core_.platform.store.list(
+        core_.platform.keys.own + "leader", "", detail::call_in(detail::store_call_time),
+        [this](std::error_code error, const store_items& items) {
+            note_store(!error, "list leader");
+            if (error) {
+                retry_leader();
+                return;
+            }
+            leader_pause_ = {};
+            leader_revision_ = items.revision;
+            if (items.items.empty()) {
+                take_leader({});
+            } else {
+                take_leader(items.items.front());
+            }
+            watch_leader();
+        });
+}
+
+void fleet_control::watch_leader() {
+    core_.platform.store.watch(
+        core_.platform.keys.own + "leader", leader_revision_, detail::watch_time,
+        detail::call_in(detail::watch_time + detail::watch_slack),
+        [this](std::error_code error, const store_items& items) {
+            if (error) {
+                note_store(error == errc::history_lost, "watch leader");
+                retry_leader();
+                return;
+            }
+            note_store(true, "watch leader");
+            leader_revision_ = std::max(items.revision, leader_revision_);
+            if (!items.items.empty()) {
+                take_leader(items.items.back());
+            }
+            watch_leader();
+        });
+}
+
+void fleet_control::retry_leader() {
+    leader_pause_ = detail::next_pause(leader_pause_);
+    auto timer = std::make_shared<boost::asio::steady_timer>(core_.context, leader_pause_);
+    timer->async_wait([this, timer, alive = std::weak_ptr<bool>(alive_)](auto error) {
+        if (!error && !alive.expired()) {
+            list_leader();
+        }
+    });
+}
+
+void fleet_control::take_leader(const store_item& item) {
+    if (item.revision == 0) {
+        if (leader_epoch_ != 0) {
+            core_.log.write_always("leader_gone", {{"host", leader_host_}});
+        }
+        leader_epoch_ = 0;
+        if (leading_) {
+            step_down("lease ended");
+        }
+        stand_for_election();
+        return;
+    }
+    if (item.created < leader_epoch_) {
+        return;
+    }
+    const auto body = nlohmann::json::parse(item.value, nullptr, false);
+    leader_host_ = body.is_object() ? body.value("host", "") : "";
+    leader_address_ = body.is_object() ? body.value("address", "") : "";
+    if (item.created != leader_epoch_) {
+        core_.log.write_always("leader_known",
+                               {{"host", leader_host_},
+                                {"epoch", static_cast<std::int64_t>(item.created)}});
+    }
+    leader_epoch_ = item.created;
+    if (leading_ && body.is_object() && body.value("run", std::uint64_t{0}) != run_) {
+        step_down("another leader is on record");
+    }
+    next_sync_ = {};
+}
+
+void fleet_control::stand_for_election() {
+    if (standing_ || stopping_ || leading_ || boot_clock::now() < next_election_) {
+        return;
+    }
+    standing_ = true;
+    next_election_ = boot_clock::now() + detail::election_pause;
+    const auto pause = milliseconds(
+        static_cast<std::int64_t>(detail::random_number()) % detail::election_spread.count());
+    auto timer = std::make_shared<boost::asio::steady_timer>(core_.context, pause);
+    timer->async_wait([this, timer, alive = std::weak_ptr<bool>(alive_)](auto error) {
+        if (error || alive.expired()) {
+            return;
+        }
+        if (leader_epoch_ != 0 || stopping_) {
+            standing_ = false;
+            return;
+        }
+        try_to_lead();
+    });
+}
+
+void fleet_control::try_to_lead() {
+    const auto sent = boot_clock::now();
+    const auto ttl = std::max(detail::lease_time, core_.settings.shortest_lease);
+    core_.platform.store.open_lease(
+        ttl, detail::call_in(detail::store_call_time),
+        [this, sent, ttl](std::error_code error, std::uint64_t lease) {
+            if (error || lease == 0) {
+                standing_ = false;
+                note_store(false, "open lease");
+                return;
+            }
+            lease_ = lease;
+            const nlohmann::json value = {{"host", core_.settings.host},
+                                          {"address", core_.settings.peer_address},
+                                          {"run", run_}};
+            store_batch batch;
+            const auto key = core_.platform.keys.own + "leader";
+            batch.conditions = {{key, 0}};
+            batch.writes = {{key, value.dump(), lease}};
+            core_.platform.store.write(
+                batch, detail::call_in(detail::store_call_time),
+                [this, until = sent + ttl - detail::lease_margin](std::error_code failed,
+                                                                  std::uint64_t revision) {
+                    standing_ = false;
+                    if (!failed) {
+                        lead(revision, until);
+                    }
+                    // Without an answer the watch tells who leads; the lease lapses.
+                });
+        });
+}
+
+void fleet_control::lead(std::uint64_t epoch, boot_time valid_until) {
+    leading_ = true;
+    leader_epoch_ = epoch;
+    leader_host_ = core_.settings.host;
+    lease_until_ = valid_until;
+    next_keep_ = boot_clock::now() + detail::lease_keep_time;
+    followers_.clear();
+    ++registry_number_;
+    core_.log.write_always("leader_began", {{"epoch", static_cast<std::int64_t>(epoch)}});
+    count(core_.metrics, "terms_as_leader");
+    decider_.begin({epoch, core_.platform.keys.own + "leader", valid_until});
+    next_registry_ = {};
+}
+
+void fleet_control::step_down(std::string_view why) {
+    leading_ = false;
+    decider_.end();
+    core_.log.write_always("leader_ended", {{"why", why}});
+    for (auto& waiting : waiting_replies_) {
+        waiting.respond({503, "text/plain", ""});
+    }
+    waiting_replies_.clear();
+    next_sync_ = {};
+}
+
+void fleet_control::keep_lease() {
+    const auto now = boot_clock::now();
+    if (now >= lease_until_) {
+        step_down("lease not renewed in time");
+        leader_epoch_ = 0;
+        return;
+    }
+    if (keep_running_ || now < next_keep_) {
+        return;
+    }
+    keep_running_ = true;
+    next_keep_ = now + detail::lease_keep_time;
+    const auto ttl = std::max(detail::lease_time, core_.settings.shortest_lease);
+    core_.platform.store.keep_lease(
+        lease_, detail::call_in(detail::lease_keep_time),
+        [this, now, ttl, lease = lease_](std::error_code error, std::uint64_t) {
+            keep_running_ = false;
+            if (!leading_ || lease != lease_) {
+                return;
+            }
+            decider_.set_store_trouble(static_cast<bool>(error));
+            if (!error) {
+                lease_until_ = std::max(lease_until_, now + ttl - detail::lease_margin);
+                decider_.extend(lease_until_);
+            } else if (error == errc::store_lease_expired) {
+                step_down("lease ended in the store");
+                leader_epoch_ = 0;
+            }
+        });
+}
+
+// --- The registry ---
+
+void fleet_control::note_store(bool good, std::string_view call) {
+    if (good != store_good_) {
+        core_.log.write_always(good ? "store_regained" : "store_lost", {{"call", call}});
+        count(core_.metrics, good ? "store_regained" : "store_lost");
+    }
+    store_good_ = good;
+}
+
+void fleet_control::read_registry() {
+    if (registry_running_) {
+        return;
+    }
+    registry_running_ = true;
+    next_registry_ =
+        boot_clock::now() + (leading_ ? detail::registry_time : detail::own_registry_time);
+    core_.platform.store.list(
+        core_.platform.keys.targets, "", detail::call_in(detail::store_call_time),
+        [this](std::error_code error, const store_items& items) {
+            registry_running_ = false;
+            const auto now = boot_clock::now();
+            if (error) {
+                note_store(false, "list targets");
+                note_registry_outage(registry_memory_, now);
+                next_registry_ = now + detail::own_registry_time;
+                return;
+            }
+            if (!store_good_) {
+                note_registry_outage(registry_memory_, now);
+            }
+            note_store(true, "list targets");
+            registry_read_ = now;
+            registry_reading reading;
+            reading.revision = items.revision;
+            reading.evacuated_domains = evacuated_;
+            for (const auto& item : items.items) {
+                const auto id =
+                    std::string_view(item.key).substr(core_.platform.keys.targets.size());
+                auto entry = core_.platform.decode_target(id, item.value);
+                if (entry) {
+                    reading.targets.push_back(std::move(*entry));
+                } else {
+                    ++reading.ignored_entries;
+                }
+            }
+            if (reading.ignored_entries > 0) {
+                count(core_.metrics, "registry_entries_ignored", reading.ignored_entries);
+            }
+            take_registry(merge_reading(core_.state.registry, reading, registry_memory_, now));
+        });
+}
+
+void fleet_control::take_registry(const registry_state& next) {
+    const bool changed = differs_in_use(core_.state.registry, next);
+    for (const auto& [id, entry] : next.targets) {
+        const auto known = core_.state.registry.targets.find(id);
+        if (known == core_.state.registry.targets.end() ||
+            known->second.leaving != entry.leaving ||
+            known->second.started_unix_ms != entry.started_unix_ms) {
+            core_.log.write("target_state", {{"target", id},
+                                             {"service", entry.service},
+                                             {"leaving", std::int64_t{entry.leaving}},
+                                             {"revision", static_cast<std::int64_t>(next.revision)}});
+        }
+    }
+    for (const auto& [id, entry] : core_.state.registry.targets) {
+        if (!next.targets.contains(id)) {
+            core_.log.write("target_gone",
+                            {{"target", id},
+                             {"revision", static_cast<std::int64_t>(next.revision)}});
+        }
+    }
+    core_.state.registry = next;
+    for (auto& removed : update_targets(core_.state, boot_clock::now())) {
+        core_.idle_links.erase(removed->entry.id);
+    }
+    if (changed) {
+        ++registry_number_;
+        state_changed();
+    }
+}
+
+void fleet_control::read_key_records() {
+    next_records_ = boot_clock::now() + detail::records_time;
+    const auto prefix = core_.platform.keys.own + "keys/";
+    core_.platform.store.list(
+        prefix, "", detail::call_in(detail::store_call_time),
+        [this, prefix](std::error_code error, const store_items& items) {
+            note_store(!error, "list keys");
+            if (error || leading_) {
+                return;
+            }
+            for (const auto& item : items.items) {
+                if (auto map = decode_key_map(item.value)) {
+                    core_.state.keys.insert_or_assign(item.key.substr(prefix.size()),
+                                                      std::move(*map));
+                }
+            }
+            followed_maps_.clear();
+            state_changed();
+        });
+}
+
+// --- Following, and being followed ---
+
+sync_request fleet_control::make_request() {
+    sync_request out;
+    out.host = core_.settings.host;
+    out.run = run_;
+    out.epoch = leader_epoch_;
+    out.config_version = core_.state.config.version;
+    if (followed_epoch_ == leader_epoch_) {
+        out.registry_number = followed_registry_;
+        out.map_numbers = followed_maps_;
+    }
+    out.key_loads = std::move(core_.key_loads);
+    core_.key_loads.clear();
+    return out;
+}
+
+void fleet_control::sync() {
+    const auto to = parse_endpoint(leader_address_);
+    if (leader_epoch_ == 0 || !to || leader_host_ == core_.settings.host || stopping_) {
+        next_sync_ = boot_clock::now() + detail::sync_retry;
+        return;
+    }
+    sync_running_ = true;
+    const auto epoch = leader_epoch_;
+    calls_.send(*to, {"POST", detail::sync_path, detail::cbor_type, encode(make_request()), {}},
+                detail::call_in(detail::sync_call_time),
+                [this, epoch](std::error_code error, const call_answer& answer) {
+                    sync_running_ = false;
+                    constexpr unsigned ok = 200;
+                    const auto reply = !error && answer.head.status == ok
+                                           ? decode_sync_reply(answer.body)
+                                           : std::nullopt;
+                    if (!reply || reply->epoch != epoch) {
+                        ++sync_failures_;
+                        if (sync_failures_ == 2) {
+                            core_.log.write_always("leader_silent", {{"host", leader_host_}});
+                        }
+                        next_sync_ = boot_clock::now() + detail::sync_retry;
+                        return;
+                    }
+                    if (sync_failures_ >= 2) {
+                        core_.log.write_always("leader_heard", {{"host", leader_host_}});
+                    }
+                    sync_failures_ = 0;
+                    take_sync(*reply);
+                    next_sync_ = {};
+                    sync();
+                });
+}
+
+void fleet_control::take_sync(const sync_reply& reply) {
+    const auto now = boot_clock::now();
+    if (leading_) {
+        return;
+    }
+    if (milliseconds(reply.store_age_ms) < detail::leader_silence) {
+        synced_ = now;
+        registry_read_ = now;
+    }
+    core_.state.routers = reply.routers;
+    core_.state.rank = reply.rank;
+    followed_epoch_ = reply.epoch;
+    followed_registry_ = reply.registry_number;
+    followed_maps_ = reply.map_numbers;
+    if (!reply.config_text.empty()) {
+        take_config(reply.config_text, 0);
+    }
+    bool changed = false;
+    for (const auto& [service, map] : reply.maps) {
+        core_.state.keys.insert_or_assign(service, map);
+        changed = true;
+    }
+    if (reply.registry && reply.registry->revision >= core_.state.registry.revision) {
+        auto next = *reply.registry;
+        // A router that reads the operators' items itself knows the newest evacuations.
+        next.evacuated_domains.insert(evacuated_.begin(), evacuated_.end());
+        take_registry(next);
+    }
+    if (changed) {
+        core_.wake_waiting();
+    }
+}
+
+void fleet_control::serve_sync(const std::string& body, small_server::respond respond) {
+    constexpr unsigned bad_request = 400;
+    constexpr unsigned unavailable = 503;
+    auto request = decode_sync_request(body);
+    if (!request) {
+        respond({bad_request, "text/plain", ""});
+        return;
+    }
+    if (!leading_ || request->epoch != leader_epoch_ || boot_clock::now() >= lease_until_) {
+        respond({unavailable, "text/plain", ""});
+        return;
+    }
+    const auto now = boot_clock::now();
+    followers_[request->host] = {request->run, now};
+    decider_.add_loads(request->key_loads);
+    request->key_loads.clear();
+    pending_reply waiting{std::move(*request), std::move(respond), now + detail::reply_wait};
+    bool is_behind = waiting.request.config_version < core_.state.config.version ||
+                     waiting.request.registry_number != registry_number_;
+    for (const auto& [service, number] : map_numbers_) {
+        const auto known = waiting.request.map_numbers.find(service);
+        is_behind = is_behind || known == waiting.request.map_numbers.end() ||
+                    known->second != number;
+    }
+    if (is_behind) {
+        reply_to(waiting);
+    } else {
+        waiting_replies_.push_back(std::move(waiting));
+    }
+}
+
+void fleet_control::reply_to(pending_reply& waiting) {
+    const auto now = boot_clock::now();
+    const auto& request = waiting.request;
+    std::erase_if(followers_, [&](const auto& known) {
+        return now - known.second.seen > detail::follower_life;
+    });
+    sync_reply reply;
+    reply.epoch = leader_epoch_;
+    reply.routers = static_cast<std::uint32_t>(followers_.size()) + 1;
+    reply.rank = static_cast<std::uint32_t>(
+        std::distance(followers_.begin(), followers_.find(request.host)) + 1);
+    reply.store_age_ms = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(-milliseconds_until(registry_read_, now), 0));
+    reply.config_version = core_.state.config.version;
+    if (request.config_version < core_.state.config.version) {
+        reply.config_text = config_text_;
+    }
+    reply.registry_number = registry_number_;
+    if (request.registry_number != registry_number_) {
+        reply.registry = core_.state.registry;
+    }
+    reply.map_numbers = map_numbers_;
+    for (const auto& [service, number] : map_numbers_) {
+        const auto known = request.map_numbers.find(service);
+        if (known == request.map_numbers.end() || known->second != number) {
+            reply.maps.emplace(service, core_.state.keys[service]);
+        }
+    }
+    core_.state.routers = reply.routers;
+    core_.state.rank = 0;
+    const auto respond = std::move(waiting.respond);
+    waiting.respond = nullptr;
+    respond({200, detail::cbor_type, encode(reply)});
+}
+
+void fleet_control::state_changed() {
+    if (leading_) {
+        for (const auto& [service, map] : core_.state.keys) {
+            auto& known = numbered_maps_[service];
+            if (known != map || map_numbers_[service] == 0) {
+                known = map;
+                ++map_numbers_[service];
+            }
+        }
+        if (!answer_posted_) {
+            answer_posted_ = true;
+            core_.defer([this] {
+                answer_posted_ = false;
+                for (auto& waiting : waiting_replies_) {
+                    reply_to(waiting);
+                }
+                waiting_replies_.clear();
+            });
+        }
+    }
+    core_.wake_waiting();
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/http_message.cpp
@@ -0,0 +1,259 @@
+#include "mimosavalve/gateway/http_message.hpp"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+#include <charconv>
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+namespace http = boost::beast::http;
+using boost::beast::iequals;
+
+std::string_view view_of(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+boost::beast::string_view beast_view(std::string_view text) { return {text.data(), text.size()}; }
+
+template <bool IsRequest>
+class collecting_parser final : public http::basic_parser<IsRequest> {
+public:
+    explicit collecting_parser(message_events events) : events_(std::move(events)) {
+        this->eager(true);
+    }
+
+    [[nodiscard]] bool is_ambiguous() const { return head_.chunked && head_.content_length; }
+
+private:
+    using error_code = boost::beast::error_code;
+    using text_view = boost::beast::string_view;
+
+    void on_request_impl(http::verb /*verb*/, text_view method, text_view target, int /*version*/,
+                         error_code& error) override {
+        head_.method.assign(method.data(), method.size());
+        head_.target.assign(target.data(), target.size());
+        error = {};
+    }
+    void on_response_impl(int status, text_view /*reason*/, int /*version*/,
+                          error_code& error) override {
+        head_.status = static_cast<unsigned>(status);
+        error = {};
+    }
+    void on_field_impl(http::field /*name*/, text_view name, text_view value,
+                       error_code& error) override {
+        error = {};
+        head_.fields.push_back({std::string(name), std::string(value)});
+        if (iequals(name, "transfer-encoding")) {
+            head_.chunked = true;
+        } else if (iequals(name, "content-length")) {
+            std::uint64_t length = 0;
+            std::from_chars(value.data(), value.data() + value.size(), length);
+            head_.content_length = length;
+        }
+        // Both lengths at once are how one request is hidden inside another.
+        if (is_ambiguous()) {
+            error = http::make_error_code(http::error::bad_content_length);
+        }
+    }
+    void on_header_impl(error_code& error) override {
+        error = {};
+        head_.keep_alive = this->keep_alive();
+        if (events_.head) {
+            events_.head(std::move(head_));
+        }
+    }
+    void on_body_init_impl(boost::optional<std::uint64_t> const& /*length*/,
+                           error_code& error) override {
+        error = {};
+    }
+    std::size_t on_body_impl(text_view body, error_code& error) override {
+        error = {};
+        if (events_.body && !body.empty()) {
+            events_.body(view_of(body));
+        }
+        return body.size();
+    }
+    void on_chunk_header_impl(std::uint64_t /*size*/, text_view /*extensions*/,
+                              error_code& error) override {
+        error = {};
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t /*left*/, text_view body,
+                                   error_code& error) override {
+        return on_body_impl(body, error);
+    }
+    void on_finish_impl(error_code& error) override {
+        error = {};
+        if (events_.done) {
+            events_.done();
+        }
+    }
+
+    message_events events_;
+    message_head head_;
+};
+
+parse_error error_of(const boost::beast::error_code& error) {
+    if (!error || error == http::error::need_more) {
+        return parse_error::none;
+    }
+    if (error == http::error::header_limit) {
+        return parse_error::header_too_large;
+    }
+    if (error == http::error::body_limit) {
+        return parse_error::body_too_large;
+    }
+    return parse_error::malformed;
+}
+
+template <typename Parser>
+message_parser::result feed_parser(Parser& parser, std::string_view bytes) {
+    message_parser::result result;
+    // Each call parses one element at most when the body is chunked.
+    while (!parser.is_done() && result.used < bytes.size()) {
+        boost::beast::error_code error;
+        const auto rest = bytes.substr(result.used);
+        const auto used = parser.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+        result.used += used;
+        result.error = error_of(error);
+        if (result.error != parse_error::none || error || used == 0) {
+            break;
+        }
+    }
+    return result;
+}
+
+}  // namespace detail
+
+struct message_parser::implementation {
+    std::unique_ptr<detail::collecting_parser<true>> request;
+    std::unique_ptr<detail::collecting_parser<false>> answer;
+};
+
+message_parser::message_parser(message_kind kind, const message_bounds& bounds,
+                               message_events events)
+    : implementation_(std::make_unique<implementation>()) {
+    const auto set_up = [&](auto& parser) {
+        parser.header_limit(bounds.header_bytes);
+        parser.body_limit(bounds.body_bytes);
+    };
+    if (kind == message_kind::request) {
+        implementation_->request =
+            std::make_unique<detail::collecting_parser<true>>(std::move(events));
+        set_up(*implementation_->request);
+    } else {
+        implementation_->answer =
+            std::make_unique<detail::collecting_parser<false>>(std::move(events));
+        set_up(*implementation_->answer);
+    }
+}
+
+message_parser::~message_parser() = default;
+message_parser::message_parser(message_parser&&) noexcept = default;
+message_parser& message_parser::operator=(message_parser&&) noexcept = default;
+
+message_parser::result message_parser::feed(std::string_view bytes) {
+    return implementation_->request ? detail::feed_parser(*implementation_->request, bytes)
+                                    : detail::feed_parser(*implementation_->answer, bytes);
+}
+
+bool message_parser::finish() {
+    const auto end = [](auto& parser) {
+        if (!parser.is_header_done()) {
+            return false;
+        }
+        boost::beast::error_code error;
+        parser.put_eof(error);
+        return !error && parser.is_done();
+    };
+    return implementation_->request ? end(*implementation_->request)
+                                    : end(*implementation_->answer);
+}
+
+bool message_parser::started() const {
+    return implementation_->request ? implementation_->request->got_some()
+                                    : implementation_->answer->got_some();
+}
+
+bool message_parser::has_head() const {
+    return implementation_->request ? implementation_->request->is_header_done()
+                                    : implementation_->answer->is_header_done();
+}
+
+bool message_parser::is_done() const {
+    return implementation_->request ? implementation_->request->is_done()
+                                    : implementation_->answer->is_done();
+}
+
+void message_parser::expect_no_body() {
+    if (implementation_->answer) {
+        implementation_->answer->skip(true);
+    }
+}
+
+std::string_view field_of(const message_head& head, std::string_view name) {
+    for (const auto& field : head.fields) {
+        if (detail::iequals(detail::beast_view(field.name), detail::beast_view(name))) {
+            return field.value;
+        }
+    }
+    return {};
+}
+
+bool has_field(const message_head& head, std::string_view name) {
+    return std::any_of(head.fields.begin(), head.fields.end(), [&](const auto& field) {
+        return detail::iequals(detail::beast_view(field.name), detail::beast_view(name));
+    });
+}
+
+bool is_hop_by_hop(const message_head& head, std::string_view name) {
+    static constexpr std::string_view always[] = {
+        "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
+        "upgrade",    "content-length"};
+    if (std::any_of(std::begin(always), std::end(always), [&](std::string_view fixed) {
+            return detail::iequals(detail::beast_view(fixed), detail::beast_view(name));
+        })) {
+        return true;
+    }
+    const auto listed = field_of(head, "connection");
+    return !listed.empty() &&
+           detail::http::token_list(detail::beast_view(listed)).exists(detail::beast_view(name));
+}
+
+std::string_view path_of(const message_head& head) {
+    const std::string_view target = head.target;
+    return target.substr(0, target.find('?'));
+}
+
+std::string query_value(std::string_view target, std::string_view name) {
+    auto start = target.find('?');
+    while (start != std::string_view::npos) {
+        const auto rest = target.substr(start + 1);
+        const auto end = rest.find('&');
+        const auto pair = rest.substr(0, end);
+        const auto equals = pair.find('=');
+        if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+            return std::string(pair.substr(equals + 1));
+        }
+        start = end == std::string_view::npos ? end : start + 1 + end;
+    }
+    return {};
+}
+
+std::string_view reason_phrase(unsigned status) {
+    return detail::view_of(detail::http::obsolete_reason(detail::http::int_to_status(status)));
+}
+
+void append_field(std::string& out, std::string_view name, std::string_view value) {
+    out.append(name).append(": ");
+    for (const char letter : value) {
+        out.push_back(static_cast<unsigned char>(letter) < ' ' && letter != '\t' ? ' ' : letter);
+    }
+    out.append("\r\n");
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/key_decider.cpp
@@ -0,0 +1,522 @@
+#include "key_decider.hpp"
+
+#include <algorithm>
+
+#include "mimosavalve/core/error.hpp"
+#include "mimosavalve/gateway/peer_messages.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// Hold of a grant while all is well: keys of a lost target wait for its end, so it is short; it
+// outlasts the change of a leader (lease and election).
+constexpr milliseconds calm_hold{3000};
+constexpr milliseconds renewal_time{900};
+// A target's clock may run 2% slow (the platform's page on keys).
+constexpr double clock_margin = 1.02;
+// A grant counts from its arrival; this is the longest time on the way of one that arrives.
+constexpr milliseconds transit_time{400};
+constexpr milliseconds grant_call_time{700};
+constexpr milliseconds release_call_time{1500};
+constexpr milliseconds store_call_time{800};
+constexpr milliseconds retry_time{200};
+// Renewals without an answer after which a target gets no keys and loses those that it has.
+constexpr std::uint32_t failures_to_lose = 2;
+// After the last change of the set of targets, the first owners are chosen.
+constexpr milliseconds settling_time{700};
+constexpr milliseconds longest_settling{4000};
+// Pause between plans, so that the effect of the last one shows in the rates.
+constexpr milliseconds plan_pause{400};
+constexpr std::size_t moves_per_plan = 6;
+constexpr std::size_t merges_per_plan = 2;
+// Fences of one leader start at its epoch times this; a leader gives fewer in its time.
+constexpr std::uint64_t fences_per_epoch = 4096;
+constexpr std::uint32_t most_grant_tries = 4;
+
+call_deadline in(milliseconds time) { return std::chrono::steady_clock::now() + time; }
+
+milliseconds with_margin(milliseconds hold) {
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(hold.count()) *
+                                                  clock_margin)) +
+           transit_time;
+}
+
+}  // namespace detail
+
+template <typename Handler>
+auto key_decider::guarded(Handler handler) const {
+    // Answers that arrive in another term, or after the end, are dropped.
+    return [alive = std::weak_ptr<bool>(alive_), handler = std::move(handler)](auto&&... values) {
+        if (!alive.expired()) {
+            handler(std::forward<decltype(values)>(values)...);
+        }
+    };
+}
+
+key_decider::key_decider(router_core& core, std::function<void()> changed)
+    : core_(core), changed_(std::move(changed)) {}
+
+key_decider::~key_decider() = default;
+
+std::string key_decider::record_key(const std::string& name) const {
+    return core_.platform.keys.own + "keys/" + name;
+}
+
+milliseconds key_decider::hold_time() const {
+    const auto longest = core_.settings.bounds.longest_hold;
+    return store_trouble_ ? longest : std::min(detail::calm_hold, longest);
+}
+
+key_decider::holder& key_decider::holder_of(const std::string& id) {
+    const auto [found, added] = holders_.try_emplace(id);
+    if (added) {
+        // A predecessor may have granted the longest hold just before its end.
+        found->second.held_until =
+            began_ + detail::with_margin(core_.settings.bounds.longest_hold);
+    }
+    const auto entry = core_.state.registry.targets.find(id);
+    if (entry != core_.state.registry.targets.end()) {
+        found->second.address = entry->second.address;
+    }
+    return found->second;
+}
+
+void key_decider::begin(const leadership& right) {
+    right_ = right;
+    active_ = true;
+    began_ = boot_clock::now();
+    settled_ = began_;
+    known_targets_ = 0;
+    next_fence_ = right.epoch * detail::fences_per_epoch;
+    store_trouble_ = false;
+    services_.clear();
+    holders_.clear();
+    alive_ = std::make_shared<bool>(true);
+    load_records();
+}
+
+void key_decider::end() {
+    active_ = false;
+    services_.clear();
+    holders_.clear();
+    alive_ = std::make_shared<bool>(true);
+}
+
+void key_decider::set_store_trouble(bool on) {
+    if (on && !store_trouble_) {
+        for (auto& [id, target] : holders_) {
+            target.next_renewal = {};
+        }
+    }
+    store_trouble_ = on;
+}
+
+void key_decider::load_records() {
+    loading_ = true;
+    const auto prefix = record_key("");
+    core_.platform.store.list(
+        prefix, "", detail::in(detail::store_call_time),
+        guarded([this, prefix](std::error_code error, const store_items& items) {
+            loading_ = false;
+            if (error) {
+                return;  // `tick` asks again.
+            }
+            for (const auto& item : items.items) {
+                const auto map = decode_key_map(item.value);
+                auto& state = services_[item.key.substr(prefix.size())];
+                state.revision = item.revision;
+                state.loaded = true;
+                if (map) {
+                    state.recorded = *map;
+                    core_.state.keys.insert_or_assign(item.key.substr(prefix.size()), *map);
+                } else {
+                    core_.log.write_always("record_unreadable", {{"key", item.key}});
+                }
+            }
+            for (const auto& [name, kind] : core_.state.config.services) {
+                if (kind.keyed) {
+                    services_[name].loaded = true;
+                }
+            }
+            core_.log.write_always(
+                "leader_loaded", {{"epoch", static_cast<std::int64_t>(right_.epoch)},
+                                  {"records", static_cast<std::int64_t>(items.items.size())}});
+            changed_();
+        }));
+}
+
+void key_decider::add_loads(const std::map<std::string, key_load>& loads) {
+    const auto now = boot_clock::now();
+    for (const auto& [name, load] : loads) {
+        const auto found = services_.find(name);
+        if (found != services_.end()) {
+            add_load(found->second.rates, load, now);
+        }
+    }
+}
+
+std::vector<key_candidate> key_decider::candidates_of(const std::string& name,
+                                                      boot_time now) const {
+    std::vector<key_candidate> warm;
+    std::vector<key_candidate> cold;
+    for (const auto& [id, target] : core_.state.targets) {
+        const auto& entry = target->entry;
+        if (entry.service != name || !may_send(core_.state, *target, now)) {
+            continue;
+        }
+        const auto known = holders_.find(id);
+        if (known != holders_.end() && known->second.failed >= detail::failures_to_lose) {
+            continue;
+        }
+        const key_candidate candidate{id, entry.started_unix_ms,
+                                      static_cast<double>(entry.slots)};
+        // An owner that turned cold keeps its keys: moving them makes more targets slow.
+        const auto map = core_.state.keys.find(name);
+        const bool owns = map != core_.state.keys.end() &&
+                          std::any_of(map->second.segments.begin(), map->second.segments.end(),
+                                      [&](const auto& segment) {
+                                          return segment.owner == id &&
+                                                 segment.owner_run == entry.started_unix_ms;
+                                      });
+        (is_cold(*target, now) && !owns ? cold : warm).push_back(candidate);
+    }
+    return warm.empty() ? cold : warm;
+}
+
+void key_decider::tick() {
+    const auto now = boot_clock::now();
+    if (!may_act(now)) {
+        return;
+    }
+    if (core_.state.targets.size() != known_targets_) {
+        known_targets_ = core_.state.targets.size();
+        settled_ = now;
+    }
+    for (const auto& [name, kind] : core_.state.config.services) {
+        if (!kind.keyed) {
+            continue;
+        }
+        auto& state = services_[name];
+        if (!state.loaded) {
+            if (!loading_) {
+                load_records();
+            }
+            continue;
+        }
+        decay(state.rates, now);
+        plan(name, state, now);
+        for (auto& move : state.moves) {
+            step(name, state, move, now);
+        }
+        state.moves.remove_if(
+            [](const running_move& move) { return move.phase == move_phase::done; });
+        record(name, state, now);
+    }
+    renew(now);
+}
+
+void key_decider::plan(const std::string& name, service_state& state, boot_time now) {
+    auto& map = core_.state.keys[name];
+    const bool settled = now - settled_ > detail::settling_time ||
+                         now - began_ > detail::longest_settling || state.revision != 0;
+    const auto candidates = candidates_of(name, now);
+    if (!settled || candidates.empty()) {
+        return;
+    }
+    for (const auto& move : plan_homeless(map, state.rates, candidates)) {
+        start_move(name, state, move, now);
+    }
+    if (now < state.next_plan || !state.moves.empty() || state.revision == 0) {
+        return;
+    }
+    state.next_plan = now + detail::plan_pause;
+    auto moves = plan_balance(map, state.rates, candidates, detail::moves_per_plan);
+    if (moves.empty()) {
+        moves = plan_merge(map, state.rates, candidates, detail::merges_per_plan);
+    }
+    for (const auto& move : moves) {
+        start_move(name, state, move, now);
+    }
+}
+
+void key_decider::start_move(const std::string& name, service_state& state,
+                             const planned_move& planned, boot_time now) {
+    auto& map = core_.state.keys[name];
+    const auto old = segment_of(map, planned.first);
+    running_move move;
+    move.service = name;
+    move.keys = {planned.first, planned.last, planned.to, next_fence_++, false, planned.to_run};
+    move.old_owner = old.owner;
+    move.began = now;
+    // A new run of the same target holds nothing of its former run.
+    const bool same_target = old.owner == planned.to;
+    if (!old.owner.empty() && !same_target) {
+        move.phase = move_phase::releasing;
+        move.not_before = holder_of(old.owner).held_until;
+        auto marked = old;
+        marked.first = planned.first;
+        marked.last = planned.last;
+        marked.moving = true;
+        publish(name, marked);
+    } else if (same_target && old.owner_run != planned.to_run) {
+        holder_of(old.owner).failed = 0;
+    }
+    core_.log.write("keys_move", {{"service", name},
+                                  {"first", std::int64_t{planned.first}},
+                                  {"last", std::int64_t{planned.last}},
+                                  {"from", old.owner},
+                                  {"to", planned.to},
+                                  {"fence", static_cast<std::int64_t>(move.keys.fence)},
+                                  {"epoch", static_cast<std::int64_t>(right_.epoch)},
+                                  {"rate", rate_of(state.rates, planned.first, planned.last)}});
+    count(core_.metrics, "key_moves");
+    state.moves.push_back(std::move(move));
+}
+
+void key_decider::step(const std::string& /*name*/, service_state& /*state*/, running_move& move,
+                       boot_time now) {
+    if (move.phase == move_phase::releasing) {
+        if (now >= move.not_before) {
+            move.phase = move_phase::ready;
+        } else if (!move.call_running && now >= move.next_try) {
+            release(move, now);
+        }
+    } else if (move.phase == move_phase::granting && !move.call_running && now >= move.next_try) {
+        grant_moved(move, now);
+    }
+}
+
+void key_decider::release(running_move& move, boot_time now) {
+    auto& from = holder_of(move.old_owner);
+    if (from.address.empty()) {
+        return;
+    }
+    move.call_running = true;
+    move.next_try = now + detail::retry_time;
+    // Carries the new fence, so that a late renewal with the old one is refused.
+    core_.platform.orders.release(
+        from.address, move.keys, detail::in(detail::release_call_time),
+        guarded([this, service = move.service, fence = move.keys.fence](
+                    std::error_code error, const std::string& handover) {
+            const auto found = services_.find(service);
+            if (found == services_.end()) {
+                return;
+            }
+            for (auto& move : found->second.moves) {
+                if (move.keys.fence != fence || move.phase != move_phase::releasing) {
+                    continue;
+                }
+                move.call_running = false;
+                if (error) {
+                    continue;
+                }
+                move.handover = handover;
+                // A grant that got no answer may still take effect after the release, at a run
+                // that has forgotten the fence.
+                move.not_before = holder_of(move.old_owner).unanswered_until;
+                if (boot_clock::now() >= move.not_before) {
+                    move.phase = move_phase::ready;
+                }
+            }
+            tick();
+        }));
+}
+
+void key_decider::record(const std::string& name, service_state& state, boot_time now) {
+    if (state.writing || !may_act(now)) {
+        return;
+    }
+    auto next = state.recorded;
+    bool any = false;
+    for (auto& move : state.moves) {
+        if (move.phase != move_phase::ready || now < move.next_try) {
+            continue;
+        }
+        move.phase = move_phase::recording;
+        assign(next, move.keys);
+        any = true;
+    }
+    if (!any) {
+        return;
+    }
+    state.writing = true;
+    store_batch batch;
+    batch.conditions = {{right_.key, right_.epoch}, {record_key(name), state.revision}};
+    batch.writes = {{record_key(name), encode(next), 0}};
+    core_.platform.store.write(
+        batch, detail::in(detail::store_call_time),
+        guarded([this, name, next](std::error_code error, std::uint64_t revision) {
+            finish_record(name, next, error, revision);
+        }));
+}
+
+void key_decider::finish_record(const std::string& name, const key_map& written,
+                                std::error_code error, std::uint64_t revision) {
+    auto& state = services_[name];
+    if (error == errc::store_unavailable || error == errc::store_conflict) {
+        // The write may have taken effect although its answer was lost.
+        confirm_record(name, written);
+        return;
+    }
+    state.writing = false;
+    if (!error) {
+        state.recorded = written;
+        state.revision = revision;
+    }
+    const auto now = boot_clock::now();
+    for (auto& move : state.moves) {
+        if (move.phase == move_phase::recording) {
+            move.phase = error ? move_phase::ready : move_phase::granting;
+            move.next_try = error ? now + detail::retry_time : now;
+        }
+    }
+    if (error) {
+        core_.log.write("record_failed", {{"service", name}, {"error", error.message()}});
+    } else {
+        tick();
+    }
+}
+
+void key_decider::confirm_record(const std::string& name, const key_map& written) {
+    core_.platform.store.read(
+        record_key(name), detail::in(detail::store_call_time),
+        guarded([this, name, written](std::error_code error, const store_item& item,
+                                      std::uint64_t /*revision*/) {
+            auto& state = services_[name];
+            if (error && error != errc::not_found) {
+                if (may_act(boot_clock::now())) {
+                    confirm_record(name, written);
+                } else {
+                    state.writing = false;
+                }
+                return;
+            }
+            const auto map = decode_key_map(item.value);
+            if (!error && map && *map == written) {
+                finish_record(name, written, {}, item.revision);
+                return;
+            }
+            // Not in effect. A late effect is excluded by the next write, which has the same
+            // condition; if the record was changed by another leader, every write fails.
+            if (item.revision != state.revision) {
+                core_.log.write_always("leader_superseded", {{"service", name}});
+                right_.valid_until = {};
+            }
+            finish_record(name, written, make_error_code(errc::store_refused), 0);
+        }));
+}
+
+void key_decider::send_grant(const key_segment& keys, const std::string& handover, boot_time now,
+                             std::function<void(std::error_code)> done) {
+    auto& to = holder_of(keys.owner);
+    const auto hold = hold_time();
+    const auto end = now + detail::with_margin(hold);
+    ++to.calls_running;
+    to.held_until = std::max(to.held_until, end);
+    core_.platform.orders.grant(
+        to.address, keys, hold, handover, detail::in(detail::grant_call_time),
+        guarded([this, id = keys.owner, end, done = std::move(done)](std::error_code error,
+                                                                     const std::string&) {
+            auto& target = holder_of(id);
+            --target.calls_running;
+            if (!error || error == errc::target_refused) {
+                target.failed = 0;
+            } else {
+                ++target.failed;
+                if (error != errc::target_unreachable) {
+                    target.unanswered_until = std::max(target.unanswered_until, end);
+                }
+                core_.log.write("grant_failed", {{"target", id},
+                                                 {"error", error.message()},
+                                                 {"failures", std::int64_t{target.failed}}});
+            }
+            done(error);
+        }));
+}
+
+void key_decider::grant_moved(running_move& move, boot_time now) {
+    if (!may_act(now)) {
+        return;
+    }
+    move.call_running = true;
+    ++move.tries;
+    move.next_try = now + detail::retry_time;
+    send_grant(move.keys, move.handover, now,
+               [this, service = move.service, fence = move.keys.fence](std::error_code error) {
+                   const auto found = services_.find(service);
+                   if (found == services_.end()) {
+                       return;
+                   }
+                   for (auto& moved : found->second.moves) {
+                       if (moved.keys.fence != fence) {
+                           continue;
+                       }
+                       moved.call_running = false;
+                       // A target that does not answer keeps the keys on record until the next
+                       // plan finds that it is lost.
+                       if (!error || moved.tries >= detail::most_grant_tries ||
+                           error == errc::target_refused) {
+                           moved.phase = move_phase::done;
+                           publish(service, moved.keys);
+                       }
+                   }
+               });
+}
+
+void key_decider::publish(const std::string& name, const key_segment& keys) {
+    assign(core_.state.keys[name], keys);
+    changed_();
+}
+
+void key_decider::refence(const std::string& service, const key_segment& keys) {
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return;
+    }
+    const auto& current = segment_of(core_.state.keys[service], keys.first);
+    const bool known = std::any_of(
+        found->second.moves.begin(), found->second.moves.end(),
+        [&](const auto& move) { return move.keys.first == keys.first; });
+    if (known || current.fence != keys.fence || current.moving) {
+        return;
+    }
+    start_move(service, found->second, {keys.first, keys.last, keys.owner, keys.owner_run},
+               boot_clock::now());
+}
+
+void key_decider::renew(boot_time now) {
+    struct due {
+        std::string service;
+        key_segment keys;
+    };
+    std::vector<due> grants;
+    for (const auto& [name, state] : services_) {
+        const auto map = core_.state.keys.find(name);
+        if (map == core_.state.keys.end()) {
+            continue;
+        }
+        for (const auto& segment : map->second.segments) {
+            if (segment.owner.empty() || segment.moving) {
+                continue;
+            }
+            const auto entry = core_.state.registry.targets.find(segment.owner);
+            const bool lost = entry == core_.state.registry.targets.end() ||
+                              entry->second.started_unix_ms != segment.owner_run;
+            if (!lost && now >= holder_of(segment.owner).next_renewal) {
+                grants.push_back({name, segment});
+            }
+        }
+    }
+    for (const auto& grant : grants) {
+        auto& to = holder_of(grant.keys.owner);
+        to.next_renewal = now + (to.failed > 0 ? detail::retry_time : detail::renewal_time);
+        send_grant(grant.keys, "", now, [this, grant](std::error_code error) {
+            if (error == errc::target_refused) {
+                refence(grant.service, grant.keys);
+            }
+        });
+    }
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/key_decider.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "mimosavalve/gateway/key_plan.hpp"
+#include "mimosavalve/gateway/platform_port.hpp"
+#include "router_core.hpp"
+
+namespace mimosavalve::gateway {
+
+/// The right to decide, as it stands in the store.
+struct leadership {
+    std::uint64_t epoch = 0;  ///< Revision of the leader's item; grows from leader to leader.
+    std::string key;          ///< Of the leader's item.
+    boot_time valid_until;    ///< The lease has surely not ended before.
+};
+
+/// Decides who owns which keys, while this router is the leader. Owners are recorded in the store
+/// before they are granted; every write depends on the leader's item. A key passes to another
+/// target only when the old owner has released it, or its hold has surely ended.
+class key_decider {
+public:
+    key_decider(router_core& core, std::function<void()> changed);
+    ~key_decider();
+
+    /// Begins to decide. Reads the recorded owners first.
+    void begin(const leadership& right);
+    void extend(boot_time valid_until) { right_.valid_until = valid_until; }
+    void end();
+    [[nodiscard]] bool is_active() const { return active_; }
+
+    /// The store does not answer: holds are made as long as allowed while the right lasts.
+    void set_store_trouble(bool on);
+
+    void add_loads(const std::map<std::string, key_load>& loads);
+    /// Plans, sends and renews what is due; called every `tick_time`.
+    void tick();
+
+    static constexpr milliseconds tick_time{50};
+
+private:
+    enum class move_phase { releasing, ready, recording, granting, done };
+    struct running_move {
+        std::string service;
+        key_segment keys;  ///< With the new owner and fence.
+        std::string old_owner;
+        move_phase phase = move_phase::ready;
+        std::string handover;
+        boot_time not_before;     ///< The old owner may hold the keys until then.
+        boot_time next_try;
+        std::uint32_t tries = 0;
+        bool call_running = false;
+        boot_time began;
+    };
+    struct service_state {
+        key_map recorded;
+        std::uint64_t revision = 0;  ///< Of the record; 0: there is none.
+        bool loaded = false;
+        bool writing = false;
+        key_rates rates;
+        std::list<running_move> moves;
+        boot_time next_plan;
+    };
+    /// What is known about the holds of one target.
+    struct holder {
+        std::string address;
+        boot_time held_until;        ///< Nothing granted so far lasts longer.
+        boot_time unanswered_until;  ///< Grants without an answer do not last longer.
+        boot_time next_renewal;
+        std::uint32_t failed = 0;    ///< Renewals in a row without an answer.
+        std::uint32_t calls_running = 0;
+    };
+
+    void load_records();
+    void plan(const std::string& name, service_state& state, boot_time now);
+    void start_move(const std::string& name, service_state& state, const planned_move& planned,
+                    boot_time now);
+    void step(const std::string& name, service_state& state, running_move& move, boot_time now);
+    void release(running_move& move, boot_time now);
+    void record(const std::string& name, service_state& state, boot_time now);
+    void finish_record(const std::string& name, const key_map& written, std::error_code error,
+                       std::uint64_t revision);
+    void confirm_record(const std::string& name, const key_map& written);
+    void grant_moved(running_move& move, boot_time now);
+    void renew(boot_time now);
+    void send_grant(const key_segment& keys, const std::string& handover, boot_time now,
+                    std::function<void(std::error_code)> done);
+    void refence(const std::string& service, const key_segment& keys);
+    void publish(const std::string& name, const key_segment& keys);
+    [[nodiscard]] std::vector<key_candidate> candidates_of(const std::string& name,
+                                                           boot_time now) const;
+    [[nodiscard]] milliseconds hold_time() const;
+    [[nodiscard]] bool may_act(boot_time now) const { return active_ && now < right_.valid_until; }
+    [[nodiscard]] std::string record_key(const std::string& name) const;
+    holder& holder_of(const std::string& id);
+    template <typename Handler>
+    auto guarded(Handler handler) const;
+
+    router_core& core_;
+    std::function<void()> changed_;
+    leadership right_;
+    bool active_ = false;
+    bool store_trouble_ = false;
+    bool loading_ = false;
+    boot_time began_;
+    boot_time settled_;  ///< Since then the set of targets is the same.
+    std::size_t known_targets_ = 0;
+    std::uint64_t next_fence_ = 1;
+    std::map<std::string, service_state> services_;
+    std::map<std::string, holder> holders_;  ///< By target id.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/peer_messages.cpp
@@ -0,0 +1,170 @@
+#include "mimosavalve/gateway/peer_messages.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+using nlohmann::json;
+
+std::string to_bytes(const json& value) {
+    std::string out;
+    json::to_cbor(value, nlohmann::detail::output_adapter<char>(out));
+    return out;
+}
+
+json from_bytes(std::string_view bytes) {
+    return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+}
+
+json map_to_json(const key_map& map) {
+    json out = json::array();
+    for (const auto& segment : map.segments) {
+        out.push_back({segment.first, segment.last, segment.owner, segment.fence, segment.moving,
+                       segment.owner_run});
+    }
+    return out;
+}
+
+key_map map_from_json(const json& value) {
+    key_map out;
+    out.segments.clear();
+    for (const auto& item : value) {
+        out.segments.push_back({item.at(0), item.at(1), item.at(2), item.at(3), item.at(4),
+                                item.at(5)});
+    }
+    return out;
+}
+
+json registry_to_json(const registry_state& state) {
+    json targets = json::array();
+    for (const auto& [id, entry] : state.targets) {
+        targets.push_back({id, entry.service, entry.address, entry.failure_domain, entry.slots,
+                           entry.leaving, entry.cold_left_ms, entry.started_unix_ms,
+                           entry.sequence});
+    }
+    return {{"revision", state.revision},
+            {"targets", std::move(targets)},
+            {"evacuated", state.evacuated_domains}};
+}
+
+registry_state registry_from_json(const json& value) {
+    registry_state out;
+    out.revision = value.at("revision");
+    out.evacuated_domains = value.at("evacuated").get<std::set<std::string>>();
+    for (const auto& item : value.at("targets")) {
+        target_entry entry{item.at(0), item.at(1), item.at(2), item.at(3), item.at(4),
+                           item.at(5), item.at(6), item.at(7), item.at(8)};
+        out.targets.emplace(entry.id, entry);
+    }
+    return out;
+}
+
+}  // namespace detail
+
+std::string encode(const sync_request& message) {
+    detail::json loads = detail::json::object();
+    for (const auto& [service, load] : message.key_loads) {
+        detail::json counts = detail::json::array();
+        for (const auto& [key, count] : load.counts) {
+            counts.push_back(key);
+            counts.push_back(count);
+        }
+        loads[service] = {load.keys_per_counter, std::move(counts)};
+    }
+    return detail::to_bytes({{"host", message.host},
+                             {"run", message.run},
+                             {"epoch", message.epoch},
+                             {"config", message.config_version},
+                             {"registry", message.registry_number},
+                             {"maps", message.map_numbers},
+                             {"loads", std::move(loads)}});
+}
+
+std::optional<sync_request> decode_sync_request(std::string_view bytes) {
+    try {
+        const auto body = detail::from_bytes(bytes);
+        sync_request out;
+        out.host = body.at("host");
+        out.run = body.at("run");
+        out.epoch = body.at("epoch");
+        out.config_version = body.at("config");
+        out.registry_number = body.at("registry");
+        out.map_numbers = body.at("maps").get<std::map<std::string, std::uint64_t>>();
+        for (const auto& [service, value] : body.at("loads").items()) {
+            key_load load;
+            load.keys_per_counter = std::max(value.at(0).get<std::uint32_t>(), 1U);
+            const auto& counts = value.at(1);
+            for (std::size_t at = 0; at + 1 < counts.size(); at += 2) {
+                load.counts[counts.at(at)] = counts.at(at + 1);
+            }
+            out.key_loads.emplace(service, std::move(load));
+        }
+        return out;
+    } catch (const detail::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode(const sync_reply& message) {
+    detail::json body = {{"epoch", message.epoch},
+                         {"routers", message.routers},
+                         {"rank", message.rank},
+                         {"store_age_ms", message.store_age_ms},
+                         {"config", message.config_version},
+                         {"registry_number", message.registry_number},
+                         {"map_numbers", message.map_numbers}};
+    if (!message.config_text.empty()) {
+        body["config_text"] = message.config_text;
+    }
+    if (message.registry) {
+        body["registry"] = detail::registry_to_json(*message.registry);
+    }
+    if (!message.maps.empty()) {
+        auto& maps = body["maps"];
+        for (const auto& [service, map] : message.maps) {
+            maps[service] = detail::map_to_json(map);
+        }
+    }
+    return detail::to_bytes(body);
+}
+
+std::optional<sync_reply> decode_sync_reply(std::string_view bytes) {
+    try {
+        const auto body = detail::from_bytes(bytes);
+        sync_reply out;
+        out.epoch = body.at("epoch");
+        out.routers = body.at("routers");
+        out.rank = body.at("rank");
+        out.store_age_ms = body.at("store_age_ms");
+        out.config_version = body.at("config");
+        out.registry_number = body.at("registry_number");
+        out.map_numbers = body.at("map_numbers").get<std::map<std::string, std::uint64_t>>();
+        out.config_text = body.value("config_text", "");
+        if (body.contains("registry")) {
+            out.registry = detail::registry_from_json(body.at("registry"));
+        }
+        if (body.contains("maps")) {
+            for (const auto& [service, map] : body.at("maps").items()) {
+                out.maps.emplace(service, detail::map_from_json(map));
+            }
+        }
+        return out;
+    } catch (const detail::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode(const key_map& map) { return detail::to_bytes(detail::map_to_json(map)); }
+
+std::optional<key_map> decode_key_map(std::string_view bytes) {
+    try {
+        auto map = detail::map_from_json(detail::from_bytes(bytes));
+        return problem_of(map).empty() ? std::optional(std::move(map)) : std::nullopt;
+    } catch (const detail::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/small_server.cpp
@@ -0,0 +1,146 @@
+#include "small_server.hpp"
+
+#include <array>
+#include <boost/asio/post.hpp>
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+constexpr std::size_t server_read_bytes = 16384;
+constexpr std::size_t most_sessions = 512;
+constexpr std::uint64_t most_call_bytes = 1U << 20U;
+// Without free descriptors, accepting again at once would only spin.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+}  // namespace detail
+
+listener::listener(boost::asio::io_context& context, const tcp::endpoint& address, handler accepted)
+    : acceptor_(context, address, true), pause_(context), accepted_(std::move(accepted)) {
+    acceptor_.non_blocking(true);
+    accept();
+}
+
+void listener::accept() {
+    acceptor_.async_accept([this, alive = std::weak_ptr<bool>(alive_)](auto error, tcp::socket socket) {
+        if (alive.expired() || error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            pause_.expires_after(detail::accept_pause);
+            pause_.async_wait([this, alive](auto failed) {
+                if (!failed && !alive.expired()) {
+                    accept();
+                }
+            });
+            return;
+        }
+        accepted_(std::make_unique<stream>(std::move(socket)));
+        accept();
+    });
+}
+
+struct small_server::session {
+    std::uint64_t number = 0;
+    std::unique_ptr<stream> connection;
+    std::unique_ptr<message_parser> parser;
+    std::string input;
+    message_head head;
+    std::string body;
+    bool answering = false;
+};
+
+small_server::small_server(boost::asio::io_context& context, const tcp::endpoint& address,
+                           handler handle)
+    : context_(context), handle_(std::move(handle)) {
+    listener_ = std::make_unique<listener>(
+        context, address,
+        [this](std::unique_ptr<stream> connection) { add(std::move(connection)); });
+}
+
+small_server::~small_server() = default;
+
+void small_server::add(std::unique_ptr<stream> connection) {
+    if (sessions_.size() >= detail::most_sessions) {
+        return;
+    }
+    auto added = std::make_unique<session>();
+    added->number = next_number_++;
+    added->connection = std::move(connection);
+    auto& placed = *sessions_.emplace(added->number, std::move(added)).first->second;
+    const auto number = placed.number;
+    placed.connection->set_callbacks({[this, &placed] { read(placed); },
+                                      {},
+                                      [this, number](std::error_code) { close(number); }});
+    placed.connection->want_read(true);
+}
+
+void small_server::read(session& from) {
+    std::array<char, detail::server_read_bytes> chunk{};
+    const auto got = from.connection->read(chunk);
+    if (got.would_block) {
+        return;
+    }
+    if (got.closed || got.error) {
+        close(from.number);
+        return;
+    }
+    from.input.append(chunk.data(), got.bytes);
+    if (from.answering) {
+        return;
+    }
+    if (!from.parser) {
+        message_events events;
+        events.head = [&from](message_head head) { from.head = std::move(head); };
+        events.body = [&from](std::string_view part) { from.body.append(part); };
+        message_bounds bounds;
+        bounds.body_bytes = detail::most_call_bytes;
+        from.parser = std::make_unique<message_parser>(message_kind::request, bounds, events);
+    }
+    const auto fed = from.parser->feed(from.input);
+    from.input.erase(0, fed.used);
+    if (fed.error != parse_error::none) {
+        close(from.number);
+        return;
+    }
+    if (!from.parser->is_done()) {
+        return;
+    }
+    from.parser.reset();
+    from.answering = true;
+    auto head = std::move(from.head);
+    auto body = std::move(from.body);
+    from.head = {};
+    from.body.clear();
+    handle_(head, std::move(body),
+            [this, number = from.number, alive = std::weak_ptr<bool>(alive_)](
+                const small_answer& what) {
+                if (!alive.expired()) {
+                    answer(number, what);
+                }
+            });
+}
+
+void small_server::answer(std::uint64_t number, const small_answer& what) {
+    const auto found = sessions_.find(number);
+    if (found == sessions_.end()) {
+        return;
+    }
+    auto& to = *found->second;
+    to.answering = false;
+    std::string text = "HTTP/1.1 " + std::to_string(what.status) + " ";
+    text.append(reason_phrase(what.status)).append("\r\n");
+    append_field(text, "Content-Type", what.content_type);
+    append_field(text, "Content-Length", std::to_string(what.body.size()));
+    to.connection->write(text + "\r\n" + what.body);
+}
+
+void small_server::close(std::uint64_t number) {
+    const auto found = sessions_.find(number);
+    if (found != sessions_.end()) {
+        boost::asio::post(context_, [kept = std::shared_ptr<session>(std::move(found->second))] {});
+        sessions_.erase(found);
+    }
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/target_link.cpp
@@ -0,0 +1,161 @@
+#include "mimosavalve/gateway/target_link.hpp"
+
+#include <array>
+
+#include "mimosavalve/core/error.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+constexpr std::size_t link_read_bytes = 16384;
+// Idle connections are not reused in the last part of the time that the target announces.
+constexpr std::chrono::milliseconds idle_margin{1000};
+// For targets that announce none.
+constexpr std::chrono::milliseconds assumed_idle{5000};
+
+// "timeout=5" in a Keep-Alive field.
+std::chrono::milliseconds announced_idle(std::string_view field) {
+    constexpr std::string_view name = "timeout=";
+    const auto at = field.find(name);
+    if (at == std::string_view::npos) {
+        return assumed_idle;
+    }
+    const auto seconds = std::strtoul(std::string(field.substr(at + name.size())).c_str(),
+                                      nullptr, 10);
+    return std::chrono::seconds(seconds) - idle_margin;
+}
+
+}  // namespace detail
+
+target_link::target_link(std::unique_ptr<stream> connection, std::string request_id_header)
+    : connection_(std::move(connection)), request_id_header_(std::move(request_id_header)) {}
+
+void target_link::begin(std::string_view head, std::string request_id, bool expects_body,
+                        callbacks handlers) {
+    callbacks_ = std::move(handlers);
+    request_id_ = std::move(request_id);
+    sent_before_ = connection_->sent();
+    answered_ = false;
+    in_use_ = true;
+    input_.clear();
+    new_parser();
+    if (!expects_body) {
+        parser_->expect_no_body();
+    }
+    connection_->set_callbacks({[this] { read(); },
+                                [this] {
+                                    if (in_use_ && callbacks_.drained) {
+                                        callbacks_.drained();
+                                    }
+                                },
+                                [this](std::error_code error) { fail(error); }});
+    connection_->want_read(true);
+    connection_->write(head);
+}
+
+void target_link::write(std::string_view data) { connection_->write(data); }
+
+void target_link::new_parser() {
+    message_events events;
+    events.head = [this](message_head head) {
+        const auto id = field_of(head, request_id_header_);
+        foreign_ = id != request_id_;
+        if (foreign_ && head.keep_alive) {
+            return;
+        }
+        if (!head.keep_alive) {
+            reusable_ = false;
+        }
+        idle_until = std::chrono::steady_clock::now() +
+                     detail::announced_idle(field_of(head, "keep-alive"));
+        if (!foreign_ && callbacks_.head) {
+            callbacks_.head(head);
+        }
+    };
+    events.body = [this](std::string_view part) {
+        if (!foreign_ && callbacks_.body) {
+            callbacks_.body(part);
+        }
+    };
+    parser_ = std::make_unique<message_parser>(message_kind::answer, message_bounds{}, events);
+}
+
+void target_link::read() {
+    std::array<char, detail::link_read_bytes> chunk{};
+    const auto got = connection_->read(chunk);
+    if (got.would_block) {
+        return;
+    }
+    const auto still_there = std::weak_ptr<bool>(alive_);
+    if (got.closed || got.error) {
+        reusable_ = false;
+        // An answer without a length ends with its connection, but not with a reset.
+        if (got.closed && in_use_ && !foreign_ && parser_->finish()) {
+            answered_ = true;
+            const auto done = callbacks_.done;
+            done();
+            return;
+        }
+        fail(got.error ? got.error : std::make_error_code(std::errc::connection_reset));
+        return;
+    }
+    input_.append(chunk.data(), got.bytes);
+    while (!input_.empty()) {
+        const auto fed = parser_->feed(input_);
+        if (still_there.expired()) {
+            return;
+        }
+        input_.erase(0, fed.used);
+        if (fed.error != parse_error::none) {
+            fail(make_error_code(errc::malformed_message));
+            return;
+        }
+        if (!parser_->is_done()) {
+            return;
+        }
+        if (foreign_) {
+            new_parser();
+            continue;
+        }
+        // Bytes behind a whole answer belong to no request.
+        reusable_ = reusable_ && input_.empty();
+        input_.clear();
+        answered_ = true;
+        const auto done = callbacks_.done;
+        done();
+        return;
+    }
+}
+
+void target_link::fail(std::error_code error) {
+    reusable_ = false;
+    connection_->close();
+    if (in_use_ && !answered_) {
+        const auto lost = callbacks_.lost;
+        lost(error);
+    }
+}
+
+void target_link::end_use() {
+    in_use_ = false;
+    reusable_ = reusable_ && answered_ && connection_->queued() == 0 && connection_->is_open();
+    callbacks_ = {};
+    if (!reusable_) {
+        connection_->close();
+        return;
+    }
+    parser_.reset();
+    input_.shrink_to_fit();
+    connection_->want_read(false);
+    connection_->set_callbacks({});
+    idle_since = std::chrono::steady_clock::now();
+}
+
+bool target_link::is_quiet() {
+    std::array<char, 1> probe{};
+    return connection_->is_open() && std::chrono::steady_clock::now() < idle_until &&
+           connection_->read(probe).would_block;
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/target_registry.cpp
@@ -0,0 +1,57 @@
+#include "mimosavalve/gateway/target_registry.hpp"
+
+#include <algorithm>
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+bool is_same_use(const target_entry& left, const target_entry& right) {
+    return left.id == right.id && left.service == right.service &&
+           left.address == right.address && left.failure_domain == right.failure_domain &&
+           left.slots == right.slots && left.leaving == right.leaving &&
+           (left.cold_left_ms > 0) == (right.cold_left_ms > 0) &&
+           left.started_unix_ms == right.started_unix_ms;
+}
+
+}  // namespace detail
+
+void note_registry_outage(registry_memory& memory, boot_time now) {
+    memory.lenient_until = now + entry_return_time;
+}
+
+registry_state merge_reading(const registry_state& state, const registry_reading& reading,
+                             registry_memory& memory, boot_time now) {
+    if (reading.revision < state.revision) {
+        return state;
+    }
+    registry_state next;
+    next.revision = reading.revision;
+    next.evacuated_domains = reading.evacuated_domains;
+    for (const auto& entry : reading.targets) {
+        next.targets.insert_or_assign(entry.id, entry);
+        memory.missing_since.erase(entry.id);
+    }
+    for (const auto& [id, entry] : state.targets) {
+        if (next.targets.contains(id)) {
+            continue;
+        }
+        memory.missing_since.try_emplace(id, now);
+        if (now < memory.lenient_until) {
+            next.targets.emplace(id, entry);
+        } else {
+            memory.missing_since.erase(id);
+        }
+    }
+    return next;
+}
+
+bool differs_in_use(const registry_state& left, const registry_state& right) {
+    return left.evacuated_domains != right.evacuated_domains ||
+           !std::equal(left.targets.begin(), left.targets.end(), right.targets.begin(),
+                       right.targets.end(), [](const auto& one, const auto& other) {
+                           return detail::is_same_use(one.second, other.second);
+                       });
+}
+
+}  // namespace mimosavalve::gateway
