--- a/apps/mimosavalve-gate/main.cpp
+++ b/apps/mimosavalve-gate/main.cpp
@@ -25,9 +25,10 @@
 
 int main(int argc, char** argv) {
     try {
-        TCLAP::CmdLine line("Routes callers' requests to the targets that own their keys, on the "
-                            "users' platform.",
-                            ' ', MV_VERSION);
+        TCLAP::CmdLine line(
+            "Routes callers' requests to the targets that own their keys, on the "
+            "users' platform.",
+            ' ', MV_VERSION);
         TCLAP::ValueArg<std::string> settings_arg(
             "s", "settings", "Settings file; by default the one that the platform names", false,
             platform::settings_path(), "path", line);
@@ -42,10 +43,10 @@
         binding.read_settings = [path](std::string& problem) {
             return platform::read_settings(path, problem);
         };
-        binding.make_platform = [](gateway::call_client& client,
+        binding.make_platform = [](const gateway::platform_clients& clients,
                                    const gateway::gateway_settings& settings) {
-            return platform::make_platform(
-                client, gateway::parse_endpoint(settings.store_address).value());
+            return platform::make_platform(clients,
+                                           gateway::parse_endpoint(settings.store_address).value());
         };
         return gateway::run_gateway(binding);
     } catch (const TCLAP::ArgException& error) {
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -6,13 +6,19 @@
 
 set(MV_STRICT_WARNINGS -Wall -Wextra -Wpedantic -Wshadow)
 
+# Small parts that every program of the project shares.
+add_library(mv_core STATIC src/core/error.cpp src/core/types.cpp src/core/verdict.cpp
+                           src/observe/decision_log.cpp src/observe/histogram.cpp)
+target_include_directories(mv_core PUBLIC include)
+target_compile_options(mv_core PRIVATE ${MV_STRICT_WARNINGS})
+
 file(GLOB MV_GATEWAY_SOURCES CONFIGURE_DEPENDS src/gateway/*.cpp)
-add_library(mv_gateway STATIC ${MV_GATEWAY_SOURCES} src/observe/decision_log.cpp)
-target_include_directories(mv_gateway PUBLIC include PRIVATE src)
+add_library(mv_gateway STATIC ${MV_GATEWAY_SOURCES})
+target_include_directories(mv_gateway PRIVATE src)
 target_compile_options(mv_gateway PRIVATE ${MV_STRICT_WARNINGS})
 target_compile_definitions(mv_gateway PUBLIC BOOST_ASIO_NO_DEPRECATED BOOST_ALLOW_DEPRECATED_HEADERS
-                                             BOOST_ERROR_CODE_HEADER_ONLY BOOST_SYSTEM_NO_DEPRECATED)
-target_link_libraries(mv_gateway PUBLIC Boost::boost Threads::Threads)
+                                             BOOST_ERROR_CODE_HEADER_ONLY)
+target_link_libraries(mv_gateway PUBLIC mv_core Boost::boost Threads::Threads)
 
 file(GLOB MV_PLATFORM_SOURCES CONFIGURE_DEPENDS platform/*.cpp)
 add_library(mv_platform STATIC ${MV_PLATFORM_SOURCES})
@@ -23,12 +29,6 @@
 add_executable(mimosavalve-gate apps/mimosavalve-gate/main.cpp)
 target_compile_definitions(mimosavalve-gate PRIVATE MV_VERSION="${PROJECT_VERSION}")
 target_link_libraries(mimosavalve-gate PRIVATE mv_platform)
-
 if(MV_PLATFORM_ONLY)
-  # Shared with the rest of the library, which is not built here.
-  target_sources(mv_gateway PRIVATE src/core/error.cpp src/core/verdict.cpp
-                                    src/observe/histogram.cpp)
   target_link_options(mimosavalve-gate PRIVATE -s -Wl,--gc-sections -Wl,--as-needed)
-else()
-  target_link_libraries(mv_gateway PUBLIC mv_core)
 endif()
--- a/include/mimosavalve/gateway/call_client.hpp
+++ b/include/mimosavalve/gateway/call_client.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,7 +39,8 @@
     /// reported as `errc::target_unreachable`.
     using handler = std::function<void(std::error_code, call_answer)>;
 
-    explicit call_client(boost::asio::io_context& context);
+    /// At most `most_connections` calls to one endpoint run at a time; the others queue.
+    explicit call_client(boost::asio::io_context& context, std::size_t most_connections = 8);
     ~call_client();
     call_client(const call_client&) = delete;
     call_client& operator=(const call_client&) = delete;
@@ -56,9 +58,16 @@
     void begin(exchange& running, std::unique_ptr<stream> connection, bool reused);
     void read(exchange& running);
     void end(exchange& running, std::error_code error);
+    void start_next(const tcp::endpoint& to);
 
     boost::asio::io_context& context_;
+    std::size_t most_connections_;
     std::uint64_t next_number_ = 1;
+    struct endpoint_use {
+        std::size_t running = 0;
+        std::deque<std::uint64_t> queued;  ///< Numbers of exchanges.
+    };
+    std::map<tcp::endpoint, endpoint_use> uses_;
     std::map<std::uint64_t, std::unique_ptr<exchange>> running_;
     struct idle_connection {
         std::unique_ptr<stream> connection;
--- a/include/mimosavalve/gateway/gateway_daemon.hpp
+++ b/include/mimosavalve/gateway/gateway_daemon.hpp
@@ -13,7 +13,7 @@
 struct daemon_binding {
     /// Settings of this process; nothing, with the problem, when they cannot be used.
     std::function<std::optional<gateway_settings>(std::string& problem)> read_settings;
-    std::function<platform_port(call_client&, const gateway_settings&)> make_platform;
+    std::function<platform_port(const platform_clients&, const gateway_settings&)> make_platform;
     std::string settings_path;  ///< Watched for changes.
 };
 
--- a/include/mimosavalve/gateway/gateway_settings.hpp
+++ b/include/mimosavalve/gateway/gateway_settings.hpp
@@ -18,7 +18,7 @@
     double retry_ratio = 0.2;          ///< Repeats per request of a service, over all routers.
     double retry_extra = 60;           ///< Repeats per window on top of that.
     milliseconds retry_window{10000};
-    double cold_factor = 1.5;          ///< A cold target bears its rate times this, plus the extra.
+    double cold_factor = 1.5;  ///< A cold target bears its rate times this, plus the extra.
     double cold_extra = 5;
 };
 
--- a/include/mimosavalve/gateway/http_message.hpp
+++ b/include/mimosavalve/gateway/http_message.hpp
@@ -19,8 +19,8 @@
 
 /// Start line and fields of an HTTP/1.1 message.
 struct message_head {
-    std::string method;  ///< Empty in answers.
-    std::string target;  ///< Path and query as received; empty in answers.
+    std::string method;   ///< Empty in answers.
+    std::string target;   ///< Path and query as received; empty in answers.
     unsigned status = 0;  ///< 0 in requests.
     std::vector<header_field> fields;
     bool keep_alive = true;
--- a/include/mimosavalve/gateway/key_map.hpp
+++ b/include/mimosavalve/gateway/key_map.hpp
@@ -15,9 +15,9 @@
 struct key_segment {
     std::uint32_t first = 0;
     std::uint32_t last = 0;
-    std::string owner;        ///< Target id; empty: nobody.
-    std::uint64_t fence = 0;  ///< Above the fence of every earlier owner of these keys.
-    bool moving = false;      ///< Not recorded: the owner is changing, requests wait.
+    std::string owner;            ///< Target id; empty: nobody.
+    std::uint64_t fence = 0;      ///< Above the fence of every earlier owner of these keys.
+    bool moving = false;          ///< Not recorded: the owner is changing, requests wait.
     std::uint64_t owner_run = 0;  ///< Start of the owner's run, Unix ms; another run holds nothing.
 
     bool operator==(const key_segment&) const = default;
--- a/include/mimosavalve/gateway/key_plan.hpp
+++ b/include/mimosavalve/gateway/key_plan.hpp
@@ -25,7 +25,7 @@
 struct key_candidate {
     std::string id;
     std::uint64_t run = 0;
-    double capacity = 1;  ///< Relative to the others.
+    double capacity = 1;  ///< Requests per second that it can run.
 };
 
 /// Keys that get another owner.
@@ -44,12 +44,18 @@
 std::vector<planned_move> plan_homeless(const key_map& map, const key_rates& rates,
                                         const std::vector<key_candidate>& candidates);
 
-/// Answers the load of a few busy neighbouring keys that change within seconds: moves the narrowest
-/// ranges that bring an owner with much more than its share down to it. At most `most` moves.
+/// Answers the load of a few busy neighbouring keys that change within seconds: while an owner is
+/// close to its capacity and others are not, moves the narrowest ranges that relieve it. At most
+/// `most` moves.
 std::vector<planned_move> plan_balance(const key_map& map, const key_rates& rates,
                                        const std::vector<key_candidate>& candidates,
                                        std::size_t most);
 
+/// New fences for neighbouring ranges of one owner, so that one grant holds them.
+std::vector<planned_move> plan_joins(const key_map& map,
+                                     const std::vector<key_candidate>& candidates,
+                                     std::size_t most);
+
 /// Moves small, cold ranges to the owner of a neighbour when there are too many ranges.
 std::vector<planned_move> plan_merge(const key_map& map, const key_rates& rates,
                                      const std::vector<key_candidate>& candidates,
--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -16,12 +16,19 @@
 /// Router to leader, about every 300 ms: what the router knows and what it has seen.
 struct sync_request {
     std::string host;
-    std::uint64_t run = 0;  ///< Random at each start of the router's process.
+    std::string failure_domain;
+    std::uint64_t run = 0;    ///< Random at each start of the router's process.
     std::uint64_t epoch = 0;  ///< Of the leader that the router follows.
     std::uint64_t config_version = 0;
-    std::uint64_t registry_number = 0;                  ///< As numbered by the leader.
-    std::map<std::string, std::uint64_t> map_numbers;   ///< By service, as numbered by the leader.
-    std::map<std::string, key_load> key_loads;          ///< By service, since the last report.
+    std::uint64_t registry_number = 0;                 ///< As numbered by the leader.
+    std::map<std::string, std::uint64_t> map_numbers;  ///< By service, as numbered by the leader.
+    std::map<std::string, key_load> key_loads;         ///< By service, since the last report.
+    std::map<std::string, std::uint32_t> demand;       ///< Requests by service, since then.
+    struct work_report {
+        std::uint32_t count = 0;
+        double sum_ms = 0;
+    };
+    std::map<std::string, work_report> work;  ///< Answers by target that did not queue, since then.
 };
 
 /// Leader to router: whatever the router does not have yet.
@@ -35,7 +42,10 @@
     std::uint64_t registry_number = 0;
     std::optional<registry_state> registry;
     std::map<std::string, std::uint64_t> map_numbers;
-    std::map<std::string, key_map> maps;  ///< The changed ones.
+    std::map<std::string, key_map> maps;          ///< The changed ones.
+    std::map<std::string, std::uint32_t> places;  ///< Requests at a time, by target without keys.
+    std::map<std::string, double> rates;    ///< Requests per second, by target near its capacity.
+    std::map<std::string, double> work_ms;  ///< Mean work time by target.
 };
 
 std::string encode(const sync_request& message);
--- a/include/mimosavalve/gateway/platform_port.hpp
+++ b/include/mimosavalve/gateway/platform_port.hpp
@@ -82,8 +82,8 @@
     /// Answers with the changes after `revision` as soon as there are some, and with none shortly
     /// before the deadline. A deleted item has revision 0 and `created` is the revision of the
     /// deletion. `errc::history_lost`: list again.
-    std::function<void(std::string prefix, std::uint64_t revision, milliseconds wait,
-                       call_deadline, items_handler)>
+    std::function<void(std::string prefix, std::uint64_t revision, milliseconds wait, call_deadline,
+                       items_handler)>
         watch;
     /// `errc::store_conflict` when a condition does not hold, `errc::store_lease_expired` when a
     /// lease has ended.
@@ -119,11 +119,18 @@
 
 /// Keys of the store that the product reads or writes.
 struct store_keys {
-    std::string config;           ///< Configuration of the operators.
-    std::string evacuations;      ///< Prefix; the rest of a key is a failure domain.
-    std::string operators;        ///< Prefix of everything that operators write.
-    std::string targets;          ///< Prefix; the rest of a key is a target's id.
-    std::string own;              ///< Prefix of what our processes write.
+    std::string config;       ///< Configuration of the operators.
+    std::string evacuations;  ///< Prefix; the rest of a key is a failure domain.
+    std::string operators;    ///< Prefix of everything that operators write.
+    std::string targets;      ///< Prefix; the rest of a key is a target's id.
+    std::string own;          ///< Prefix of what our processes write.
+};
+
+/// Clients for the calls of one process, apart so that slow calls do not hold up others.
+struct platform_clients {
+    call_client* store = nullptr;
+    call_client* grants = nullptr;
+    call_client* releases = nullptr;
 };
 
 /// Everything that is particular to the platform. It decides nothing.
--- a/include/mimosavalve/gateway/target_link.hpp
+++ b/include/mimosavalve/gateway/target_link.hpp
@@ -28,7 +28,8 @@
     target_link(std::unique_ptr<stream> connection, std::string request_id_header);
 
     /// Sends the head of a request; `write` follows with the body.
-    void begin(std::string_view head, std::string request_id, bool expects_body, callbacks handlers);
+    void begin(std::string_view head, std::string request_id, bool expects_body,
+               callbacks handlers);
     void write(std::string_view data);
 
     /// Bytes that wait for the kernel.
--- a/include/mimosavalve/gateway/target_registry.hpp
+++ b/include/mimosavalve/gateway/target_registry.hpp
@@ -17,11 +17,11 @@
     std::string service;
     std::string address;  ///< "IP:PORT".
     std::string failure_domain;
-    std::uint32_t slots = 1;          ///< Requests that run at a time.
-    bool leaving = false;             ///< Takes no new requests soon.
-    std::uint32_t cold_left_ms = 0;   ///< How much longer the target is cold, when it was written.
+    std::uint32_t slots = 1;         ///< Requests that run at a time.
+    bool leaving = false;            ///< Takes no new requests soon.
+    std::uint32_t cold_left_ms = 0;  ///< How much longer the target is cold, when it was written.
     std::uint64_t started_unix_ms = 0;  ///< Start of this run; a restart under the same id differs.
-    std::uint64_t sequence = 0;       ///< Grows with each report of this run.
+    std::uint64_t sequence = 0;         ///< Grows with each report of this run.
 
     bool operator==(const target_entry&) const = default;
 };
@@ -29,8 +29,8 @@
 /// All targets at one revision of the store.
 struct registry_state {
     std::uint64_t revision = 0;
-    std::map<std::string, target_entry> targets;    ///< By id.
-    std::set<std::string> evacuated_domains;  ///< Nothing more is sent to targets there.
+    std::map<std::string, target_entry> targets;  ///< By id.
+    std::set<std::string> evacuated_domains;      ///< Nothing more is sent to targets there.
 };
 
 /// What a reader saw in one complete read.
@@ -43,7 +43,7 @@
 
 /// Remembers which entries are missing only because the store was away.
 struct registry_memory {
-    boot_time lenient_until;                  ///< Until then missing entries are kept.
+    boot_time lenient_until;  ///< Until then missing entries are kept.
     std::map<std::string, boot_time> missing_since;
 };
 
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -24,14 +24,20 @@
     target_entry entry;
     std::uint32_t running = 0;      ///< Requests of this router at the target.
     std::uint32_t connections = 0;  ///< Open ones of this router, idle ones too.
-    target_load load;               ///< As last reported.
+    target_load load;               ///< As last reported,
+    std::uint32_t load_own = 0;     ///< with so many of this router's requests still there.
     boot_time load_at;
-    double latency_ms = 0;         ///< Running mean of whole answers.
+    double work_ms = 0;            ///< Mean time of its work without a queue; 0: not known.
+    std::uint32_t work_count = 0;  ///< Answers without a queue since the last report,
+    double work_sum_ms = 0;        ///< and the sum of their times.
     std::uint32_t failures = 0;    ///< In a row, without any answer.
     boot_time avoid_until;         ///< Set after failures in a row.
     boot_time cold_until;          ///< Cold until then, as far as is known.
     bool fresh = true;             ///< Started while this router ran and not yet known to be warm.
     rate_gate cold_gate;           ///< This router's share of what a cold target bears.
+    double lent_rate = 0;          ///< Requests per second that this router may send; 0: no bound.
+    double tokens = 0;             ///< Of that rate.
+    boot_time tokens_at;
 };
 
 /// Everything that routing decisions read; changed by the control side only.
@@ -47,6 +53,9 @@
     platform_bounds bounds;
     std::uint32_t routers = 1;  ///< Routers that share limits which hold for their sum.
     std::uint32_t rank = 0;     ///< Of this router among them, from 0.
+    /// Requests that this router may have at each target without keys, lent by the leader. Empty:
+    /// nothing was lent yet.
+    std::map<std::string, std::uint32_t, std::less<>> places;
 };
 
 /// Brings `targets` in line with the registry. A target that started anew gets a new state; the
@@ -55,7 +64,11 @@
 
 /// Notes the load that came with an answer.
 void note_load(target_state& target, const target_load& load, boot_time now);
-void note_success(target_state& target, milliseconds latency);
+/// `queued`: the request may have waited at the target, so its time is not that of the work.
+void note_success(target_state& target, milliseconds latency, bool queued);
+
+/// Mean time of a target's work: its own, else that of the targets of its service.
+double work_ms_of(const routing_state& state, const target_state& target);
 /// A request or connection ended without any answer.
 void note_failure(target_state& target, boot_time now);
 
@@ -91,6 +104,9 @@
 /// Whether a target's region is among the homes of a route.
 bool is_at_home(const routing_state& state, const target_entry& target, const route& on);
 
+/// Whether any route may use the target.
+bool has_use(const routing_state& state, const target_entry& target);
+
 /// Whether new requests may be sent to the target at all.
 bool may_send(const routing_state& state, const target_state& target, boot_time now);
 
--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -9,11 +9,13 @@
 // Callers wait at most a third of the time they have left before they come back.
 constexpr double waited_part = 1.0 / 3;
 constexpr double shortest_return_ms = 50;
+constexpr double least_places = 0.05;
 
 }  // namespace detail
 
 double expected_wait_ms(const wait_estimate& estimate) {
-    return (estimate.ahead + 1.0) * estimate.work_ms / std::max(estimate.places, 1U);
+    return (estimate.ahead + 1.0) * estimate.work_ms /
+           std::max(estimate.places, detail::least_places);
 }
 
 bool should_refuse(const wait_estimate& estimate, milliseconds objective_left) {
--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -45,16 +45,22 @@
     std::string input;
     call_answer answer;
     bool reused = false;
+    bool started = false;
 
     explicit exchange(boost::asio::io_context& context) : timer(context) {}
 };
 
-call_client::call_client(boost::asio::io_context& context) : context_(context) {}
+call_client::call_client(boost::asio::io_context& context, std::size_t most_connections)
+    : context_(context), most_connections_(most_connections) {}
 call_client::~call_client() = default;
 
-std::size_t call_client::running() const { return running_.size(); }
+std::size_t call_client::running() const {
+    return running_.size();
+}
 
-void call_client::forget(const tcp::endpoint& to) { idle_.erase(to); }
+void call_client::forget(const tcp::endpoint& to) {
+    idle_.erase(to);
+}
 
 void call_client::send(const tcp::endpoint& to, call what, call_deadline deadline, handler done) {
     auto added = std::make_unique<exchange>(context_);
@@ -72,7 +78,31 @@
         }
     });
     auto& placed = *running_.emplace(number, std::move(added)).first->second;
-    start(placed, false);
+    auto& use = uses_[to];
+    if (use.running < most_connections_) {
+        ++use.running;
+        placed.started = true;
+        start(placed, false);
+    } else {
+        use.queued.push_back(number);
+    }
+}
+
+void call_client::start_next(const tcp::endpoint& to) {
+    auto& use = uses_[to];
+    while (!use.queued.empty()) {
+        const auto found = running_.find(use.queued.front());
+        use.queued.pop_front();
+        if (found != running_.end()) {
+            found->second->started = true;
+            start(*found->second, false);
+            return;
+        }
+    }
+    --use.running;
+    if (use.running == 0) {
+        uses_.erase(to);
+    }
 }
 
 void call_client::start(exchange& running, bool fresh_only) {
@@ -82,8 +112,7 @@
         auto taken = std::move(idle.back());
         idle.pop_back();
         std::array<char, 1> probe{};
-        if (now - taken.since < detail::longest_idle &&
-            taken.connection->read(probe).would_block) {
+        if (now - taken.since < detail::longest_idle && taken.connection->read(probe).would_block) {
             begin(running, std::move(taken.connection), true);
             return;
         }
@@ -164,6 +193,12 @@
             idle.push_back({std::move(ended->connection), std::chrono::steady_clock::now()});
         }
     }
+    if (ended->started) {
+        start_next(ended->to);
+    } else if (error == std::errc::timed_out) {
+        // It never left the queue.
+        error = make_error_code(errc::target_unreachable);
+    }
     const auto done = std::move(ended->done);
     auto answer = std::move(ended->answer);
     // The exchange may be on the call stack of its own connection; it ends after that.
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -46,9 +46,9 @@
     std::unique_ptr<exchange> exchange_;
     std::string input_;
     steady::time_point active_ = steady::now();
-    bool answered_ = false;       ///< The answer was written; the rest of the body is dropped.
-    bool request_read_ = false;   ///< The whole request was read.
-    bool closing_ = false;        ///< Close once everything is written.
+    bool answered_ = false;      ///< The answer was written; the rest of the body is dropped.
+    bool request_read_ = false;  ///< The whole request was read.
+    bool closing_ = false;       ///< Close once everything is written.
     bool is_closed_ = false;
     bool in_parser_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -118,6 +118,7 @@
     service_ = choose_part(core_, *route_);
     key_ = detail::number_of(field_of(head_, core_.platform.headers.key));
     const auto now = boot_clock::now();
+    ++core_.demand[demand_place(service_, route_->home_regions)];
     note_request(core_.repeats[service_], core_.settings.bounds, now);
     const auto kind = core_.state.config.services.find(service_);
     if (key_ && kind != core_.state.config.services.end() && kind->second.keyed) {
@@ -149,36 +150,60 @@
 
 void exchange::begin_waiting(choice_kind why) {
     if (why == choice_kind::wait_for_room) {
-        wait_estimate estimate;
-        std::uint32_t places = 0;
-        double work = 0;
-        std::uint32_t measured = 0;
-        const auto kind = core_.state.config.services.find(service_);
-        for (const auto& [id, target] : core_.state.targets) {
-            if (target->entry.service == service_ && kind != core_.state.config.services.end()) {
-                places += window_of(core_.state, *target, kind->second);
-                work += target->latency_ms;
-                measured += target->latency_ms > 0 ? 1 : 0;
-            }
-        }
-        for (const auto* other : core_.waiting) {
-            estimate.ahead += other->service_ == service_ ? 1 : 0;
-        }
-        estimate.places = std::max(places, 1U);
-        estimate.work_ms = measured > 0 ? work / measured : 0;
         const auto left = route_->objective - milliseconds(age_ms());
-        if (should_refuse(estimate, left)) {
+        if (should_refuse(estimate_wait(), left)) {
             refuse(detail::status_unavailable, "overloaded");
             return;
         }
     }
     waiting_ = true;
-    const auto before = std::find_if(
-        core_.waiting.begin(), core_.waiting.end(),
-        [this](const exchange* other) { return other->priority() > priority(); });
+    const auto before =
+        std::find_if(core_.waiting.begin(), core_.waiting.end(),
+                     [this](const exchange* other) { return other->priority() > priority(); });
     waiting_place_ = core_.waiting.insert(before, this);
 }
 
+wait_estimate exchange::estimate_wait() const {
+    wait_estimate estimate;
+    const auto kind = core_.state.config.services.find(service_);
+    const bool keyed = key_ && kind != core_.state.config.services.end() && kind->second.keyed;
+    const auto owner_of = [this](const exchange& of) {
+        const auto map = core_.state.keys.find(of.service_);
+        return map == core_.state.keys.end() || !of.key_
+                   ? std::string_view()
+                   : std::string_view(segment_of(map->second, *of.key_).owner);
+    };
+    const auto owner = keyed ? owner_of(*this) : std::string_view();
+    for (const auto* other : core_.waiting) {
+        if (other->service_ == service_ && (!keyed || owner_of(*other) == owner)) {
+            ++estimate.ahead;
+        }
+    }
+    double work = 0;
+    std::uint32_t known = 0;
+    double places = 0;
+    for (const auto& [id, target] : core_.state.targets) {
+        if (target->entry.service != service_ || (keyed && id != owner) ||
+            !is_at_home(core_.state, target->entry, *route_)) {
+            continue;
+        }
+        work += work_ms_of(core_.state, *target);
+        ++known;
+        const auto lent = core_.state.places.find(id);
+        if (keyed && target->lent_rate > 0) {
+            constexpr double ms_per_s = 1000;
+            places += target->lent_rate * work_ms_of(core_.state, *target) / ms_per_s;
+        } else if (!keyed && lent != core_.state.places.end()) {
+            places += lent->second;
+        } else if (keyed) {
+            places += target->entry.slots;
+        }
+    }
+    estimate.work_ms = known > 0 ? work / known : 0;
+    estimate.places = places;
+    return estimate;
+}
+
 void exchange::stop_waiting() {
     if (waiting_) {
         core_.waiting.erase(waiting_place_);
@@ -336,18 +361,18 @@
         return;
     }
     const auto found = core_.state.targets.find(target_id_);
-    auto* target = found != core_.state.targets.end() &&
-                           found->second->entry.started_unix_ms == target_run_
-                       ? found->second.get()
-                       : nullptr;
+    auto* target =
+        found != core_.state.targets.end() && found->second->entry.started_unix_ms == target_run_
+            ? found->second.get()
+            : nullptr;
     if (target != nullptr) {
         --target->running;
     }
     if (link_) {
         link_->end_use();
         // A body that was not sent to its end would be read as the next request.
-        const bool whole_body = body_complete_ && body_sent_ >= body_.size() &&
-                                (!head_.chunked || body_end_sent_);
+        const bool whole_body =
+            body_complete_ && body_sent_ >= body_.size() && (!head_.chunked || body_end_sent_);
         if (link_->is_reusable() && whole_body && target != nullptr) {
             core_.idle_links[target_id_].push_back(std::move(link_));
         } else {
@@ -390,8 +415,8 @@
 
 void exchange::take_answer_end() {
     const auto& names = core_.platform.headers;
-    const bool not_run = has_field(answer_, names.not_run) ||
-                         answer_.status == detail::status_misdirected;
+    const bool not_run =
+        has_field(answer_, names.not_run) || answer_.status == detail::status_misdirected;
     const bool success =
         answer_.status >= detail::status_ok && answer_.status < detail::status_multiple_choices;
     if (not_run && !streaming_) {
@@ -406,8 +431,14 @@
     verdict_ = traffic_verdict::ran;
     const auto found = core_.state.targets.find(target_id_);
     if (found != core_.state.targets.end()) {
+        const auto& target = *found->second;
+        const auto region = core_.state.regions.find(target.entry.failure_domain);
+        // Times from another region hold the way there, too.
+        const bool queued = target.load.waiting > 0 || target.load.slots == 0 ||
+                            region == core_.state.regions.end() ||
+                            region->second != core_.state.own_region;
         note_success(*found->second,
-                     std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_));
+                     std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_), queued);
     }
     answer_from_target();
 }
@@ -478,8 +509,8 @@
     if (!reached && attempts_ == 0) {
         verdict_ = traffic_verdict::not_run;
     }
-    const bool repeatable = !reached || (route_->kind == request_kind::idempotent &&
-                                         attempts_ < route_->most_targets);
+    const bool repeatable =
+        !reached || (route_->kind == request_kind::idempotent && attempts_ < route_->most_targets);
     if (repeatable && may_repeat(reached)) {
         if (!reached) {
             tried_.push_back(from);
@@ -542,10 +573,9 @@
 void exchange::answer_from_target() {
     const auto status = answer_.status;
     record_latency(core_.metrics, to_string(route_->kind),
-                   static_cast<std::uint64_t>(
-                       std::chrono::duration_cast<std::chrono::microseconds>(steady::now() -
-                                                                             arrived_)
-                           .count()));
+                   static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                                  steady::now() - arrived_)
+                                                  .count()));
     keep_alive_ = keep_alive_ && !core_.stopping;
     if (streaming_) {
         if (!answer_.content_length) {
@@ -556,8 +586,8 @@
         return;
     }
     const bool without_body = head_.method == "HEAD";
-    auto text = answer_head(answer_, without_body ? answer_.content_length.value_or(0)
-                                                  : answer_body_.size());
+    auto text = answer_head(
+        answer_, without_body ? answer_.content_length.value_or(0) : answer_body_.size());
     text.append(answer_body_);
     finish("answered", status);
     sink_.whole(std::move(text));
@@ -576,8 +606,8 @@
             milliseconds(given.value_or(detail::default_deadline.count())) - milliseconds(age_ms());
         wait_estimate estimate;
         estimate.work_ms = route_ ? static_cast<double>(route_->objective.count()) / 2 : 0;
-        const auto wait = retry_after(estimate, std::max(left, milliseconds(0)),
-                                      detail::random_part());
+        const auto wait =
+            retry_after(estimate, std::max(left, milliseconds(0)), detail::random_part());
         constexpr double ms_per_s = 1000;
         head.fields.push_back({core_.platform.headers.retry_after,
                                std::to_string(static_cast<double>(wait.count()) / ms_per_s)});
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -10,6 +10,7 @@
 
 #include "mimosavalve/core/verdict.hpp"
 #include "mimosavalve/gateway/admission.hpp"
+#include "mimosavalve/gateway/place_plan.hpp"
 #include "router_core.hpp"
 
 namespace mimosavalve::gateway {
@@ -61,6 +62,8 @@
     void dispatch();
     void begin_waiting(choice_kind why);
     void stop_waiting();
+    /// What is known about the wait for a place at the targets that may run the request.
+    [[nodiscard]] wait_estimate estimate_wait() const;
     void open_link(target_state& target);
     void send_on(std::unique_ptr<target_link> link);
     void pump_body();
@@ -93,8 +96,8 @@
     std::optional<std::uint32_t> key_;
     traffic_verdict verdict_ = traffic_verdict::not_run;
 
-    std::string body_;             ///< Kept from the start, so that it can be sent again.
-    std::size_t body_sent_ = 0;    ///< Of `body_`, on the current link.
+    std::string body_;           ///< Kept from the start, so that it can be sent again.
+    std::size_t body_sent_ = 0;  ///< Of `body_`, on the current link.
     bool body_complete_ = false;
     bool body_end_sent_ = false;  ///< The last chunk was sent on the current link.
     bool body_replayable_ = true;
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -1,6 +1,7 @@
 #include "fleet_control.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -34,17 +35,24 @@
 constexpr milliseconds leader_silence{900};
 constexpr milliseconds records_time{1500};
 // The leader keeps a router's call this long when there is nothing new.
-constexpr milliseconds reply_wait{300};
+constexpr milliseconds reply_wait{200};
 constexpr milliseconds sync_call_time{900};
 constexpr milliseconds sync_retry{150};
 // A router that was not heard of for this long no longer shares limits. Longer than a cut after
 // which a router may go on sending without our knowledge.
 constexpr milliseconds follower_life{10000};
 constexpr milliseconds control_tick{50};
+// Places are divided again, and work times passed on, this often.
+constexpr milliseconds lending_time{200};
+constexpr milliseconds work_time{1000};
+// Weight of one answer in a target's mean work time.
+constexpr double work_weight = 0.1;
 constexpr const char* sync_path = "/sync";
 constexpr const char* cbor_type = "application/cbor";
 
-call_deadline call_in(milliseconds time) { return std::chrono::steady_clock::now() + time; }
+call_deadline call_in(milliseconds time) {
+    return std::chrono::steady_clock::now() + time;
+}
 
 milliseconds next_pause(milliseconds pause) {
     return std::min(std::max(pause * 2, first_pause), longest_pause);
@@ -71,22 +79,22 @@
 fleet_control::~fleet_control() = default;
 
 void fleet_control::every(milliseconds period, std::function<void()> step) {
-    auto& timer = *timers_.emplace_back(
-        std::make_unique<boost::asio::steady_timer>(core_.context, period));
+    auto& timer =
+        *timers_.emplace_back(std::make_unique<boost::asio::steady_timer>(core_.context, period));
     auto repeat = std::make_shared<std::function<void()>>();
     *repeat = [this, &timer, period, step = std::move(step),
                again = std::weak_ptr<std::function<void()>>(repeat)] {
-        timer.async_wait([this, &timer, period, step, again,
-                          alive = std::weak_ptr<bool>(alive_)](auto error) {
-            if (error || alive.expired()) {
-                return;
-            }
-            timer.expires_after(period);
-            step();
-            if (const auto next = again.lock()) {
-                (*next)();
-            }
-        });
+        timer.async_wait(
+            [this, &timer, period, step, again, alive = std::weak_ptr<bool>(alive_)](auto error) {
+                if (error || alive.expired()) {
+                    return;
+                }
+                timer.expires_after(period);
+                step();
+                if (const auto next = again.lock()) {
+                    (*next)();
+                }
+            });
     };
     (*repeat)();
     repeats_.push_back(std::move(repeat));
@@ -99,9 +107,10 @@
         const auto now = boot_clock::now();
         if (leading_) {
             keep_lease();
-            if (!core_.key_loads.empty()) {
-                decider_.add_loads(core_.key_loads);
-                core_.key_loads.clear();
+            if (now >= next_lending_) {
+                auto own = make_request();
+                take_reports(core_.settings.host, own, now);
+                lend(now);
             }
             decider_.tick();
             for (auto& waiting : waiting_replies_) {
@@ -154,25 +163,25 @@
 
 void fleet_control::list_operators() {
     operators_running_ = true;
-    core_.platform.store.list(
-        core_.platform.keys.operators, "", detail::call_in(detail::store_call_time),
-        [this](std::error_code error, const store_items& items) {
-            operators_running_ = false;
-            note_store(!error, "list operators");
-            if (error) {
-                retry_operators();
-                return;
-            }
-            operators_pause_ = {};
-            operators_known_ = true;
-            operators_revision_ = items.revision;
-            evacuated_.clear();
-            for (const auto& item : items.items) {
-                take_operator_item(item);
-            }
-            apply_evacuations();
-            watch_operators();
-        });
+    core_.platform.store.list(core_.platform.keys.operators, "",
+                              detail::call_in(detail::store_call_time),
+                              [this](std::error_code error, const store_items& items) {
+                                  operators_running_ = false;
+                                  note_store(!error, "list operators");
+                                  if (error) {
+                                      retry_operators();
+                                      return;
+                                  }
+                                  operators_pause_ = {};
+                                  operators_known_ = true;
+                                  operators_revision_ = items.revision;
+                                  evacuated_.clear();
+                                  for (const auto& item : items.items) {
+                                      take_operator_item(item);
+                                  }
+                                  apply_evacuations();
+                                  watch_operators();
+                              });
 }
 
 void fleet_control::watch_operators() {
@@ -213,8 +222,8 @@
         const auto domain = item.key.substr(keys.evacuations.size());
         const bool on = item.revision != 0;
         if (on != evacuated_.contains(domain)) {
-            core_.log.write_always("evacuation", {{"failure_domain", domain},
-                                                  {"on", std::int64_t{on}}});
+            core_.log.write_always("evacuation",
+                                   {{"failure_domain", domain}, {"on", std::int64_t{on}}});
         }
         if (on) {
             evacuated_.insert(domain);
@@ -265,42 +274,42 @@
 // --- The leader ---
 
 void fleet_control::list_leader() {
-    core_.platform.store.list(
-        core_.platform.keys.own + "leader", "", detail::call_in(detail::store_call_time),
-        [this](std::error_code error, const store_items& items) {
-            note_store(!error, "list leader");
-            if (error) {
-                retry_leader();
-                return;
-            }
-            leader_pause_ = {};
-            leader_revision_ = items.revision;
-            if (items.items.empty()) {
-                take_leader({});
-            } else {
-                take_leader(items.items.front());
-            }
-            watch_leader();
-        });
+    core_.platform.store.list(core_.platform.keys.own + "leader", "",
+                              detail::call_in(detail::store_call_time),
+                              [this](std::error_code error, const store_items& items) {
+                                  note_store(!error, "list leader");
+                                  if (error) {
+                                      retry_leader();
+                                      return;
+                                  }
+                                  leader_pause_ = {};
+                                  leader_revision_ = items.revision;
+                                  if (items.items.empty()) {
+                                      take_leader({});
+                                  } else {
+                                      take_leader(items.items.front());
+                                  }
+                                  watch_leader();
+                              });
 }
 
 void fleet_control::watch_leader() {
-    core_.platform.store.watch(
-        core_.platform.keys.own + "leader", leader_revision_, detail::watch_time,
-        detail::call_in(detail::watch_time + detail::watch_slack),
-        [this](std::error_code error, const store_items& items) {
-            if (error) {
-                note_store(error == errc::history_lost, "watch leader");
-                retry_leader();
-                return;
-            }
-            note_store(true, "watch leader");
-            leader_revision_ = std::max(items.revision, leader_revision_);
-            if (!items.items.empty()) {
-                take_leader(items.items.back());
-            }
-            watch_leader();
-        });
+    core_.platform.store.watch(core_.platform.keys.own + "leader", leader_revision_,
+                               detail::watch_time,
+                               detail::call_in(detail::watch_time + detail::watch_slack),
+                               [this](std::error_code error, const store_items& items) {
+                                   if (error) {
+                                       note_store(error == errc::history_lost, "watch leader");
+                                       retry_leader();
+                                       return;
+                                   }
+                                   note_store(true, "watch leader");
+                                   leader_revision_ = std::max(items.revision, leader_revision_);
+                                   if (!items.items.empty()) {
+                                       take_leader(items.items.back());
+                                   }
+                                   watch_leader();
+                               });
 }
 
 void fleet_control::retry_leader() {
@@ -332,9 +341,9 @@
     leader_host_ = body.is_object() ? body.value("host", "") : "";
     leader_address_ = body.is_object() ? body.value("address", "") : "";
     if (item.created != leader_epoch_) {
-        core_.log.write_always("leader_known",
-                               {{"host", leader_host_},
-                                {"epoch", static_cast<std::int64_t>(item.created)}});
+        core_.log.write_always(
+            "leader_known",
+            {{"host", leader_host_}, {"epoch", static_cast<std::int64_t>(item.created)}});
     }
     leader_epoch_ = item.created;
     if (leading_ && body.is_object() && body.value("run", std::uint64_t{0}) != run_) {
@@ -349,8 +358,8 @@
     }
     standing_ = true;
     next_election_ = boot_clock::now() + detail::election_pause;
-    const auto pause = milliseconds(
-        static_cast<std::int64_t>(detail::random_number()) % detail::election_spread.count());
+    const auto pause = milliseconds(static_cast<std::int64_t>(detail::random_number()) %
+                                    detail::election_spread.count());
     auto timer = std::make_shared<boost::asio::steady_timer>(core_.context, pause);
     timer->async_wait([this, timer, alive = std::weak_ptr<bool>(alive_)](auto error) {
         if (error || alive.expired()) {
@@ -383,16 +392,16 @@
             const auto key = core_.platform.keys.own + "leader";
             batch.conditions = {{key, 0}};
             batch.writes = {{key, value.dump(), lease}};
-            core_.platform.store.write(
-                batch, detail::call_in(detail::store_call_time),
-                [this, until = sent + ttl - detail::lease_margin](std::error_code failed,
-                                                                  std::uint64_t revision) {
-                    standing_ = false;
-                    if (!failed) {
-                        lead(revision, until);
-                    }
-                    // Without an answer the watch tells who leads; the lease lapses.
-                });
+            core_.platform.store.write(batch, detail::call_in(detail::store_call_time),
+                                       [this, until = sent + ttl - detail::lease_margin](
+                                           std::error_code failed, std::uint64_t revision) {
+                                           standing_ = false;
+                                           if (!failed) {
+                                               lead(revision, until);
+                                           }
+                                           // Without an answer the watch tells who leads; the lease
+                                           // lapses.
+                                       });
         });
 }
 
@@ -509,20 +518,20 @@
     const bool changed = differs_in_use(core_.state.registry, next);
     for (const auto& [id, entry] : next.targets) {
         const auto known = core_.state.registry.targets.find(id);
-        if (known == core_.state.registry.targets.end() ||
-            known->second.leaving != entry.leaving ||
+        if (known == core_.state.registry.targets.end() || known->second.leaving != entry.leaving ||
             known->second.started_unix_ms != entry.started_unix_ms) {
-            core_.log.write("target_state", {{"target", id},
-                                             {"service", entry.service},
-                                             {"leaving", std::int64_t{entry.leaving}},
-                                             {"revision", static_cast<std::int64_t>(next.revision)}});
+            core_.log.write("target_state",
+                            {{"target", id},
+                             {"service", entry.service},
+                             {"leaving", std::int64_t{entry.leaving}},
+                             {"revision", static_cast<std::int64_t>(next.revision)}});
         }
     }
     for (const auto& [id, entry] : core_.state.registry.targets) {
         if (!next.targets.contains(id)) {
-            core_.log.write("target_gone",
-                            {{"target", id},
-                             {"revision", static_cast<std::int64_t>(next.revision)}});
+            core_.log.write(
+                "target_gone",
+                {{"target", id}, {"revision", static_cast<std::int64_t>(next.revision)}});
         }
     }
     core_.state.registry = next;
@@ -538,22 +547,21 @@
 void fleet_control::read_key_records() {
     next_records_ = boot_clock::now() + detail::records_time;
     const auto prefix = core_.platform.keys.own + "keys/";
-    core_.platform.store.list(
-        prefix, "", detail::call_in(detail::store_call_time),
-        [this, prefix](std::error_code error, const store_items& items) {
-            note_store(!error, "list keys");
-            if (error || leading_) {
-                return;
-            }
-            for (const auto& item : items.items) {
-                if (auto map = decode_key_map(item.value)) {
-                    core_.state.keys.insert_or_assign(item.key.substr(prefix.size()),
-                                                      std::move(*map));
-                }
-            }
-            followed_maps_.clear();
-            state_changed();
-        });
+    core_.platform.store.list(prefix, "", detail::call_in(detail::store_call_time),
+                              [this, prefix](std::error_code error, const store_items& items) {
+                                  note_store(!error, "list keys");
+                                  if (error || leading_) {
+                                      return;
+                                  }
+                                  for (const auto& item : items.items) {
+                                      if (auto map = decode_key_map(item.value)) {
+                                          core_.state.keys.insert_or_assign(
+                                              item.key.substr(prefix.size()), std::move(*map));
+                                      }
+                                  }
+                                  followed_maps_.clear();
+                                  state_changed();
+                              });
 }
 
 // --- Following, and being followed ---
@@ -561,6 +569,7 @@
 sync_request fleet_control::make_request() {
     sync_request out;
     out.host = core_.settings.host;
+    out.failure_domain = core_.settings.failure_domain;
     out.run = run_;
     out.epoch = leader_epoch_;
     out.config_version = core_.state.config.version;
@@ -570,6 +579,15 @@
     }
     out.key_loads = std::move(core_.key_loads);
     core_.key_loads.clear();
+    out.demand = std::move(core_.demand);
+    core_.demand.clear();
+    for (auto& [id, target] : core_.state.targets) {
+        if (target->work_count > 0) {
+            out.work[id] = {target->work_count, target->work_sum_ms};
+            target->work_count = 0;
+            target->work_sum_ms = 0;
+        }
+    }
     return out;
 }
 
@@ -624,6 +642,15 @@
     if (!reply.config_text.empty()) {
         take_config(reply.config_text, 0);
     }
+    core_.state.places.clear();
+    core_.state.places.insert(reply.places.begin(), reply.places.end());
+    take_rates(reply.rates);
+    for (const auto& [id, work_ms] : reply.work_ms) {
+        const auto found = core_.state.targets.find(id);
+        if (found != core_.state.targets.end()) {
+            found->second->work_ms = work_ms;
+        }
+    }
     bool changed = false;
     for (const auto& [service, map] : reply.maps) {
         core_.state.keys.insert_or_assign(service, map);
@@ -653,16 +680,18 @@
         return;
     }
     const auto now = boot_clock::now();
-    followers_[request->host] = {request->run, now};
-    decider_.add_loads(request->key_loads);
-    request->key_loads.clear();
+    auto& from = followers_[request->host];
+    from.run = request->run;
+    from.failure_domain = request->failure_domain;
+    from.seen = now;
+    take_reports(request->host, *request, now);
     pending_reply waiting{std::move(*request), std::move(respond), now + detail::reply_wait};
     bool is_behind = waiting.request.config_version < core_.state.config.version ||
                      waiting.request.registry_number != registry_number_;
     for (const auto& [service, number] : map_numbers_) {
         const auto known = waiting.request.map_numbers.find(service);
-        is_behind = is_behind || known == waiting.request.map_numbers.end() ||
-                    known->second != number;
+        is_behind =
+            is_behind || known == waiting.request.map_numbers.end() || known->second != number;
     }
     if (is_behind) {
         reply_to(waiting);
@@ -671,6 +700,112 @@
     }
 }
 
+void fleet_control::take_reports(const std::string& host, sync_request& request, boot_time now) {
+    decider_.add_loads(request.key_loads);
+    for (const auto& [service, load] : request.key_loads) {
+        const auto map = core_.state.keys.find(service);
+        if (map == core_.state.keys.end()) {
+            continue;
+        }
+        for (const auto& [key, requests] : load.counts) {
+            note_demand(demand_, segment_of(map->second, key).owner, host, requests, now);
+        }
+    }
+    request.key_loads.clear();
+    for (const auto& [service, requests] : request.demand) {
+        note_demand(demand_, service, host, requests, now);
+    }
+    for (const auto& [id, report] : request.work) {
+        const auto found = core_.state.targets.find(id);
+        if (found == core_.state.targets.end() || report.count == 0) {
+            continue;
+        }
+        auto& known = found->second->work_ms;
+        const double mean = report.sum_ms / report.count;
+        const double weight = std::min(report.count * detail::work_weight, 1.0);
+        known = known == 0 ? mean : known + (mean - known) * weight;
+    }
+}
+
+void fleet_control::lend(boot_time now) {
+    next_lending_ = now + detail::lending_time;
+    forget_old_demand(demand_, now);
+    lent_places_.clear();
+    lent_rates_.clear();
+    for (const auto& [name, kind] : core_.state.config.services) {
+        lend_service(kind, now);
+    }
+    const auto own = lent_places_.find(core_.settings.host);
+    core_.state.places.clear();
+    if (own != lent_places_.end()) {
+        core_.state.places.insert(own->second.begin(), own->second.end());
+    }
+    take_rates(lent_rates_[core_.settings.host]);
+}
+
+void fleet_control::lend_service(const service& kind, boot_time now) {
+    std::map<std::string, std::string> routers;  // With their failure domains.
+    routers.emplace(core_.settings.host, core_.settings.failure_domain);
+    for (const auto& [host, known] : followers_) {
+        routers.emplace(host, known.failure_domain);
+    }
+    constexpr double ms_per_s = 1000;
+    const auto capacity_of = [&](const target_state& target) {
+        return target.entry.slots * ms_per_s / work_ms_of(core_.state, target);
+    };
+    struct region_targets {
+        std::vector<lent_target> targets;
+        double capacity = 0;
+    };
+    std::map<std::string, region_targets> by_region;
+    for (const auto& [id, target] : core_.state.targets) {
+        if (target->entry.service != kind.name || !may_send(core_.state, *target, now)) {
+            continue;
+        }
+        if (kind.keyed) {
+            std::vector<borrowing_router> borrowing;
+            for (const auto& [host, domain] : routers) {
+                borrowing.push_back({host, demand_of(demand_, id, host, now)});
+            }
+            for (const auto& [host, rate] : lend_rates(capacity_of(*target), borrowing)) {
+                lent_rates_[host].emplace(id, rate);
+            }
+            continue;
+        }
+        if (!has_use(core_.state, target->entry)) {
+            continue;
+        }
+        auto& in = by_region[region_of(core_.settings, target->entry.failure_domain)];
+        in.capacity += capacity_of(*target);
+        in.targets.push_back({id, 0});
+    }
+    for (auto& [region, in] : by_region) {
+        std::vector<borrowing_router> borrowing;
+        double demand = 0;
+        for (const auto& [host, domain] : routers) {
+            const auto wanted = demand_in_region(demand_, core_.state, kind.name, region, host,
+                                                 region_of(core_.settings, domain), now);
+            if (wanted.may_use) {
+                borrowing.push_back({host, wanted.per_second});
+                demand += wanted.per_second;
+            }
+        }
+        for (auto& target : in.targets) {
+            target.places = places_of(core_.state.targets[target.id]->entry, demand / in.capacity);
+        }
+        for (const auto& [host, places] : lend_places(in.targets, borrowing)) {
+            lent_places_[host].insert(places.begin(), places.end());
+        }
+    }
+}
+
+void fleet_control::take_rates(const std::map<std::string, double>& rates) {
+    for (auto& [id, target] : core_.state.targets) {
+        const auto found = rates.find(id);
+        target->lent_rate = found == rates.end() ? 0 : found->second;
+    }
+}
+
 void fleet_control::reply_to(pending_reply& waiting) {
     const auto now = boot_clock::now();
     const auto& request = waiting.request;
@@ -699,6 +834,23 @@
             reply.maps.emplace(service, core_.state.keys[service]);
         }
     }
+    const auto places = lent_places_.find(request.host);
+    if (places != lent_places_.end()) {
+        reply.places = places->second;
+    }
+    const auto rates = lent_rates_.find(request.host);
+    if (rates != lent_rates_.end()) {
+        reply.rates = rates->second;
+    }
+    auto& asking = followers_[request.host];
+    if (now - asking.told_work >= detail::work_time) {
+        asking.told_work = now;
+        for (const auto& [id, target] : core_.state.targets) {
+            if (target->work_ms > 0) {
+                reply.work_ms.emplace(id, std::round(target->work_ms));
+            }
+        }
+    }
     core_.state.routers = reply.routers;
     core_.state.rank = 0;
     const auto respond = std::move(waiting.respond);
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -9,6 +9,7 @@
 
 #include "key_decider.hpp"
 #include "mimosavalve/gateway/peer_messages.hpp"
+#include "mimosavalve/gateway/place_plan.hpp"
 #include "router_core.hpp"
 #include "small_server.hpp"
 
@@ -35,7 +36,9 @@
 private:
     struct follower {
         std::uint64_t run = 0;
+        std::string failure_domain;
         boot_time seen;
+        boot_time told_work;  ///< When it last got the work times.
     };
     struct pending_reply {
         sync_request request;
@@ -71,6 +74,10 @@
     void take_sync(const sync_reply& reply);
     void reply_to(pending_reply& waiting);
     void state_changed();
+    void take_reports(const std::string& host, sync_request& request, boot_time now);
+    void lend(boot_time now);
+    void take_rates(const std::map<std::string, double>& rates);
+    void lend_service(const service& kind, boot_time now);
     [[nodiscard]] sync_request make_request();
 
     router_core& core_;
@@ -124,6 +131,10 @@
     std::uint64_t followed_registry_ = 0;
     std::map<std::string, std::uint64_t> followed_maps_;
     std::map<std::string, follower> followers_;
+    demand_rates demand_;
+    lent_places lent_places_;
+    std::map<std::string, std::map<std::string, double>> lent_rates_;  ///< By host, then target.
+    boot_time next_lending_;
     std::vector<pending_reply> waiting_replies_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -55,6 +55,8 @@
           log_(STDOUT_FILENO),
           core_(context_, std::move(settings), log_),
           calls_(context_),
+          grants_(context_, 1),
+          releases_(context_),
           control_(core_, calls_),
           sweep_(context_),
           waiting_(context_),
@@ -63,7 +65,7 @@
           stop_timer_(context_),
           signals_(context_, SIGTERM, SIGINT, SIGHUP),
           stamp_(stamp_of(binding.settings_path)) {
-        core_.platform = binding_.make_platform(calls_, core_.settings);
+        core_.platform = binding_.make_platform({&calls_, &grants_, &releases_}, core_.settings);
         core_.defer = [this](std::function<void()> step) {
             boost::asio::post(context_, std::move(step));
         };
@@ -94,9 +96,10 @@
         watch_settings();
         control_.start();
         context_.run();
-        log_.write_always("stop", {{"host", settings.host},
-                                   {"requests", static_cast<std::int64_t>(
-                                                    core_.metrics.counters["requests_finished"])}});
+        log_.write_always(
+            "stop",
+            {{"host", settings.host},
+             {"requests", static_cast<std::int64_t>(core_.metrics.counters["requests_finished"])}});
     }
 
 private:
@@ -326,6 +329,8 @@
     observe::decision_log log_;
     router_core core_;
     call_client calls_;
+    call_client grants_;  // One connection to each target: they count against its bound.
+    call_client releases_;
     fleet_control control_;
     std::unordered_map<caller_session*, std::unique_ptr<caller_session>> sessions_;
     std::unique_ptr<listener> callers_;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -34,8 +34,8 @@
         }
         out += "mimosavalve_latency_us_sum" + label + "} " +
                std::to_string(latency.sum_microseconds()) + "\n";
-        out += "mimosavalve_latency_us_count" + label + "} " + std::to_string(latency.total()) +
-               "\n";
+        out +=
+            "mimosavalve_latency_us_count" + label + "} " + std::to_string(latency.total()) + "\n";
     }
     return out;
 }
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -16,9 +16,13 @@
 namespace http = boost::beast::http;
 using boost::beast::iequals;
 
-std::string_view view_of(boost::beast::string_view text) { return {text.data(), text.size()}; }
+std::string_view view_of(boost::beast::string_view text) {
+    return {text.data(), text.size()};
+}
 
-boost::beast::string_view beast_view(std::string_view text) { return {text.data(), text.size()}; }
+boost::beast::string_view beast_view(std::string_view text) {
+    return {text.data(), text.size()};
+}
 
 template <bool IsRequest>
 class collecting_parser final : public http::basic_parser<IsRequest> {
@@ -212,8 +216,8 @@
 
 bool is_hop_by_hop(const message_head& head, std::string_view name) {
     static constexpr std::string_view always[] = {
-        "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
-        "upgrade",    "content-length"};
+        "connection", "keep-alive",        "proxy-connection", "te",
+        "trailer",    "transfer-encoding", "upgrade",          "content-length"};
     if (std::any_of(std::begin(always), std::end(always), [&](std::string_view fixed) {
             return detail::iequals(detail::beast_view(fixed), detail::beast_view(name));
         })) {
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -27,18 +27,20 @@
 constexpr milliseconds settling_time{700};
 constexpr milliseconds longest_settling{4000};
 // Pause between plans, so that the effect of the last one shows in the rates.
-constexpr milliseconds plan_pause{400};
+constexpr milliseconds plan_pause{250};
 constexpr std::size_t moves_per_plan = 6;
 constexpr std::size_t merges_per_plan = 2;
 // Fences of one leader start at its epoch times this; a leader gives fewer in its time.
 constexpr std::uint64_t fences_per_epoch = 4096;
 constexpr std::uint32_t most_grant_tries = 4;
 
-call_deadline in(milliseconds time) { return std::chrono::steady_clock::now() + time; }
+call_deadline in(milliseconds time) {
+    return std::chrono::steady_clock::now() + time;
+}
 
 milliseconds with_margin(milliseconds hold) {
-    return milliseconds(static_cast<std::int64_t>(static_cast<double>(hold.count()) *
-                                                  clock_margin)) +
+    return milliseconds(
+               static_cast<std::int64_t>(static_cast<double>(hold.count()) * clock_margin)) +
            transit_time;
 }
 
@@ -72,8 +74,7 @@
     const auto [found, added] = holders_.try_emplace(id);
     if (added) {
         // A predecessor may have granted the longest hold just before its end.
-        found->second.held_until =
-            began_ + detail::with_margin(core_.settings.bounds.longest_hold);
+        found->second.held_until = began_ + detail::with_margin(core_.settings.bounds.longest_hold);
     }
     const auto entry = core_.state.registry.targets.find(id);
     if (entry != core_.state.registry.targets.end()) {
@@ -139,9 +140,9 @@
                     services_[name].loaded = true;
                 }
             }
-            core_.log.write_always(
-                "leader_loaded", {{"epoch", static_cast<std::int64_t>(right_.epoch)},
-                                  {"records", static_cast<std::int64_t>(items.items.size())}});
+            core_.log.write_always("leader_loaded",
+                                   {{"epoch", static_cast<std::int64_t>(right_.epoch)},
+                                    {"records", static_cast<std::int64_t>(items.items.size())}});
             changed_();
         }));
 }
@@ -169,16 +170,17 @@
         if (known != holders_.end() && known->second.failed >= detail::failures_to_lose) {
             continue;
         }
+        constexpr double ms_per_s = 1000;
         const key_candidate candidate{id, entry.started_unix_ms,
-                                      static_cast<double>(entry.slots)};
+                                      entry.slots * ms_per_s / work_ms_of(core_.state, *target)};
         // An owner that turned cold keeps its keys: moving them makes more targets slow.
         const auto map = core_.state.keys.find(name);
-        const bool owns = map != core_.state.keys.end() &&
-                          std::any_of(map->second.segments.begin(), map->second.segments.end(),
-                                      [&](const auto& segment) {
-                                          return segment.owner == id &&
-                                                 segment.owner_run == entry.started_unix_ms;
-                                      });
+        const bool owns =
+            map != core_.state.keys.end() &&
+            std::any_of(
+                map->second.segments.begin(), map->second.segments.end(), [&](const auto& segment) {
+                    return segment.owner == id && segment.owner_run == entry.started_unix_ms;
+                });
         (is_cold(*target, now) && !owns ? cold : warm).push_back(candidate);
     }
     return warm.empty() ? cold : warm;
@@ -232,6 +234,9 @@
     }
     state.next_plan = now + detail::plan_pause;
     auto moves = plan_balance(map, state.rates, candidates, detail::moves_per_plan);
+    if (moves.empty()) {
+        moves = plan_joins(map, candidates, detail::moves_per_plan);
+    }
     if (moves.empty()) {
         moves = plan_merge(map, state.rates, candidates, detail::merges_per_plan);
     }
@@ -242,6 +247,13 @@
 
 void key_decider::start_move(const std::string& name, service_state& state,
                              const planned_move& planned, boot_time now) {
+    const bool overlaps =
+        std::any_of(state.moves.begin(), state.moves.end(), [&](const running_move& other) {
+            return other.keys.first <= planned.last && planned.first <= other.keys.last;
+        });
+    if (overlaps) {
+        return;
+    }
     auto& map = core_.state.keys[name];
     const auto old = segment_of(map, planned.first);
     running_move move;
@@ -303,20 +315,20 @@
             if (found == services_.end()) {
                 return;
             }
-            for (auto& move : found->second.moves) {
-                if (move.keys.fence != fence || move.phase != move_phase::releasing) {
+            for (auto& released : found->second.moves) {
+                if (released.keys.fence != fence || released.phase != move_phase::releasing) {
                     continue;
                 }
-                move.call_running = false;
+                released.call_running = false;
                 if (error) {
                     continue;
                 }
-                move.handover = handover;
+                released.handover = handover;
                 // A grant that got no answer may still take effect after the release, at a run
                 // that has forgotten the fence.
-                move.not_before = holder_of(move.old_owner).unanswered_until;
-                if (boot_clock::now() >= move.not_before) {
-                    move.phase = move_phase::ready;
+                released.not_before = holder_of(released.old_owner).unanswered_until;
+                if (boot_clock::now() >= released.not_before) {
+                    released.phase = move_phase::ready;
                 }
             }
             tick();
@@ -474,11 +486,8 @@
     if (found == services_.end()) {
         return;
     }
-    const auto& current = segment_of(core_.state.keys[service], keys.first);
-    const bool known = std::any_of(
-        found->second.moves.begin(), found->second.moves.end(),
-        [&](const auto& move) { return move.keys.first == keys.first; });
-    if (known || current.fence != keys.fence || current.moving) {
+    // A renewal that was on its way while a part of its range moved tells nothing.
+    if (segment_of(core_.state.keys[service], keys.first) != keys) {
         return;
     }
     start_move(service, found->second, {keys.first, keys.last, keys.owner, keys.owner_run},
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -51,7 +51,7 @@
         std::string old_owner;
         move_phase phase = move_phase::ready;
         std::string handover;
-        boot_time not_before;     ///< The old owner may hold the keys until then.
+        boot_time not_before;  ///< The old owner may hold the keys until then.
         boot_time next_try;
         std::uint32_t tries = 0;
         bool call_running = false;
@@ -72,7 +72,7 @@
         boot_time held_until;        ///< Nothing granted so far lasts longer.
         boot_time unanswered_until;  ///< Grants without an answer do not last longer.
         boot_time next_renewal;
-        std::uint32_t failed = 0;    ///< Renewals in a row without an answer.
+        std::uint32_t failed = 0;  ///< Renewals in a row without an answer.
         std::uint32_t calls_running = 0;
     };
 
--- a/src/gateway/key_plan.cpp
+++ b/src/gateway/key_plan.cpp
@@ -11,12 +11,13 @@
 
 // Rates follow a shift of the load within about this time; with a few hundred requests a second a
 // shorter one would follow chance.
-constexpr double rate_time_s = 1.5;
-// Below this the rates say little, and keys are spread by their number.
-constexpr double least_total_rate = 5;
-// An owner is relieved above this part of its share, by more than this rate.
-constexpr double overload_part = 1.25;
-constexpr double overload_rate = 1.5;
+constexpr double rate_time_s = 1.0;
+// An owner is relieved above this part of its capacity, where its queue begins to grow, if that is
+// well above the mean of all owners.
+constexpr double busy_part = 0.6;
+constexpr double above_mean = 1.3;
+// Requests per second that a move has to bring at least, against moves that follow chance.
+constexpr double least_gain = 1.0;
 // Every key weighs a little, so that idle keys are spread too.
 constexpr double idle_key_rate = 1.0 / key_count;
 // Ranges per owner above which neighbours are joined again.
@@ -87,6 +88,51 @@
     return best;
 }
 
+// The ranges of an owner beside its busiest key, when that key alone is as much as the owner should
+// have and the rest is worth a move. Empty otherwise.
+std::vector<key_segment> isolate(const key_rates& rates, const key_map& map,
+                                 const owner_load& owner, double goal) {
+    std::uint32_t busiest = 0;
+    float most = 0;
+    std::vector<key_segment> owned;
+    for (const auto& segment : map.segments) {
+        if (segment.owner != owner.candidate->id || segment.moving) {
+            continue;
+        }
+        owned.push_back(segment);
+        for (auto key = segment.first; key <= segment.last; ++key) {
+            if (rates.by_key[key] > most) {
+                most = rates.by_key[key];
+                busiest = key;
+            }
+        }
+    }
+    if (most < goal * owner.candidate->capacity) {
+        return {};
+    }
+    std::vector<key_segment> rest;
+    const auto add = [&](key_segment part, std::uint32_t first, std::uint32_t last) {
+        part.first = first;
+        part.last = last;
+        if (first <= last && rate_of(rates, first, last) > least_gain / 4) {
+            rest.push_back(part);
+        }
+    };
+    for (const auto& segment : owned) {
+        if (busiest < segment.first || busiest > segment.last) {
+            add(segment, segment.first, segment.last);
+            continue;
+        }
+        if (busiest > segment.first) {
+            add(segment, segment.first, busiest - 1);
+        }
+        if (busiest < segment.last) {
+            add(segment, busiest + 1, segment.last);
+        }
+    }
+    return rest;
+}
+
 }  // namespace detail
 
 void decay(key_rates& rates, boot_time now) {
@@ -126,11 +172,10 @@
     }
     auto loads = detail::loads_of(map, rates, candidates);
     // A range is cut so that its pieces can go to different owners.
-    const auto piece_rate = std::accumulate(loads.begin(), loads.end(), 0.0,
-                                            [](double sum, const auto& load) {
-                                                return sum + load.second.share;
-                                            }) /
-                            static_cast<double>(loads.size()) / 2;
+    const auto piece_rate =
+        std::accumulate(loads.begin(), loads.end(), 0.0,
+                        [](double sum, const auto& load) { return sum + load.second.share; }) /
+        static_cast<double>(loads.size()) / 2;
     for (const auto& segment : map.segments) {
         if (segment.moving || detail::is_home(segment, candidates)) {
             continue;
@@ -163,17 +208,24 @@
         return moves;
     }
     auto loads = detail::loads_of(map, rates, candidates);
-    const auto total = rate_of(rates, 0, key_count - 1);
-    const auto least_rate =
-        total < detail::least_total_rate ? 0.0 : detail::overload_rate;
+    double capacity = 0;
+    double total = 0;
+    for (const auto& [id, load] : loads) {
+        capacity += load.candidate->capacity;
+        total += load.rate;
+    }
+    const double mean = total / capacity;
+    // Owners are brought down to this part of their capacity.
+    const double goal = std::max(mean, detail::busy_part * 0.75);
+    const auto use_of = [](const detail::owner_load& load) {
+        return load.rate / load.candidate->capacity;
+    };
     auto next = map;
     while (moves.size() < most) {
         detail::owner_load* heaviest = nullptr;
         for (auto& [id, load] : loads) {
-            if (load.rate > load.share * detail::overload_part &&
-                load.rate > load.share + least_rate &&
-                (heaviest == nullptr ||
-                 load.rate / load.share > heaviest->rate / heaviest->share)) {
+            if (use_of(load) > detail::busy_part && use_of(load) > mean * detail::above_mean &&
+                (heaviest == nullptr || use_of(load) > use_of(*heaviest))) {
                 heaviest = &load;
             }
         }
@@ -181,8 +233,31 @@
         if (heaviest == nullptr || lightest == heaviest) {
             break;
         }
-        const auto wanted = std::min(heaviest->rate - heaviest->share,
-                                     std::max(lightest->share - lightest->rate, 0.0));
+        const auto alone = detail::isolate(rates, next, *heaviest, goal);
+        if (!alone.empty()) {
+            for (const auto& part : alone) {
+                auto* to = detail::least_loaded(loads);
+                if (to == heaviest || moves.size() >= most) {
+                    break;
+                }
+                const auto rate = rate_of(rates, part.first, part.last);
+                moves.push_back({part.first, part.last, to->candidate->id, to->candidate->run});
+                to->rate += rate;
+                heaviest->rate -= rate;
+                auto moved = part;
+                moved.owner = to->candidate->id;
+                moved.moving = true;
+                assign(next, moved);
+            }
+            loads.erase(heaviest->candidate->id);
+            continue;
+        }
+        const auto room = goal * lightest->candidate->capacity - lightest->rate;
+        const auto excess = heaviest->rate - goal * heaviest->candidate->capacity;
+        const auto wanted = std::min(excess, room);
+        if (wanted < detail::least_gain) {
+            break;
+        }
         // From the owner's busiest range.
         const key_segment* busiest = nullptr;
         double busiest_rate = 0;
@@ -197,17 +272,11 @@
         if (busiest == nullptr) {
             break;
         }
-        key_segment moved = detail::narrowest(rates, *busiest, std::min(wanted, busiest_rate / 2));
-        if (total < detail::least_total_rate) {
-            // Without load, the ranges are evened out by their width.
-            const auto width = static_cast<std::uint32_t>(wanted / detail::idle_key_rate);
-            moved = *busiest;
-            moved.last = std::min(moved.last, moved.first + std::max(width, 1U) - 1);
-        }
-        const auto rate = rate_of(rates, moved.first, moved.last) +
-                          (moved.last - moved.first + 1) * detail::idle_key_rate;
+        auto moved = detail::narrowest(rates, *busiest, std::min(wanted, busiest_rate));
+        const auto rate = rate_of(rates, moved.first, moved.last);
         // A single key that is busier than the room elsewhere only moves the overload.
-        if (rate >= heaviest->rate || lightest->rate + rate > heaviest->rate) {
+        if (rate < detail::least_gain ||
+            (lightest->rate + rate) / lightest->candidate->capacity >= use_of(*heaviest)) {
             break;
         }
         moves.push_back(
@@ -221,6 +290,25 @@
     return moves;
 }
 
+std::vector<planned_move> plan_joins(const key_map& map,
+                                     const std::vector<key_candidate>& candidates,
+                                     std::size_t most) {
+    std::vector<planned_move> moves;
+    for (std::size_t at = 0; at + 1 < map.segments.size() && moves.size() < most; ++at) {
+        const auto& left = map.segments[at];
+        std::size_t end = at;
+        while (end + 1 < map.segments.size() && map.segments[end + 1].owner == left.owner &&
+               map.segments[end + 1].owner_run == left.owner_run && !map.segments[end + 1].moving) {
+            ++end;
+        }
+        if (end > at && !left.moving && detail::is_home(left, candidates)) {
+            moves.push_back({left.first, map.segments[end].last, left.owner, left.owner_run});
+            at = end;
+        }
+    }
+    return moves;
+}
+
 std::vector<planned_move> plan_merge(const key_map& map, const key_rates& rates,
                                      const std::vector<key_candidate>& candidates,
                                      std::size_t most) {
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -31,8 +31,8 @@
     key_map out;
     out.segments.clear();
     for (const auto& item : value) {
-        out.segments.push_back({item.at(0), item.at(1), item.at(2), item.at(3), item.at(4),
-                                item.at(5)});
+        out.segments.push_back(
+            {item.at(0), item.at(1), item.at(2), item.at(3), item.at(4), item.at(5)});
     }
     return out;
 }
@@ -73,7 +73,14 @@
         }
         loads[service] = {load.keys_per_counter, std::move(counts)};
     }
+    detail::json work = detail::json::object();
+    for (const auto& [id, report] : message.work) {
+        work[id] = {report.count, report.sum_ms};
+    }
     return detail::to_bytes({{"host", message.host},
+                             {"domain", message.failure_domain},
+                             {"demand", message.demand},
+                             {"work", std::move(work)},
                              {"run", message.run},
                              {"epoch", message.epoch},
                              {"config", message.config_version},
@@ -87,11 +94,16 @@
         const auto body = detail::from_bytes(bytes);
         sync_request out;
         out.host = body.at("host");
+        out.failure_domain = body.at("domain");
         out.run = body.at("run");
         out.epoch = body.at("epoch");
         out.config_version = body.at("config");
         out.registry_number = body.at("registry");
         out.map_numbers = body.at("maps").get<std::map<std::string, std::uint64_t>>();
+        out.demand = body.at("demand").get<std::map<std::string, std::uint32_t>>();
+        for (const auto& [id, value] : body.at("work").items()) {
+            out.work[id] = {value.at(0), value.at(1)};
+        }
         for (const auto& [service, value] : body.at("loads").items()) {
             key_load load;
             load.keys_per_counter = std::max(value.at(0).get<std::uint32_t>(), 1U);
@@ -114,7 +126,10 @@
                          {"store_age_ms", message.store_age_ms},
                          {"config", message.config_version},
                          {"registry_number", message.registry_number},
-                         {"map_numbers", message.map_numbers}};
+                         {"map_numbers", message.map_numbers},
+                         {"places", message.places},
+                         {"rates", message.rates},
+                         {"work_ms", message.work_ms}};
     if (!message.config_text.empty()) {
         body["config_text"] = message.config_text;
     }
@@ -141,6 +156,9 @@
         out.config_version = body.at("config");
         out.registry_number = body.at("registry_number");
         out.map_numbers = body.at("map_numbers").get<std::map<std::string, std::uint64_t>>();
+        out.places = body.at("places").get<std::map<std::string, std::uint32_t>>();
+        out.rates = body.at("rates").get<std::map<std::string, double>>();
+        out.work_ms = body.at("work_ms").get<std::map<std::string, double>>();
         out.config_text = body.value("config_text", "");
         if (body.contains("registry")) {
             out.registry = detail::registry_from_json(body.at("registry"));
@@ -156,7 +174,9 @@
     }
 }
 
-std::string encode(const key_map& map) { return detail::to_bytes(detail::map_to_json(map)); }
+std::string encode(const key_map& map) {
+    return detail::to_bytes(detail::map_to_json(map));
+}
 
 std::optional<key_map> decode_key_map(std::string_view bytes) {
     try {
--- /dev/null
+++ b/src/gateway/place_plan.cpp
@@ -0,0 +1,194 @@
+#include "mimosavalve/gateway/place_plan.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// Demand moves between routers within seconds, as callers open and close connections.
+constexpr double demand_time_s = 1.0;
+constexpr double negligible_demand = 0.01;
+// Every router may have some demand at any moment.
+constexpr double least_demand = 0.2;
+// Places per slot of a busy and of an idle service, and the use at which each begins.
+constexpr double busy_places = 1.5;
+constexpr double idle_places = 3;
+constexpr double busy_use = 0.85;
+constexpr double idle_use = 0.5;
+// Rates are lent from this part of an owner's capacity on, and up to this part of it: an owner
+// that is kept just below its capacity has a short queue.
+constexpr double hot_part = 0.7;
+constexpr double lent_part = 0.95;
+
+double rate_at(const demand_rates::rate& rate, boot_time now) {
+    const auto passed = std::chrono::duration<double>(now - rate.noted).count();
+    return rate.per_second * std::exp(-std::max(passed, 0.0) / demand_time_s);
+}
+
+}  // namespace detail
+
+void note_demand(demand_rates& rates, const std::string& place, const std::string& router,
+                 std::uint32_t requests, boot_time now) {
+    auto& rate = rates.by_place[place][router];
+    rate.per_second = detail::rate_at(rate, now) + requests / detail::demand_time_s;
+    rate.noted = now;
+}
+
+double demand_of(const demand_rates& rates, const std::string& place, const std::string& router,
+                 boot_time now) {
+    const auto known = rates.by_place.find(place);
+    if (known == rates.by_place.end()) {
+        return 0;
+    }
+    const auto found = known->second.find(router);
+    return found == known->second.end() ? 0 : detail::rate_at(found->second, now);
+}
+
+double total_demand(const demand_rates& rates, const std::string& place, boot_time now) {
+    double total = 0;
+    const auto known = rates.by_place.find(place);
+    if (known != rates.by_place.end()) {
+        for (const auto& [router, rate] : known->second) {
+            total += detail::rate_at(rate, now);
+        }
+    }
+    return total;
+}
+
+std::string demand_place(const std::string& service, const std::vector<std::string>& homes) {
+    auto place = service;
+    for (const auto& region : homes) {
+        place += "\n" + region;
+    }
+    return place;
+}
+
+region_demand demand_in_region(const demand_rates& rates, const routing_state& state,
+                               const std::string& service, const std::string& region,
+                               const std::string& router, const std::string& own, boot_time now) {
+    std::set<std::string> served;
+    for (const auto& [id, target] : state.targets) {
+        const auto found = state.regions.find(target->entry.failure_domain);
+        if (target->entry.service == service && found != state.regions.end() &&
+            may_send(state, *target, now)) {
+            served.insert(found->second);
+        }
+    }
+    region_demand out;
+    std::set<std::string> counted;
+    for (const auto& on : state.config.routes) {
+        const bool uses = std::any_of(
+            on.services.begin(), on.services.end(),
+            [&](const auto& part) { return part.service == service && part.weight > 0; });
+        const auto place = demand_place(service, on.home_regions);
+        if (!uses || !counted.insert(place).second) {
+            continue;
+        }
+        const auto rate = demand_of(rates, place, router, now);
+        if (on.home_regions.empty()) {
+            if (region == own || !served.contains(own)) {
+                out.may_use = true;
+                out.per_second += rate;
+            }
+            continue;
+        }
+        const auto homes = std::count_if(on.home_regions.begin(), on.home_regions.end(),
+                                         [&](const auto& home) { return served.contains(home); });
+        if (std::find(on.home_regions.begin(), on.home_regions.end(), region) !=
+                on.home_regions.end() &&
+            homes > 0) {
+            out.may_use = true;
+            out.per_second += rate / static_cast<double>(homes);
+        }
+    }
+    return out;
+}
+
+void forget_old_demand(demand_rates& rates, boot_time now) {
+    for (auto& [place, routers] : rates.by_place) {
+        std::erase_if(routers, [&](const auto& item) {
+            return detail::rate_at(item.second, now) < detail::negligible_demand;
+        });
+    }
+    std::erase_if(rates.by_place, [](const auto& item) { return item.second.empty(); });
+}
+
+std::uint32_t places_of(const target_entry& target, double use) {
+    const double busy =
+        std::clamp((use - detail::idle_use) / (detail::busy_use - detail::idle_use), 0.0, 1.0);
+    const double per_slot =
+        detail::idle_places + (detail::busy_places - detail::idle_places) * busy;
+    return static_cast<std::uint32_t>(std::ceil(target.slots * per_slot));
+}
+
+lent_places lend_places(const std::vector<lent_target>& targets,
+                        const std::vector<borrowing_router>& routers) {
+    lent_places lent;
+    // Neighbours in this list are places of different targets, so that each router gets a mix.
+    std::vector<const std::string*> places;
+    for (std::uint32_t round = 0;; ++round) {
+        const auto before = places.size();
+        for (const auto& target : targets) {
+            if (round < target.places) {
+                places.push_back(&target.id);
+            }
+        }
+        if (places.size() == before) {
+            break;
+        }
+    }
+    if (places.empty()) {
+        return lent;
+    }
+    double demand = 0;
+    for (const auto& router : routers) {
+        demand += router.demand + detail::least_demand;
+    }
+    std::vector<double> shares;
+    double total = 0;
+    for (const auto& router : routers) {
+        const auto part =
+            static_cast<double>(places.size()) * (router.demand + detail::least_demand) / demand;
+        shares.push_back(std::max(std::round(part), 1.0));
+        total += shares.back();
+    }
+    // The routers take turns in proportion to their shares.
+    std::vector<double> given(routers.size(), 0);
+    for (std::size_t step = 0; step < static_cast<std::size_t>(total); ++step) {
+        std::size_t next = 0;
+        double most = -1;
+        for (std::size_t at = 0; at < routers.size(); ++at) {
+            const auto due = shares[at] * static_cast<double>(step + 1) / total - given[at];
+            if (given[at] < shares[at] && due > most) {
+                most = due;
+                next = at;
+            }
+        }
+        given[next] += 1;
+        ++lent[routers[next].host][*places[step % places.size()]];
+    }
+    return lent;
+}
+
+std::map<std::string, double> lend_rates(double capacity,
+                                         const std::vector<borrowing_router>& routers) {
+    std::map<std::string, double> lent;
+    double demand = 0;
+    for (const auto& router : routers) {
+        demand += router.demand;
+    }
+    if (demand < capacity * detail::hot_part) {
+        return lent;
+    }
+    demand += detail::least_demand * static_cast<double>(routers.size());
+    for (const auto& router : routers) {
+        lent[router.host] =
+            capacity * detail::lent_part * (router.demand + detail::least_demand) / demand;
+    }
+    return lent;
+}
+
+}  // namespace mimosavalve::gateway
--- a/src/gateway/repeat_budget.cpp
+++ b/src/gateway/repeat_budget.cpp
@@ -26,9 +26,9 @@
                  boot_time now) {
     detail::forget_older(budget.requests, now - bounds.retry_window);
     detail::forget_older(budget.repeats, now - bounds.retry_window);
-    const auto allowed = detail::used_part *
-                         (bounds.retry_ratio * static_cast<double>(budget.requests.size()) +
-                          bounds.retry_extra / std::max(routers, 1U));
+    const auto allowed =
+        detail::used_part * (bounds.retry_ratio * static_cast<double>(budget.requests.size()) +
+                             bounds.retry_extra / std::max(routers, 1U));
     if (static_cast<double>(budget.repeats.size()) + 1 > allowed) {
         return false;
     }
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -39,6 +39,7 @@
     gateway_metrics metrics;
     std::map<std::string, repeat_budget> repeats;  ///< By service.
     std::map<std::string, key_load> key_loads;     ///< By keyed service; since the last report.
+    std::map<std::string, std::uint32_t> demand;   ///< Requests by service; since the last report.
     std::map<std::string, std::vector<std::unique_ptr<target_link>>> idle_links;  ///< By target id.
     std::map<std::string, double> split_credit;  ///< By route and service, for weighted turns.
     bool stopping = false;
--- a/src/gateway/small_server.cpp
+++ b/src/gateway/small_server.cpp
@@ -22,22 +22,23 @@
 }
 
 void listener::accept() {
-    acceptor_.async_accept([this, alive = std::weak_ptr<bool>(alive_)](auto error, tcp::socket socket) {
-        if (alive.expired() || error == boost::asio::error::operation_aborted) {
-            return;
-        }
-        if (error) {
-            pause_.expires_after(detail::accept_pause);
-            pause_.async_wait([this, alive](auto failed) {
-                if (!failed && !alive.expired()) {
-                    accept();
-                }
-            });
-            return;
-        }
-        accepted_(std::make_unique<stream>(std::move(socket)));
-        accept();
-    });
+    acceptor_.async_accept(
+        [this, alive = std::weak_ptr<bool>(alive_)](auto error, tcp::socket socket) {
+            if (alive.expired() || error == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (error) {
+                pause_.expires_after(detail::accept_pause);
+                pause_.async_wait([this, alive](auto failed) {
+                    if (!failed && !alive.expired()) {
+                        accept();
+                    }
+                });
+                return;
+            }
+            accepted_(std::make_unique<stream>(std::move(socket)));
+            accept();
+        });
 }
 
 struct small_server::session {
@@ -113,8 +114,8 @@
     from.head = {};
     from.body.clear();
     handle_(head, std::move(body),
-            [this, number = from.number, alive = std::weak_ptr<bool>(alive_)](
-                const small_answer& what) {
+            [this, number = from.number,
+             alive = std::weak_ptr<bool>(alive_)](const small_answer& what) {
                 if (!alive.expired()) {
                     answer(number, what);
                 }
--- a/src/gateway/stream.cpp
+++ b/src/gateway/stream.cpp
@@ -38,7 +38,9 @@
 
 }  // namespace detail
 
-stream::stream(tcp::socket socket) : socket_(std::move(socket)) { detail::set_options(socket_); }
+stream::stream(tcp::socket socket) : socket_(std::move(socket)) {
+    detail::set_options(socket_);
+}
 
 void stream::want_read(bool on) {
     read_wanted_ = on;
@@ -96,8 +98,7 @@
         return;
     }
     boost::system::error_code error;
-    const auto count =
-        socket_.write_some(boost::asio::buffer(data.data(), data.size()), error);
+    const auto count = socket_.write_some(boost::asio::buffer(data.data(), data.size()), error);
     sent_ += count;
     if (error && error != boost::asio::error::would_block &&
         error != boost::asio::error::try_again) {
@@ -159,16 +160,15 @@
     boost::system::error_code ignored;
     socket_.close(ignored);
     // Not inside the call that noticed it, so that callers need not expect to be re-entered.
-    boost::asio::post(socket_.get_executor(),
-                      [this, error, alive = std::weak_ptr<bool>(alive_)] {
-                          if (alive.expired()) {
-                              return;
-                          }
-                          const auto failed = callbacks_.failed;
-                          if (failed) {
-                              failed(error);
-                          }
-                      });
+    boost::asio::post(socket_.get_executor(), [this, error, alive = std::weak_ptr<bool>(alive_)] {
+        if (alive.expired()) {
+            return;
+        }
+        const auto failed = callbacks_.failed;
+        if (failed) {
+            failed(error);
+        }
+    });
 }
 
 void stream::finish_writing() {
@@ -224,7 +224,8 @@
     std::uint16_t port = 0;
     const auto [end, failed] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
     boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
+    const auto address =
+        boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
     if (error || failed != std::errc{} || end != digits.data() + digits.size() || port == 0) {
         return std::nullopt;
     }
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -21,8 +21,8 @@
     if (at == std::string_view::npos) {
         return assumed_idle;
     }
-    const auto seconds = std::strtoul(std::string(field.substr(at + name.size())).c_str(),
-                                      nullptr, 10);
+    const auto seconds =
+        std::strtoul(std::string(field.substr(at + name.size())).c_str(), nullptr, 10);
     return std::chrono::seconds(seconds) - idle_margin;
 }
 
@@ -54,7 +54,9 @@
     connection_->write(head);
 }
 
-void target_link::write(std::string_view data) { connection_->write(data); }
+void target_link::write(std::string_view data) {
+    connection_->write(data);
+}
 
 void target_link::new_parser() {
     message_events events;
@@ -67,8 +69,8 @@
         if (!head.keep_alive) {
             reusable_ = false;
         }
-        idle_until = std::chrono::steady_clock::now() +
-                     detail::announced_idle(field_of(head, "keep-alive"));
+        idle_until =
+            std::chrono::steady_clock::now() + detail::announced_idle(field_of(head, "keep-alive"));
         if (!foreign_ && callbacks_.head) {
             callbacks_.head(head);
         }
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -7,10 +7,9 @@
 namespace detail {
 
 bool is_same_use(const target_entry& left, const target_entry& right) {
-    return left.id == right.id && left.service == right.service &&
-           left.address == right.address && left.failure_domain == right.failure_domain &&
-           left.slots == right.slots && left.leaving == right.leaving &&
-           (left.cold_left_ms > 0) == (right.cold_left_ms > 0) &&
+    return left.id == right.id && left.service == right.service && left.address == right.address &&
+           left.failure_domain == right.failure_domain && left.slots == right.slots &&
+           left.leaving == right.leaving && (left.cold_left_ms > 0) == (right.cold_left_ms > 0) &&
            left.started_unix_ms == right.started_unix_ms;
 }
 
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -10,36 +10,61 @@
 
 // Share of a target's connections that routers use together; the rest is for probes and orders.
 constexpr double connection_share = 0.9;
-// Requests at a target per slot: one runs, and a part waits so that no slot is ever idle.
+// Requests at a target, of all routers: the slots run, and some wait so that no slot is ever idle.
 constexpr double requests_per_slot = 1.5;
+constexpr double requests_beyond_slots = 1;
 // Failures in a row after which a target without keys is avoided, and for how long.
 constexpr std::uint32_t failures_to_avoid = 2;
 constexpr milliseconds avoid_time{1000};
 // A load report describes the target for about the time of one request.
 constexpr milliseconds load_report_life{400};
-// Expected wait that a hop to another region or failure domain costs, in requests per slot.
-constexpr double region_cost = 0.6;
-constexpr double domain_cost = 0.05;
-// A running mean over about ten answers.
-constexpr double latency_weight = 0.1;
+// Extra time of a hop: a round trip and the transfer. Uploads are some hundred packets.
+constexpr double region_cost_ms = 45;
+constexpr double domain_cost_ms = 3;
+constexpr double upload_region_cost_ms = 2000;
+constexpr double upload_domain_cost_ms = 20;
+// Two requests at once, after a pause; more would make the target's queue longer than it need be.
+constexpr double most_tokens = 2;
+// Of each target, for a router that has not heard of the leader yet.
+constexpr std::uint32_t places_before_lending = 1;
+// Assumed before the first answer.
+constexpr double unknown_work_ms = 100;
 constexpr milliseconds one_second{1000};
 
-double expected_wait(const routing_state& state, const target_state& target, boot_time now) {
+// Requests of everybody at the target, as far as is known.
+double requests_at(const target_state& target, boot_time now) {
+    const auto own = static_cast<double>(target.running);
+    if (now - target.load_at >= load_report_life) {
+        return own;
+    }
+    const auto reported = static_cast<double>(target.load.running + target.load.waiting);
+    return std::max(own, reported - static_cast<double>(target.load_own) + own);
+}
+
+// Expected time until the answer, in ms.
+double expected_time(const routing_state& state, const target_state& target, const route& on,
+                     boot_time now) {
     const double slots = std::max(target.entry.slots, 1U);
-    double others = 0;
-    double slowness = 1;
-    if (now - target.load_at < load_report_life) {
-        const auto at_target = static_cast<double>(target.load.running + target.load.waiting);
-        others = std::max(at_target - static_cast<double>(target.running), 0.0);
-        slowness = std::max(target.load.slowness, 0.1);
-    }
-    double wait = (static_cast<double>(target.running) + others + 1) * slowness / slots;
+    const double queue = std::max(requests_at(target, now) + 1 - slots, 0.0) / slots;
+    const double slowness =
+        now - target.load_at < load_report_life ? std::max(target.load.slowness, 0.1) : 1;
+    double time = (queue + 1) * work_ms_of(state, target) * slowness;
     if (target.entry.failure_domain != state.own_domain) {
         const auto region = state.regions.find(target.entry.failure_domain);
-        const bool same_region = region != state.regions.end() && region->second == state.own_region;
-        wait += same_region ? domain_cost : region_cost;
+        const bool same_region =
+            region != state.regions.end() && region->second == state.own_region;
+        time += same_region ? domain_cost_ms : region_cost_ms;
+        // The link between regions is narrow: one large body delays everything else on it.
+        time += !same_region && on.kind == request_kind::upload ? upload_region_cost_ms : 0;
+        time += same_region && on.kind == request_kind::upload ? upload_domain_cost_ms : 0;
     }
-    return wait;
+    return time;
+}
+
+// Whether the target has a queue as long as a router should cause.
+bool is_full(const target_state& target, boot_time now) {
+    const double most = target.entry.slots * requests_per_slot + requests_beyond_slots;
+    return requests_at(target, now) >= most;
 }
 
 // Router's own share of the requests that a cold target bears in one second.
@@ -49,6 +74,32 @@
     return share_of(limit, state.routers, state.rank);
 }
 
+// One request of the rate that was lent for the target, when it is near its capacity.
+bool take_token(target_state& target, boot_time now) {
+    if (target.lent_rate <= 0) {
+        return true;
+    }
+    const auto passed = std::chrono::duration<double>(now - target.tokens_at).count();
+    target.tokens = std::min(target.tokens + passed * target.lent_rate, most_tokens);
+    target.tokens_at = now;
+    if (target.tokens < 1) {
+        return false;
+    }
+    target.tokens -= 1;
+    return true;
+}
+
+// Requests that this router may have at a target without keys.
+std::uint32_t places_at(const routing_state& state, const target_state& target,
+                        const service& kind) {
+    const auto window = window_of(state, target, kind);
+    if (state.places.empty()) {
+        return std::min(window, places_before_lending);
+    }
+    const auto lent = state.places.find(target.entry.id);
+    return lent == state.places.end() ? 0 : std::min(window, lent->second);
+}
+
 target_choice choose_owner(routing_state& state, const choice_request& request, const service& kind,
                            boot_time now) {
     const auto map = state.keys.find(request.service);
@@ -66,7 +117,8 @@
         return {choice_kind::wait_for_owner, nullptr};
     }
     auto& target = *found->second;
-    if (target.running >= window_of(state, target, kind)) {
+    if (target.running >= window_of(state, target, kind) || is_full(target, now) ||
+        !take_token(target, now)) {
         return {choice_kind::wait_for_room, &target};
     }
     if (is_cold(target, now) && !pass(target.cold_gate, cold_share(state, kind), one_second, now)) {
@@ -98,7 +150,8 @@
         }
         // The entry tells the cold time that was left when it was written.
         if (entry.cold_left_ms > 0 && entry.sequence != target->entry.sequence) {
-            target->cold_until = std::max(target->cold_until, now + milliseconds(entry.cold_left_ms));
+            target->cold_until =
+                std::max(target->cold_until, now + milliseconds(entry.cold_left_ms));
         }
         target->entry = entry;
     }
@@ -107,16 +160,33 @@
 
 void note_load(target_state& target, const target_load& load, boot_time now) {
     target.load = load;
+    // The answered request is no longer at the target, but still counted here.
+    target.load_own = target.running > 0 ? target.running - 1 : 0;
     target.load_at = now;
 }
 
-void note_success(target_state& target, milliseconds latency) {
+void note_success(target_state& target, milliseconds latency, bool queued) {
     target.failures = 0;
     target.avoid_until = {};
-    const auto value = static_cast<double>(latency.count());
-    target.latency_ms = target.latency_ms == 0
-                            ? value
-                            : target.latency_ms + (value - target.latency_ms) * detail::latency_weight;
+    if (!queued) {
+        ++target.work_count;
+        target.work_sum_ms += static_cast<double>(latency.count());
+    }
+}
+
+double work_ms_of(const routing_state& state, const target_state& target) {
+    if (target.work_ms > 0) {
+        return target.work_ms;
+    }
+    double sum = 0;
+    std::uint32_t known = 0;
+    for (const auto& [id, other] : state.targets) {
+        if (other->work_ms > 0 && other->entry.service == target.entry.service) {
+            sum += other->work_ms;
+            ++known;
+        }
+    }
+    return known > 0 ? sum / known : detail::unknown_work_ms;
 }
 
 void note_failure(target_state& target, boot_time now) {
@@ -126,7 +196,9 @@
     }
 }
 
-bool is_cold(const target_state& target, boot_time now) { return now < target.cold_until; }
+bool is_cold(const target_state& target, boot_time now) {
+    return now < target.cold_until;
+}
 
 bool is_at_home(const routing_state& state, const target_entry& target, const route& on) {
     if (on.home_regions.empty()) {
@@ -138,6 +210,17 @@
                on.home_regions.end();
 }
 
+bool has_use(const routing_state& state, const target_entry& target) {
+    return std::any_of(
+        state.config.routes.begin(), state.config.routes.end(), [&](const route& on) {
+            return is_at_home(state, target, on) &&
+                   std::any_of(on.services.begin(), on.services.end(),
+                               [&](const weighted_service& part) {
+                                   return part.weight > 0 && part.service == target.service;
+                               });
+        });
+}
+
 bool may_send(const routing_state& state, const target_state& target, boot_time /*now*/) {
     return !target.entry.leaving &&
            !state.registry.evacuated_domains.contains(target.entry.failure_domain);
@@ -146,8 +229,8 @@
 std::uint32_t window_of(const routing_state& state, const target_state& target,
                         const service& kind) {
     const auto routers = std::max(state.routers, 1U);
-    const auto by_slots = static_cast<std::uint32_t>(
-        std::ceil(target.entry.slots * detail::requests_per_slot));
+    const auto by_slots =
+        static_cast<std::uint32_t>(std::ceil(target.entry.slots * detail::requests_per_slot));
     if (kind.most_connections == 0) {
         return by_slots;
     }
@@ -165,7 +248,7 @@
         return detail::choose_owner(state, request, kind->second, now);
     }
     target_choice best;
-    double best_wait = std::numeric_limits<double>::max();
+    double best_time = std::numeric_limits<double>::max();
     target_state* cold = nullptr;
     for (auto& [id, target] : state.targets) {
         if (target->entry.service != request.service || !may_send(state, *target, now) ||
@@ -173,8 +256,8 @@
             std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end()) {
             continue;
         }
-        if (target->running >= window_of(state, *target, kind->second) ||
-            now < target->avoid_until) {
+        if (target->running >= detail::places_at(state, *target, kind->second) ||
+            detail::is_full(*target, now) || now < target->avoid_until) {
             best.kind = best.target == nullptr ? choice_kind::wait_for_room : best.kind;
             continue;
         }
@@ -182,14 +265,15 @@
             cold = cold == nullptr || target->running < cold->running ? target.get() : cold;
             continue;
         }
-        const auto wait = detail::expected_wait(state, *target, now);
-        if (wait < best_wait) {
-            best_wait = wait;
+        const auto time = detail::expected_time(state, *target, *request.on, now);
+        if (time < best_time) {
+            best_time = time;
             best = {choice_kind::target, target.get()};
         }
     }
     // Cold targets help out when the warm ones are busy, within what they bear.
-    const bool busy = best.kind != choice_kind::target || best_wait > 1;
+    const bool busy = best.kind != choice_kind::target ||
+                      detail::requests_at(*best.target, now) >= best.target->entry.slots;
     if (busy && cold != nullptr &&
         pass(cold->cold_gate, detail::cold_share(state, kind->second), detail::one_second, now)) {
         return {choice_kind::target, cold};
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -40,8 +40,8 @@
     } else {
         constexpr int digits = 4;
         char buffer[32];
-        const int size = std::snprintf(buffer, sizeof buffer, "%.*g", digits,
-                                       std::get<double>(value.value));
+        const int size =
+            std::snprintf(buffer, sizeof buffer, "%.*g", digits, std::get<double>(value.value));
         out.append(buffer, static_cast<std::size_t>(size));
     }
 }
