Keep leadership through a store outage; refuse hopeless waits; list again after a cut watch

Changes: majority of recorded router runs as the right to act without the store, the same runs tell a successor when inherited holds end; waits are announced with the map; the leader lists the operators' items each 0.9 s; no new request 2.5 s after a stop signal.

--- a/include/mimosavalve/gateway/admission.hpp
+++ b/include/mimosavalve/gateway/admission.hpp
@@ -8,9 +8,10 @@
 
 /// What is known about the wait of a request that finds no free target.
 struct wait_estimate {
-    std::uint32_t ahead = 0;  ///< Requests of this router that wait for the same targets.
-    double places = 1;        ///< Requests that this router may have at these targets.
-    double work_ms = 0;       ///< Mean time of an answer; 0: not known yet.
+    std::uint32_t ahead = 0;   ///< Requests of this router that wait for the same targets.
+    double places = 1;         ///< Requests that this router may have at these targets.
+    double work_ms = 0;        ///< Mean time of an answer; 0: not known yet.
+    double known_wait_ms = 0;  ///< Time until anybody can run the request at all.
 };
 
 /// Time until a free target may be expected, in ms.
--- a/include/mimosavalve/gateway/key_map.hpp
+++ b/include/mimosavalve/gateway/key_map.hpp
@@ -19,13 +19,14 @@
     std::uint64_t fence = 0;      ///< Above the fence of every earlier owner of these keys.
     bool moving = false;          ///< Not recorded: the owner is changing, requests wait.
     std::uint64_t owner_run = 0;  ///< Start of the owner's run, Unix ms; another run holds nothing.
+    std::uint32_t wait_ms = 0;  ///< Not recorded: when moving, expected time until the next owner.
 
     bool operator==(const key_segment&) const = default;
 };
 
 /// Owners of all keys of one service: sorted, without gaps or overlaps.
 struct key_map {
-    std::vector<key_segment> segments{{0, key_count - 1, "", 0, false, 0}};
+    std::vector<key_segment> segments{{0, key_count - 1, "", 0, false, 0, 0}};
 
     bool operator==(const key_map&) const = default;
 };
--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -13,12 +13,18 @@
 
 namespace mimosavalve::gateway {
 
+/// Age of something that never was.
+inline constexpr std::uint64_t never_ms = 1'000'000'000;
+
 /// Router to leader, about every 300 ms: what the router knows and what it has seen.
 struct sync_request {
     std::string host;
     std::string failure_domain;
     std::uint64_t run = 0;    ///< Random at each start of the router's process.
     std::uint64_t epoch = 0;  ///< Of the leader that the router follows.
+    bool store_lost = false;  ///< The router does not reach the store either.
+    /// Since the router last told any leader that it does not reach the store; `never_ms` if never.
+    std::uint64_t store_lost_age_ms = 0;
     std::uint64_t config_version = 0;
     std::uint64_t registry_number = 0;                 ///< As numbered by the leader.
     std::map<std::string, std::uint64_t> map_numbers;  ///< By service, as numbered by the leader.
@@ -38,7 +44,9 @@
     std::uint32_t rank = 0;          ///< Of the router that asked.
     std::uint64_t store_age_ms = 0;  ///< Since the leader's last good read of the store.
     std::uint64_t config_version = 0;
-    std::string config_text;  ///< Empty when the router's version is as new.
+    std::string config_text;               ///< Empty when the router's version is as new.
+    std::uint64_t operators_revision = 0;  ///< Of the store, up to which the leader knows them.
+    std::set<std::string> evacuated_domains;
     std::uint64_t registry_number = 0;
     std::optional<registry_state> registry;
     std::map<std::string, std::uint64_t> map_numbers;
@@ -53,6 +61,11 @@
 std::optional<sync_request> decode_sync_request(std::string_view bytes);
 std::optional<sync_reply> decode_sync_reply(std::string_view bytes);
 
+/// One run of a router, as recorded by the leader.
+using router_runs = std::map<std::string, std::uint64_t>;  ///< Run by host.
+std::string encode(const router_runs& runs);
+std::optional<router_runs> decode_router_runs(std::string_view bytes);
+
 /// Recorded form of the owners of one service.
 std::string encode(const key_map& map);
 std::optional<key_map> decode_key_map(std::string_view bytes);
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -45,7 +45,8 @@
     route_config config;
     route_index routes;
     registry_state registry;
-    std::map<std::string, key_map, std::less<>> keys;  ///< By service.
+    std::map<std::string, key_map, std::less<>> keys;       ///< By service.
+    std::map<std::string, boot_time, std::less<>> keys_at;  ///< When they were learnt.
     std::map<std::string, std::unique_ptr<target_state>, std::less<>> targets;
     std::map<std::string, std::string> regions;  ///< Of failure domains.
     std::string own_domain;
@@ -82,6 +83,7 @@
 struct target_choice {
     choice_kind kind = choice_kind::none;
     target_state* target = nullptr;
+    milliseconds expected_wait{0};  ///< For an owner; 0: not known.
 };
 
 struct choice_request {
--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -14,8 +14,8 @@
 }  // namespace detail
 
 double expected_wait_ms(const wait_estimate& estimate) {
-    return (estimate.ahead + 1.0) * estimate.work_ms /
-           std::max(estimate.places, detail::least_places);
+    return estimate.known_wait_ms + (estimate.ahead + 1.0) * estimate.work_ms /
+                                        std::max(estimate.places, detail::least_places);
 }
 
 bool should_refuse(const wait_estimate& estimate, milliseconds objective_left) {
--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -12,6 +12,8 @@
 // Below the idle time of common servers, so that a call rarely meets a connection that is closing.
 constexpr std::chrono::seconds longest_idle{5};
 constexpr std::size_t most_idle_per_endpoint = 4;
+// A kept connection that ends later than this after the call was cut, not closed while idle.
+constexpr std::chrono::milliseconds idle_close_time{200};
 constexpr std::size_t call_read_bytes = 16384;
 constexpr std::uint64_t most_answer_bytes = 16ULL << 20U;
 
@@ -45,6 +47,7 @@
     std::string input;
     call_answer answer;
     bool reused = false;
+    std::chrono::steady_clock::time_point begun;
     bool started = false;
 
     explicit exchange(boost::asio::io_context& context) : timer(context) {}
@@ -131,6 +134,7 @@
 void call_client::begin(exchange& running, std::unique_ptr<stream> connection, bool reused) {
     running.connection = std::move(connection);
     running.reused = reused;
+    running.begun = std::chrono::steady_clock::now();
     running.input.clear();
     running.answer = {};
     message_events events;
@@ -160,7 +164,8 @@
             return;
         }
         // A kept connection that ends before any byte of an answer was closed while idle.
-        if (running.reused && !running.parser->started()) {
+        if (running.reused && !running.parser->started() &&
+            std::chrono::steady_clock::now() - running.begun < detail::idle_close_time) {
             running.connection.reset();
             start(running, true);
             return;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -24,6 +24,8 @@
 constexpr std::uint32_t most_sends = 4;
 // After a target said that it does not hold a key, news of the owner takes about this long.
 constexpr milliseconds owner_news_time{60};
+// Time for the request itself once an owner is known.
+constexpr milliseconds handover_slack{100};
 constexpr milliseconds default_deadline{30000};
 constexpr std::int64_t shortest_send_ms = 10;
 
@@ -101,6 +103,10 @@
 void exchange::start() {
     const auto given = detail::number_of(field_of(head_, core_.platform.headers.deadline));
     auto patience = given ? milliseconds(*given) : detail::default_deadline;
+    if (core_.refusing) {
+        refuse(detail::status_unavailable, "stopping");
+        return;
+    }
     if (core_.state.config.version == 0) {
         refuse(detail::status_unavailable, "no-configuration");
         return;
@@ -143,18 +149,32 @@
         refuse(verdict_ == traffic_verdict::not_run ? detail::status_unavailable
                                                     : detail::status_bad_gateway,
                "no-target");
-    } else if (!waiting_) {
-        begin_waiting(choice.kind);
+    } else {
+        wait_or_refuse(choice);
     }
 }
 
-void exchange::begin_waiting(choice_kind why) {
-    if (why == choice_kind::wait_for_room) {
-        const auto left = route_->objective - milliseconds(age_ms());
-        if (should_refuse(estimate_wait(), left)) {
-            refuse(detail::status_unavailable, "overloaded");
-            return;
-        }
+void exchange::wait_or_refuse(const target_choice& choice) {
+    auto estimate = estimate_wait();
+    const auto left = route_->objective - milliseconds(age_ms());
+    bool hopeless = false;
+    if (choice.kind == choice_kind::wait_for_owner) {
+        estimate.known_wait_ms = static_cast<double>(choice.expected_wait.count());
+        hopeless = choice.expected_wait + detail::handover_slack > left;
+    } else if (!waiting_) {
+        hopeless = should_refuse(estimate, left);
+    } else {
+        // Nobody is helped by an answer in time that was put behind a late one.
+        hopeless = estimate.ahead > 1 && static_cast<double>(left.count()) < estimate.work_ms;
+    }
+    if (hopeless && verdict_ == traffic_verdict::not_run) {
+        stop_waiting();
+        refuse(detail::status_unavailable,
+               choice.kind == choice_kind::wait_for_owner ? "no-owner" : "overloaded", estimate);
+        return;
+    }
+    if (waiting_) {
+        return;
     }
     waiting_ = true;
     const auto before =
@@ -593,7 +613,7 @@
     sink_.whole(std::move(text));
 }
 
-void exchange::refuse(unsigned status, std::string_view reason) {
+void exchange::refuse(unsigned status, std::string_view reason, const wait_estimate& estimate) {
     message_head head;
     head.status = status;
     keep_alive_ = keep_alive_ && !core_.stopping;
@@ -604,8 +624,6 @@
         const auto given = detail::number_of(field_of(head_, core_.platform.headers.deadline));
         const auto left =
             milliseconds(given.value_or(detail::default_deadline.count())) - milliseconds(age_ms());
-        wait_estimate estimate;
-        estimate.work_ms = route_ ? static_cast<double>(route_->objective.count()) / 2 : 0;
         const auto wait =
             retry_after(estimate, std::max(left, milliseconds(0)), detail::random_part());
         constexpr double ms_per_s = 1000;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -60,7 +60,8 @@
 
 private:
     void dispatch();
-    void begin_waiting(choice_kind why);
+    /// Lets the request wait if it may still be answered in time, else answers it at once.
+    void wait_or_refuse(const target_choice& choice);
     void stop_waiting();
     /// What is known about the wait for a place at the targets that may run the request.
     [[nodiscard]] wait_estimate estimate_wait() const;
@@ -79,7 +80,7 @@
 
     void answer_from_target();
     /// Answers in the router's own name.
-    void refuse(unsigned status, std::string_view reason);
+    void refuse(unsigned status, std::string_view reason, const wait_estimate& estimate = {});
     void finish(std::string_view outcome, unsigned status);
     [[nodiscard]] std::string answer_head(const message_head& head,
                                           std::optional<std::uint64_t> length) const;
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -31,6 +31,9 @@
 // A leaving target has to be known everywhere within 2.5 s (leave time of the platform).
 constexpr milliseconds registry_time{300};
 constexpr milliseconds own_registry_time{800};
+// The leader also lists the operators' items: a watch may miss changes while the store drops its
+// history, and a configuration has to be in force within 2.5 s.
+constexpr milliseconds operators_check_time{900};
 // Silence of the leader after which a router reads the store itself.
 constexpr milliseconds leader_silence{900};
 constexpr milliseconds records_time{1500};
@@ -47,6 +50,8 @@
 constexpr milliseconds work_time{1000};
 // Weight of one answer in a target's mean work time.
 constexpr double work_weight = 0.1;
+// A router that was heard of within this time counts as running.
+constexpr milliseconds members_time{1500};
 constexpr const char* sync_path = "/sync";
 constexpr const char* cbor_type = "application/cbor";
 
@@ -107,6 +112,15 @@
         const auto now = boot_clock::now();
         if (leading_) {
             keep_lease();
+            if (!members_loaded_ && !members_running_) {
+                load_members();
+            }
+            check_take_over(now);
+            record_members(now);
+            renew_right(now);
+            if (now >= next_check_) {
+                check_operators();
+            }
             if (now >= next_lending_) {
                 auto own = make_request();
                 take_reports(core_.settings.host, own, now);
@@ -173,13 +187,7 @@
                                       return;
                                   }
                                   operators_pause_ = {};
-                                  operators_known_ = true;
-                                  operators_revision_ = items.revision;
-                                  evacuated_.clear();
-                                  for (const auto& item : items.items) {
-                                      take_operator_item(item);
-                                  }
-                                  apply_evacuations();
+                                  take_operators(items);
                                   watch_operators();
                               });
 }
@@ -204,6 +212,36 @@
         });
 }
 
+void fleet_control::check_operators() {
+    next_check_ = boot_clock::now() + detail::operators_check_time;
+    core_.platform.store.list(core_.platform.keys.operators, "",
+                              detail::call_in(detail::store_call_time),
+                              [this](std::error_code error, const store_items& items) {
+                                  note_store(!error, "check operators");
+                                  if (!error && items.revision >= operators_revision_) {
+                                      take_operators(items);
+                                  }
+                              });
+}
+
+void fleet_control::take_operators(const store_items& items) {
+    operators_revision_ = items.revision;
+    const auto& prefix = core_.platform.keys.evacuations;
+    std::set<std::string> listed;
+    for (const auto& item : items.items) {
+        take_operator_item(item);
+        if (item.key.starts_with(prefix)) {
+            listed.insert(item.key.substr(prefix.size()));
+        }
+    }
+    for (const auto& domain : std::set<std::string>(evacuated_)) {
+        if (!listed.contains(domain)) {
+            take_operator_item({prefix + domain, "", 0, items.revision, 0});
+        }
+    }
+    apply_evacuations();
+}
+
 void fleet_control::retry_operators() {
     operators_pause_ = detail::next_pause(operators_pause_);
     auto timer = std::make_shared<boost::asio::steady_timer>(core_.context, operators_pause_);
@@ -412,6 +450,11 @@
     lease_until_ = valid_until;
     next_keep_ = boot_clock::now() + detail::lease_keep_time;
     followers_.clear();
+    members_loaded_ = false;
+    members_running_ = false;
+    members_in_doubt_ = false;
+    taken_over_ = false;
+    may_act_ = true;
     ++registry_number_;
     core_.log.write_always("leader_began", {{"epoch", static_cast<std::int64_t>(epoch)}});
     count(core_.metrics, "terms_as_leader");
@@ -432,11 +475,6 @@
 
 void fleet_control::keep_lease() {
     const auto now = boot_clock::now();
-    if (now >= lease_until_) {
-        step_down("lease not renewed in time");
-        leader_epoch_ = 0;
-        return;
-    }
     if (keep_running_ || now < next_keep_) {
         return;
     }
@@ -450,10 +488,10 @@
             if (!leading_ || lease != lease_) {
                 return;
             }
+            note_store(!error || error == errc::store_lease_expired, "keep lease");
             decider_.set_store_trouble(static_cast<bool>(error));
             if (!error) {
                 lease_until_ = std::max(lease_until_, now + ttl - detail::lease_margin);
-                decider_.extend(lease_until_);
             } else if (error == errc::store_lease_expired) {
                 step_down("lease ended in the store");
                 leader_epoch_ = 0;
@@ -461,6 +499,120 @@
         });
 }
 
+// The lease gives the right to act; without the store, the confirmations of the other routers do.
+// A leader without either waits for the store: its lease may have been paused.
+void fleet_control::renew_right(boot_time now) {
+    auto until = lease_until_;
+    bool confirmed = false;
+    if (!store_good_) {
+        auto heard = evidence(now);
+        for (const auto* recorded : {&members_, &pending_members_}) {
+            if (recorded == &pending_members_ && !members_in_doubt_) {
+                continue;
+            }
+            const auto right = right_without_store(*recorded, heard);
+            if (!right) {
+                confirmed = false;
+                until = lease_until_;
+                break;
+            }
+            confirmed = true;
+            until = until == lease_until_ ? *right : std::min(until, *right);
+        }
+        until = std::max(until, lease_until_);
+    }
+    if (confirmed != confirmed_without_store_) {
+        core_.log.write_always("right_without_store", {{"on", std::int64_t{confirmed}}});
+        confirmed_without_store_ = confirmed;
+    }
+    const bool acts = now < until;
+    if (acts != may_act_) {
+        core_.log.write_always(acts ? "leader_acts" : "leader_waits",
+                               {{"epoch", static_cast<std::int64_t>(leader_epoch_)}});
+        may_act_ = acts;
+    }
+    decider_.set_long_holds(confirmed);
+    decider_.extend(until);
+}
+
+evidence_by_host fleet_control::evidence(boot_time now) const {
+    evidence_by_host heard;
+    for (const auto& [host, known] : followers_) {
+        heard.emplace(host, known.evidence);
+    }
+    heard[core_.settings.host] = {run_, now, store_good_ ? boot_time{} : now, std::nullopt};
+    return heard;
+}
+
+void fleet_control::check_take_over(boot_time now) {
+    if (taken_over_ || !members_loaded_) {
+        return;
+    }
+    const auto heard = evidence(now);
+    if (!has_taken_over(members_, heard)) {
+        return;
+    }
+    taken_over_ = true;
+    const auto end =
+        inherited_holds_end(key_decider::hold_bounds(core_.settings.bounds), heard, now);
+    decider_.set_inherited_end(end);
+    core_.log.write_always("leader_took_over",
+                           {{"runs_recorded", static_cast<std::int64_t>(members_.size())},
+                            {"inherited_holds_ms", milliseconds_until(end, now)}});
+}
+
+void fleet_control::load_members() {
+    members_running_ = true;
+    core_.platform.store.read(
+        members_key(), detail::call_in(detail::store_call_time),
+        [this, epoch = leader_epoch_](std::error_code error, const store_item& item,
+                                      std::uint64_t) {
+            members_running_ = false;
+            if (!leading_ || epoch != leader_epoch_ || (error && error != errc::not_found)) {
+                return;
+            }
+            members_ =
+                error ? router_runs{} : decode_router_runs(item.value).value_or(router_runs{});
+            members_loaded_ = true;
+            members_in_doubt_ = false;
+        });
+}
+
+// Keeps the record of the router runs that count when the store is lost.
+void fleet_control::record_members(boot_time now) {
+    if (members_running_ || !taken_over_ || now >= lease_until_ || now < next_members_) {
+        return;
+    }
+    next_members_ = now + detail::members_time;
+    router_runs current{{core_.settings.host, run_}};
+    for (const auto& [host, known] : followers_) {
+        if (now - known.seen < detail::members_time) {
+            current.emplace(host, known.evidence.run);
+        }
+    }
+    if (current == members_ && !members_in_doubt_) {
+        return;
+    }
+    pending_members_ = current;
+    members_in_doubt_ = true;
+    members_running_ = true;
+    store_batch batch;
+    batch.conditions = {{core_.platform.keys.own + "leader", leader_epoch_}};
+    batch.writes = {{members_key(), encode(current), 0}};
+    core_.platform.store.write(batch, detail::call_in(detail::store_call_time),
+                               [this, epoch = leader_epoch_](std::error_code error, std::uint64_t) {
+                                   members_running_ = false;
+                                   if (leading_ && epoch == leader_epoch_ && !error) {
+                                       members_ = pending_members_;
+                                       members_in_doubt_ = false;
+                                   }
+                               });
+}
+
+std::string fleet_control::members_key() const {
+    return core_.platform.keys.own + "routers";
+}
+
 // --- The registry ---
 
 void fleet_control::note_store(bool good, std::string_view call) {
@@ -572,6 +724,14 @@
     out.failure_domain = core_.settings.failure_domain;
     out.run = run_;
     out.epoch = leader_epoch_;
+    const auto now = boot_clock::now();
+    out.store_lost = !store_good_;
+    if (out.store_lost) {
+        told_store_lost_ = now;
+    }
+    out.store_lost_age_ms =
+        told_store_lost_ ? static_cast<std::uint64_t>(-milliseconds_until(*told_store_lost_, now))
+                         : never_ms;
     out.config_version = core_.state.config.version;
     if (followed_epoch_ == leader_epoch_) {
         out.registry_number = followed_registry_;
@@ -654,14 +814,18 @@
     bool changed = false;
     for (const auto& [service, map] : reply.maps) {
         core_.state.keys.insert_or_assign(service, map);
+        core_.state.keys_at[service] = now;
         changed = true;
     }
+    if (reply.operators_revision > operators_revision_) {
+        evacuated_ = reply.evacuated_domains;
+    }
     if (reply.registry && reply.registry->revision >= core_.state.registry.revision) {
         auto next = *reply.registry;
-        // A router that reads the operators' items itself knows the newest evacuations.
-        next.evacuated_domains.insert(evacuated_.begin(), evacuated_.end());
+        next.evacuated_domains = evacuated_;
         take_registry(next);
     }
+    apply_evacuations();
     if (changed) {
         core_.wake_waiting();
     }
@@ -675,13 +839,20 @@
         respond({bad_request, "text/plain", ""});
         return;
     }
-    if (!leading_ || request->epoch != leader_epoch_ || boot_clock::now() >= lease_until_) {
+    if (!leading_ || request->epoch != leader_epoch_) {
         respond({unavailable, "text/plain", ""});
         return;
     }
     const auto now = boot_clock::now();
     auto& from = followers_[request->host];
-    from.run = request->run;
+    // The router sent this after our last answer, which may have been long on its way.
+    const auto surely_sent = from.evidence.run == request->run ? from.replied : boot_time{};
+    from.evidence.run = request->run;
+    from.evidence.follows = surely_sent;
+    from.evidence.store_lost = request->store_lost ? surely_sent : boot_time{};
+    if (request->store_lost_age_ms < never_ms) {
+        from.evidence.told_store_lost = now - milliseconds(request->store_lost_age_ms);
+    }
     from.failure_domain = request->failure_domain;
     from.seen = now;
     take_reports(request->host, *request, now);
@@ -823,6 +994,8 @@
     if (request.config_version < core_.state.config.version) {
         reply.config_text = config_text_;
     }
+    reply.operators_revision = operators_revision_;
+    reply.evacuated_domains = evacuated_;
     reply.registry_number = registry_number_;
     if (request.registry_number != registry_number_) {
         reply.registry = core_.state.registry;
@@ -831,7 +1004,13 @@
     for (const auto& [service, number] : map_numbers_) {
         const auto known = request.map_numbers.find(service);
         if (known == request.map_numbers.end() || known->second != number) {
-            reply.maps.emplace(service, core_.state.keys[service]);
+            auto map = core_.state.keys[service];
+            const auto age = -milliseconds_until(core_.state.keys_at[service], now);
+            for (auto& segment : map.segments) {
+                segment.wait_ms -=
+                    std::min<std::uint32_t>(segment.wait_ms, static_cast<std::uint32_t>(age));
+            }
+            reply.maps.emplace(service, std::move(map));
         }
     }
     const auto places = lent_places_.find(request.host);
@@ -843,6 +1022,7 @@
         reply.rates = rates->second;
     }
     auto& asking = followers_[request.host];
+    asking.replied = now;
     if (now - asking.told_work >= detail::work_time) {
         asking.told_work = now;
         for (const auto& [id, target] : core_.state.targets) {
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "key_decider.hpp"
+#include "mimosavalve/gateway/leader_term.hpp"
 #include "mimosavalve/gateway/peer_messages.hpp"
 #include "mimosavalve/gateway/place_plan.hpp"
 #include "router_core.hpp"
@@ -35,7 +36,8 @@
 
 private:
     struct follower {
-        std::uint64_t run = 0;
+        router_evidence evidence;
+        boot_time replied;  ///< To its last call.
         std::string failure_domain;
         boot_time seen;
         boot_time told_work;  ///< When it last got the work times.
@@ -50,6 +52,8 @@
 
     void list_operators();
     void watch_operators();
+    void check_operators();
+    void take_operators(const store_items& items);
     void retry_operators();
     void take_operator_item(const store_item& item);
     void take_config(const std::string& text, std::uint64_t revision);
@@ -64,6 +68,12 @@
     void lead(std::uint64_t epoch, boot_time valid_until);
     void step_down(std::string_view why);
     void keep_lease();
+    void renew_right(boot_time now);
+    [[nodiscard]] evidence_by_host evidence(boot_time now) const;
+    void check_take_over(boot_time now);
+    void load_members();
+    void record_members(boot_time now);
+    [[nodiscard]] std::string members_key() const;
 
     void read_registry();
     void read_key_records();
@@ -94,7 +104,7 @@
     std::string config_text_;
     std::set<std::string> evacuated_;  ///< By this router's own reading.
     milliseconds operators_pause_{0};
-    bool operators_known_ = false;
+    boot_time next_check_;
     bool operators_running_ = false;
 
     // The leader.
@@ -110,6 +120,16 @@
     boot_time lease_until_;
     boot_time next_keep_;
     bool keep_running_ = false;
+    bool may_act_ = true;
+    bool confirmed_without_store_ = false;
+    router_runs members_;          ///< As recorded in the store.
+    router_runs pending_members_;  ///< Written, perhaps recorded.
+    bool members_in_doubt_ = false;
+    bool members_loaded_ = false;
+    bool members_running_ = false;
+    bool taken_over_ = false;
+    boot_time next_members_;
+    std::optional<boot_time> told_store_lost_;
 
     // The registry.
     registry_memory registry_memory_;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -297,6 +297,7 @@
         const auto now = steady::now();
         const auto passed = now - stop_begin_;
         if (passed >= balancer_time) {
+            core_.refusing = true;
             std::vector<caller_session*> sessions;
             for (const auto& [session, owned] : sessions_) {
                 sessions.push_back(session);
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -33,6 +33,9 @@
 // Fences of one leader start at its epoch times this; a leader gives fewer in its time.
 constexpr std::uint64_t fences_per_epoch = 4096;
 constexpr std::uint32_t most_grant_tries = 4;
+// Usual time of a handover, and the longest wait that is announced.
+constexpr milliseconds handover_time{250};
+constexpr milliseconds longest_wait{60000};
 
 call_deadline in(milliseconds time) {
     return std::chrono::steady_clock::now() + time;
@@ -65,17 +68,18 @@
     return core_.platform.keys.own + "keys/" + name;
 }
 
+hold_times key_decider::hold_bounds(const platform_bounds& bounds) {
+    return {detail::with_margin(std::min(detail::calm_hold, bounds.longest_hold)),
+            detail::with_margin(bounds.longest_hold)};
+}
+
 milliseconds key_decider::hold_time() const {
     const auto longest = core_.settings.bounds.longest_hold;
-    return store_trouble_ ? longest : std::min(detail::calm_hold, longest);
+    return long_holds_ ? longest : std::min(detail::calm_hold, longest);
 }
 
 key_decider::holder& key_decider::holder_of(const std::string& id) {
-    const auto [found, added] = holders_.try_emplace(id);
-    if (added) {
-        // A predecessor may have granted the longest hold just before its end.
-        found->second.held_until = began_ + detail::with_margin(core_.settings.bounds.longest_hold);
-    }
+    const auto found = holders_.try_emplace(id).first;
     const auto entry = core_.state.registry.targets.find(id);
     if (entry != core_.state.registry.targets.end()) {
         found->second.address = entry->second.address;
@@ -86,11 +90,13 @@
 void key_decider::begin(const leadership& right) {
     right_ = right;
     active_ = true;
-    began_ = boot_clock::now();
-    settled_ = began_;
+    term_began_ = boot_clock::now();
+    settled_ = term_began_;
     known_targets_ = 0;
     next_fence_ = right.epoch * detail::fences_per_epoch;
     store_trouble_ = false;
+    long_holds_ = false;
+    inherited_end_ = boot_time::max();
     services_.clear();
     holders_.clear();
     alive_ = std::make_shared<bool>(true);
@@ -104,13 +110,13 @@
     alive_ = std::make_shared<bool>(true);
 }
 
-void key_decider::set_store_trouble(bool on) {
-    if (on && !store_trouble_) {
+void key_decider::set_long_holds(bool on) {
+    if (on && !long_holds_) {
         for (auto& [id, target] : holders_) {
             target.next_renewal = {};
         }
     }
-    store_trouble_ = on;
+    long_holds_ = on;
 }
 
 void key_decider::load_records() {
@@ -221,9 +227,9 @@
 void key_decider::plan(const std::string& name, service_state& state, boot_time now) {
     auto& map = core_.state.keys[name];
     const bool settled = now - settled_ > detail::settling_time ||
-                         now - began_ > detail::longest_settling || state.revision != 0;
+                         now - term_began_ > detail::longest_settling || state.revision != 0;
     const auto candidates = candidates_of(name, now);
-    if (!settled || candidates.empty()) {
+    if (!settled || candidates.empty() || store_trouble_) {
         return;
     }
     for (const auto& move : plan_homeless(map, state.rates, candidates)) {
@@ -265,8 +271,10 @@
     const bool same_target = old.owner == planned.to;
     if (!old.owner.empty() && !same_target) {
         move.phase = move_phase::releasing;
-        move.not_before = holder_of(old.owner).held_until;
+        move.inherited = old.fence < right_.epoch * detail::fences_per_epoch;
+        move.not_before = old_hold_end(move);
         auto marked = old;
+        marked.wait_ms = static_cast<std::uint32_t>(expected_wait_ms(move, now));
         marked.first = planned.first;
         marked.last = planned.last;
         marked.moving = true;
@@ -289,6 +297,9 @@
 void key_decider::step(const std::string& /*name*/, service_state& /*state*/, running_move& move,
                        boot_time now) {
     if (move.phase == move_phase::releasing) {
+        if (!move.released) {
+            move.not_before = old_hold_end(move);
+        }
         if (now >= move.not_before) {
             move.phase = move_phase::ready;
         } else if (!move.call_running && now >= move.next_try) {
@@ -299,6 +310,21 @@
     }
 }
 
+boot_time key_decider::old_hold_end(const running_move& move) {
+    const auto own = holder_of(move.old_owner).held_until;
+    return move.inherited ? std::max(own, inherited_end_) : own;
+}
+
+std::int64_t key_decider::expected_wait_ms(const running_move& move, boot_time now) {
+    // An owner that is on record and answers releases its keys when its running work has ended.
+    const auto found = holders_.find(move.old_owner);
+    const bool answers = core_.state.registry.targets.contains(move.old_owner) &&
+                         found != holders_.end() && found->second.failed == 0;
+    const auto until_end =
+        milliseconds_until(std::min(move.not_before, now + detail::longest_wait), now);
+    return answers ? std::min<std::int64_t>(detail::handover_time.count(), until_end) : until_end;
+}
+
 void key_decider::release(running_move& move, boot_time now) {
     auto& from = holder_of(move.old_owner);
     if (from.address.empty()) {
@@ -323,6 +349,7 @@
                 if (error) {
                     continue;
                 }
+                released.released = true;
                 released.handover = handover;
                 // A grant that got no answer may still take effect after the release, at a run
                 // that has forgotten the fence.
@@ -478,6 +505,7 @@
 
 void key_decider::publish(const std::string& name, const key_segment& keys) {
     assign(core_.state.keys[name], keys);
+    core_.state.keys_at[name] = boot_clock::now();
     changed_();
 }
 
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "mimosavalve/gateway/key_plan.hpp"
+#include "mimosavalve/gateway/leader_term.hpp"
 #include "mimosavalve/gateway/platform_port.hpp"
 #include "router_core.hpp"
 
@@ -31,11 +32,18 @@
     /// Begins to decide. Reads the recorded owners first.
     void begin(const leadership& right);
     void extend(boot_time valid_until) { right_.valid_until = valid_until; }
+    /// From now on, keys that earlier leaders granted are known to be held until `end` at most.
+    void set_inherited_end(boot_time end) { inherited_end_ = end; }
     void end();
     [[nodiscard]] bool is_active() const { return active_; }
 
-    /// The store does not answer: holds are made as long as allowed while the right lasts.
-    void set_store_trouble(bool on);
+    /// The store does not answer, so that nothing can be recorded: no move begins.
+    void set_store_trouble(bool on) { store_trouble_ = on; }
+    /// More than half of the routers confirm that the store is lost: holds are made as long as
+    /// allowed.
+    void set_long_holds(bool on);
+
+    [[nodiscard]] static hold_times hold_bounds(const platform_bounds& bounds);
 
     void add_loads(const std::map<std::string, key_load>& loads);
     /// Plans, sends and renews what is due; called every `tick_time`.
@@ -55,6 +63,8 @@
         boot_time next_try;
         std::uint32_t tries = 0;
         bool call_running = false;
+        bool inherited = false;  ///< An earlier leader granted the keys to the old owner.
+        bool released = false;   ///< By the old owner.
         boot_time began;
     };
     struct service_state {
@@ -82,6 +92,9 @@
                     boot_time now);
     void step(const std::string& name, service_state& state, running_move& move, boot_time now);
     void release(running_move& move, boot_time now);
+    /// When the hold of the old owner has surely ended.
+    [[nodiscard]] boot_time old_hold_end(const running_move& move);
+    [[nodiscard]] std::int64_t expected_wait_ms(const running_move& move, boot_time now);
     void record(const std::string& name, service_state& state, boot_time now);
     void finish_record(const std::string& name, const key_map& written, std::error_code error,
                        std::uint64_t revision);
@@ -106,8 +119,10 @@
     leadership right_;
     bool active_ = false;
     bool store_trouble_ = false;
+    bool long_holds_ = false;
+    boot_time inherited_end_ = boot_time::max();
     bool loading_ = false;
-    boot_time began_;
+    boot_time term_began_;
     boot_time settled_;  ///< Since then the set of targets is the same.
     std::size_t known_targets_ = 0;
     std::uint64_t next_fence_ = 1;
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -22,7 +22,7 @@
     json out = json::array();
     for (const auto& segment : map.segments) {
         out.push_back({segment.first, segment.last, segment.owner, segment.fence, segment.moving,
-                       segment.owner_run});
+                       segment.owner_run, segment.wait_ms});
     }
     return out;
 }
@@ -32,7 +32,7 @@
     out.segments.clear();
     for (const auto& item : value) {
         out.segments.push_back(
-            {item.at(0), item.at(1), item.at(2), item.at(3), item.at(4), item.at(5)});
+            {item.at(0), item.at(1), item.at(2), item.at(3), item.at(4), item.at(5), item.at(6)});
     }
     return out;
 }
@@ -83,6 +83,8 @@
                              {"work", std::move(work)},
                              {"run", message.run},
                              {"epoch", message.epoch},
+                             {"store_lost", message.store_lost},
+                             {"store_lost_age", message.store_lost_age_ms},
                              {"config", message.config_version},
                              {"registry", message.registry_number},
                              {"maps", message.map_numbers},
@@ -97,6 +99,8 @@
         out.failure_domain = body.at("domain");
         out.run = body.at("run");
         out.epoch = body.at("epoch");
+        out.store_lost = body.at("store_lost");
+        out.store_lost_age_ms = body.at("store_lost_age");
         out.config_version = body.at("config");
         out.registry_number = body.at("registry");
         out.map_numbers = body.at("maps").get<std::map<std::string, std::uint64_t>>();
@@ -125,6 +129,8 @@
                          {"rank", message.rank},
                          {"store_age_ms", message.store_age_ms},
                          {"config", message.config_version},
+                         {"operators", message.operators_revision},
+                         {"evacuated", message.evacuated_domains},
                          {"registry_number", message.registry_number},
                          {"map_numbers", message.map_numbers},
                          {"places", message.places},
@@ -154,6 +160,8 @@
         out.rank = body.at("rank");
         out.store_age_ms = body.at("store_age_ms");
         out.config_version = body.at("config");
+        out.operators_revision = body.at("operators");
+        out.evacuated_domains = body.at("evacuated").get<std::set<std::string>>();
         out.registry_number = body.at("registry_number");
         out.map_numbers = body.at("map_numbers").get<std::map<std::string, std::uint64_t>>();
         out.places = body.at("places").get<std::map<std::string, std::uint32_t>>();
@@ -174,6 +182,18 @@
     }
 }
 
+std::string encode(const router_runs& runs) {
+    return detail::to_bytes(runs);
+}
+
+std::optional<router_runs> decode_router_runs(std::string_view bytes) {
+    try {
+        return detail::from_bytes(bytes).get<router_runs>();
+    } catch (const detail::json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode(const key_map& map) {
     return detail::to_bytes(detail::map_to_json(map));
 }
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -42,7 +42,8 @@
     std::map<std::string, std::uint32_t> demand;   ///< Requests by service; since the last report.
     std::map<std::string, std::vector<std::unique_ptr<target_link>>> idle_links;  ///< By target id.
     std::map<std::string, double> split_credit;  ///< By route and service, for weighted turns.
-    bool stopping = false;
+    bool stopping = false;                       ///< Answers end their connections.
+    bool refusing = false;  ///< Too late to run another request before the end of the process.
 
     /// Exchanges that wait for a target, oldest first.
     std::list<exchange*> waiting;
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -108,7 +108,11 @@
     }
     const auto& segment = segment_of(map->second, *request.key);
     if (segment.moving || segment.owner.empty()) {
-        return {choice_kind::wait_for_owner, nullptr};
+        const auto learnt = state.keys_at.find(request.service);
+        const auto since = learnt == state.keys_at.end() ? now : learnt->second;
+        return {choice_kind::wait_for_owner, nullptr,
+                milliseconds(std::max<std::int64_t>(
+                    milliseconds_until(since + milliseconds(segment.wait_ms), now), 0))};
     }
     const auto found = state.targets.find(segment.owner);
     if (found == state.targets.end() || found->second->entry.service != request.service ||
