--- a/src/standins/target_core.cpp
+++ b/src/standins/target_core.cpp
@@ -192,13 +192,14 @@
         release_slot(request);
         return refusal;
     }
+    request.started = now;
     active_.push_back(&request);
     note_load();
     history_.record("start", *request.info, now);
     return start_refusal::none;
 }
 
-bool target_core::work(running_request& request, const boost::asio::yield_context& yield) {
+work_end target_core::work(running_request& request, const boost::asio::yield_context& yield) {
     const auto& path = request.info->path;
     if (!faults_.crash_on.empty() && path.find(faults_.crash_on) != std::string::npos) {
         std::abort();
@@ -210,14 +211,23 @@
         request.timer->expires_at(end);
         request.timer->async_wait(yield[ignored]);
     }
-    return !request.gone;
+    // A pause shows before the effect: the slots may have another owner by now.
+    note_alive();
+    const bool keyed = settings_.checks_fence && request.info->slot.has_value();
+    if (keyed && pause_until_ > request.started) {
+        return work_end::hold_ended;
+    }
+    return request.gone ? work_end::caller_gone : work_end::completed;
 }
 
-void target_core::finish(running_request& request, bool completed) {
+void target_core::finish(running_request& request, work_end end) {
     active_.remove(&request);
     note_load();
-    history_.record(completed ? "end" : "cancel", *request.info, detail::clock::now());
-    if (completed) {
+    // Work whose hold has ended was void from the beginning of the pause on.
+    const auto at =
+        end == work_end::hold_ended ? std::max(pause_from_, request.started) : detail::clock::now();
+    history_.record(end == work_end::completed ? "end" : "cancel", *request.info, at);
+    if (end == work_end::completed) {
         work_.served();
     }
     release_slot(request);
@@ -254,9 +264,15 @@
     // Longer than the alive timer's period by far, shorter than any loss detection.
     constexpr auto least_pause = std::chrono::milliseconds(150);
     const auto now = detail::clock::now();
+    // Until the start window of a request has ended, no other owner can have started (250 ms).
+    constexpr auto hold = std::chrono::milliseconds(250);
     if (now - last_alive_ > least_pause) {
         history_.record_pause(last_alive_, now);
     }
+    if (now - last_alive_ > hold) {
+        pause_from_ = last_alive_;
+        pause_until_ = now;
+    }
     last_alive_ = now;
 }
 
--- a/src/standins/target_core.hpp
+++ b/src/standins/target_core.hpp
@@ -34,6 +34,15 @@
     boost::asio::steady_timer* timer = nullptr;
     bool gone = false;
     bool has_slot = false;
+    std::chrono::steady_clock::time_point started{};
+};
+
+/// How the work on a request ended.
+enum class work_end {
+    completed,
+    caller_gone,
+    /// The target was paused for so long that another owner may have started: no effect remains.
+    hold_ended,
 };
 
 /// State of a target that all its connections share. Used by one thread only.
@@ -67,9 +76,9 @@
     /// Waits for a slot and starts the request. When the result is `none` and the caller is not
     /// gone, the request has started, and `finish` must follow.
     start_refusal start(running_request& request, const boost::asio::yield_context& yield);
-    /// Occupies the slot for the service time. Returns false when the caller went away first.
-    bool work(running_request& request, const boost::asio::yield_context& yield);
-    void finish(running_request& request, bool completed);
+    /// Occupies the slot for the service time, or until the caller goes away.
+    work_end work(running_request& request, const boost::asio::yield_context& yield);
+    void finish(running_request& request, work_end end);
 
     void store(const std::string& path, const body_digest& body);
     [[nodiscard]] std::string value_of(const std::string& path) const;
@@ -113,6 +122,8 @@
     std::unordered_map<std::string, std::string> values_;
     std::string previous_id_ = "none";
     std::chrono::steady_clock::time_point last_alive_;
+    std::chrono::steady_clock::time_point pause_from_;  ///< The last pause longer than a hold.
+    std::chrono::steady_clock::time_point pause_until_;
     bool leaving_ = false;
 };
 
--- a/src/standins/target_session.cpp
+++ b/src/standins/target_session.cpp
@@ -171,17 +171,19 @@
         stop_watching();
         return false;
     }
-    const bool completed = core_.work(request, yield);
+    const auto end = core_.work(request, yield);
     stop_watching();
-    if (completed) {
+    if (end == work_end::hold_ended) {
+        result = {500, "the hold of the key ended before the work did\n"};
+    } else if (end == work_end::completed) {
         const bool writes = info.method == "POST" || info.method == "PUT";
         if (writes) {
             core_.store(info.path, body);
         }
         result.body = writes ? digest_text(body.xxh64, body.size) : core_.value_of(info.path);
     }
-    core_.finish(request, completed);
-    return completed;
+    core_.finish(request, end);
+    return end != work_end::caller_gone;
 }
 
 bool target_session::refuse(parser_type& parser, const request_info& info, const answer& refused,
--- a/tests/standins_target/target_fault_test.cpp
+++ b/tests/standins_target/target_fault_test.cpp
@@ -170,3 +170,19 @@
     CHECK(WIFEXITED(status));
     CHECK(WEXITSTATUS(status) == 0);
 }
+
+TEST_CASE("work that a pause held up longer than its hold has no effect [target]") {
+    scratch_file history;
+    auto settings = small_target();
+    settings.history_file = history.name();
+    settings.work.mean_ms = 300;
+    running_target target(settings);
+    REQUIRE(order(target.port(), "/grant", "1.6") == 200);
+    test_client client(target.port());
+    client.send(keyed_request("r1"));
+    REQUIRE(eventually([&] { return history.contains(R"("event":"start")"); }));
+    target.pause(std::chrono::milliseconds(600));
+    CHECK(client.receive().result_int() == 500);
+    CHECK(eventually([&] { return history.contains(R"("event":"cancel")"); }));
+    CHECK_FALSE(history.contains(R"("event":"end")"));
+}
