Send no grant from a map that was not read from the record

A router that follows with an old map renewed its segments as soon as it was elected, before it had read the record. Also found on the way: a grant could wait in the queue of its connection beyond the end of the right to give it; its call now ends with the right.

--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -90,7 +90,7 @@
 void key_decider::begin(const leadership& right) {
     right_ = right;
     active_ = true;
-    term_began_ = boot_clock::now();
+    term_began_ = core_.now();
     settled_ = term_began_;
     known_targets_ = 0;
     next_fence_ = right.epoch * detail::fences_per_epoch;
@@ -154,7 +154,7 @@
 }
 
 void key_decider::add_loads(const std::map<std::string, key_load>& loads) {
-    const auto now = boot_clock::now();
+    const auto now = core_.now();
     for (const auto& [name, load] : loads) {
         const auto found = services_.find(name);
         if (found != services_.end()) {
@@ -193,7 +193,7 @@
 }
 
 void key_decider::tick() {
-    const auto now = boot_clock::now();
+    const auto now = core_.now();
     if (!may_act(now)) {
         return;
     }
@@ -354,7 +354,7 @@
                 // A grant that got no answer may still take effect after the release, at a run
                 // that has forgotten the fence.
                 released.not_before = holder_of(released.old_owner).unanswered_until;
-                if (boot_clock::now() >= released.not_before) {
+                if (core_.now() >= released.not_before) {
                     released.phase = move_phase::ready;
                 }
             }
@@ -403,7 +403,7 @@
         state.recorded = written;
         state.revision = revision;
     }
-    const auto now = boot_clock::now();
+    const auto now = core_.now();
     for (auto& move : state.moves) {
         if (move.phase == move_phase::recording) {
             move.phase = error ? move_phase::ready : move_phase::granting;
@@ -424,7 +424,7 @@
                                       std::uint64_t /*revision*/) {
             auto& state = services_[name];
             if (error && error != errc::not_found) {
-                if (may_act(boot_clock::now())) {
+                if (may_act(core_.now())) {
                     confirm_record(name, written);
                 } else {
                     state.writing = false;
@@ -453,8 +453,11 @@
     const auto end = now + detail::with_margin(hold);
     ++to.calls_running;
     to.held_until = std::max(to.held_until, end);
+    // A grant must not leave a queue after the right to give it has ended.
+    const auto call_time = std::min(
+        detail::grant_call_time, std::chrono::duration_cast<milliseconds>(right_.valid_until - now));
     core_.platform.orders.grant(
-        to.address, keys, hold, handover, detail::in(detail::grant_call_time),
+        to.address, keys, hold, handover, detail::in(call_time),
         guarded([this, id = keys.owner, end, done = std::move(done)](std::error_code error,
                                                                      const std::string&) {
             auto& target = holder_of(id);
@@ -505,7 +508,7 @@
 
 void key_decider::publish(const std::string& name, const key_segment& keys) {
     assign(core_.state.keys[name], keys);
-    core_.state.keys_at[name] = boot_clock::now();
+    core_.state.keys_at[name] = core_.now();
     changed_();
 }
 
@@ -519,7 +522,7 @@
         return;
     }
     start_move(service, found->second, {keys.first, keys.last, keys.owner, keys.owner_run},
-               boot_clock::now());
+               core_.now());
 }
 
 void key_decider::renew(boot_time now) {
@@ -530,7 +533,8 @@
     std::vector<due> grants;
     for (const auto& [name, state] : services_) {
         const auto map = core_.state.keys.find(name);
-        if (map == core_.state.keys.end()) {
+        // Until the record was read, the map may be an old one.
+        if (map == core_.state.keys.end() || !state.loaded) {
             continue;
         }
         for (const auto& segment : map->second.segments) {
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -32,6 +32,7 @@
         : context(io_context), settings(std::move(initial)), log(decisions) {}
 
     boost::asio::io_context& context;
+    std::function<boot_time()> now = boot_clock::now;  ///< Replaced in tests.
     gateway_settings settings;
     observe::decision_log& log;
     platform_port platform;
