--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -456,7 +456,8 @@
         const auto& target = *found->second;
         const auto region = core_.state.regions.find(target.entry.failure_domain);
         // Times from another region hold the way there, too.
-        const bool queued = target.load.waiting > 0 || target.load.slots == 0 ||
+        // Failures are often quick and say nothing about the work.
+        const bool queued = !success || target.load.waiting > 0 || target.load.slots == 0 ||
                             region == core_.state.regions.end() ||
                             region->second != core_.state.own_region;
         note_success(*found->second,
@@ -482,6 +483,9 @@
     const auto from = target_id_;
     const auto status = answer_.status;
     const bool misdirected = status == detail::status_misdirected;
+    const auto load = core_.platform.decode_load(field_of(answer_, core_.platform.headers.load));
+    // A target that fails part of its requests refuses some although it has room.
+    const bool refused_with_room = load && load->running < load->slots && load->waiting == 0;
     leave_target();
     count(core_.metrics, misdirected ? "target_misdirected" : "target_refused");
     core_.log.write("target_refused", {{"request", id_},
@@ -491,9 +495,9 @@
                                        {"sends", std::int64_t{attempts_}}});
     const auto kind = core_.state.config.services.find(service_);
     const bool keyed = key_ && kind != core_.state.config.services.end() && kind->second.keyed;
-    if (keyed && !misdirected) {
+    if (keyed && !misdirected && !refused_with_room) {
         // Only the owner can run it, and the owner is full.
-        refuse(detail::status_unavailable, "owner-full");
+        refuse(detail::status_unavailable, "owner-full", estimate_wait());
         return;
     }
     if (!may_repeat(true)) {
@@ -502,6 +506,8 @@
     }
     if (keyed) {
         tried_.clear();
+    }
+    if (keyed && misdirected) {
         waiting_ = true;
         waiting_place_ = core_.waiting.insert(core_.waiting.end(), this);
         return;
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -12,8 +12,8 @@
 namespace detail {
 
 // The leader's right ends this long after its last renewal arrived; holds of keys outlast it.
-constexpr milliseconds lease_time{1500};
-constexpr milliseconds lease_keep_time{400};
+constexpr milliseconds lease_time{1200};
+constexpr milliseconds lease_keep_time{350};
 // The leader stops this much before the store may have ended its lease.
 constexpr milliseconds lease_margin{150};
 // Candidates wait a random part of this, so that mostly one of them writes.
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -55,7 +55,7 @@
           log_(STDOUT_FILENO),
           core_(context_, std::move(settings), log_),
           calls_(context_),
-          grants_(context_, 1),
+          grants_(context_, 3),
           releases_(context_),
           control_(core_, calls_),
           sweep_(context_),
@@ -330,7 +330,7 @@
     observe::decision_log log_;
     router_core core_;
     call_client calls_;
-    call_client grants_;  // One connection to each target: they count against its bound.
+    call_client grants_;  // Few connections: they count against the bound of a target.
     call_client releases_;
     fleet_control control_;
     std::unordered_map<caller_session*, std::unique_ptr<caller_session>> sessions_;
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -11,18 +11,22 @@
 
 // Hold of a grant while all is well: keys of a lost target wait for its end, so it is short; it
 // outlasts the change of a leader (lease and election).
-constexpr milliseconds calm_hold{3000};
-constexpr milliseconds renewal_time{900};
+constexpr milliseconds calm_hold{2400};
+constexpr milliseconds renewal_time{700};
 // A target's clock may run 2% slow (the platform's page on keys).
 constexpr double clock_margin = 1.02;
 // A grant counts from its arrival; this is the longest time on the way of one that arrives.
-constexpr milliseconds transit_time{400};
-constexpr milliseconds grant_call_time{700};
+constexpr milliseconds transit_time{300};
+constexpr milliseconds grant_call_time{400};
 constexpr milliseconds release_call_time{1500};
 constexpr milliseconds store_call_time{800};
 constexpr milliseconds retry_time{200};
-// Renewals without an answer after which a target gets no keys and loses those that it has.
+// A target that answered none of this many grants in a row, for this time, gets no keys and loses
+// those that it has. Single answers are lost now and then, also of several ranges at once.
 constexpr std::uint32_t failures_to_lose = 2;
+constexpr milliseconds silence_to_lose{1200};
+// Capacities learnt from few answers stay within this factor of the mean.
+constexpr double capacity_spread = 3;
 // After the last change of the set of targets, the first owners are chosen.
 constexpr milliseconds settling_time{700};
 constexpr milliseconds longest_settling{4000};
@@ -112,8 +116,8 @@
 
 void key_decider::set_long_holds(bool on) {
     if (on && !long_holds_) {
-        for (auto& [id, target] : holders_) {
-            target.next_renewal = {};
+        for (auto& [name, state] : services_) {
+            state.next_renewals.clear();
         }
     }
     long_holds_ = on;
@@ -172,8 +176,7 @@
         if (entry.service != name || !may_send(core_.state, *target, now)) {
             continue;
         }
-        const auto known = holders_.find(id);
-        if (known != holders_.end() && known->second.failed >= detail::failures_to_lose) {
+        if (is_lost(id, now)) {
             continue;
         }
         constexpr double ms_per_s = 1000;
@@ -189,7 +192,16 @@
                 });
         (is_cold(*target, now) && !owns ? cold : warm).push_back(candidate);
     }
-    return warm.empty() ? cold : warm;
+    auto& chosen = warm.empty() ? cold : warm;
+    double mean = 0;
+    for (const auto& candidate : chosen) {
+        mean += candidate.capacity / static_cast<double>(chosen.size());
+    }
+    for (auto& candidate : chosen) {
+        candidate.capacity = std::clamp(candidate.capacity, mean / detail::capacity_spread,
+                                        mean * detail::capacity_spread);
+    }
+    return chosen;
 }
 
 void key_decider::tick() {
@@ -310,8 +322,19 @@
     }
 }
 
+boot_time key_decider::held_until(const holder& target) {
+    return target.calls_running > 0 ? std::max(target.granted_until, target.sent_until)
+                                    : target.granted_until;
+}
+
+bool key_decider::is_lost(const std::string& id, boot_time now) const {
+    const auto known = holders_.find(id);
+    return known != holders_.end() && known->second.failed >= detail::failures_to_lose &&
+           now - known->second.answered >= detail::silence_to_lose;
+}
+
 boot_time key_decider::old_hold_end(const running_move& move) {
-    const auto own = holder_of(move.old_owner).held_until;
+    const auto own = held_until(holder_of(move.old_owner));
     return move.inherited ? std::max(own, inherited_end_) : own;
 }
 
@@ -452,7 +475,10 @@
     const auto hold = hold_time();
     const auto end = now + detail::with_margin(hold);
     ++to.calls_running;
-    to.held_until = std::max(to.held_until, end);
+    to.sent_until = std::max(to.sent_until, end);
+    if (to.answered == boot_time{}) {
+        to.answered = now;
+    }
     // A grant must not leave a queue after the right to give it has ended.
     const auto call_time =
         std::min(detail::grant_call_time,
@@ -463,8 +489,13 @@
                                                                      const std::string&) {
             auto& target = holder_of(id);
             --target.calls_running;
+            // A grant that could not be sent holds nothing.
+            if (error != errc::target_unreachable) {
+                target.granted_until = std::max(target.granted_until, end);
+            }
             if (!error || error == errc::target_refused) {
                 target.failed = 0;
+                target.answered = core_.now();
             } else {
                 ++target.failed;
                 if (error != errc::target_unreachable) {
@@ -532,30 +563,36 @@
         key_segment keys;
     };
     std::vector<due> grants;
-    for (const auto& [name, state] : services_) {
+    for (auto& [name, state] : services_) {
         const auto map = core_.state.keys.find(name);
         // Until the record was read, the map may be an old one.
         if (map == core_.state.keys.end() || !state.loaded) {
             continue;
         }
+        std::erase_if(state.next_renewals, [&](const auto& renewal) {
+            return segment_of(map->second, renewal.first).first != renewal.first;
+        });
         for (const auto& segment : map->second.segments) {
             if (segment.owner.empty() || segment.moving) {
                 continue;
             }
             const auto entry = core_.state.registry.targets.find(segment.owner);
-            const bool lost = entry == core_.state.registry.targets.end() ||
-                              entry->second.started_unix_ms != segment.owner_run;
-            if (!lost && now >= holder_of(segment.owner).next_renewal) {
+            const bool has_ended = entry == core_.state.registry.targets.end() ||
+                                   entry->second.started_unix_ms != segment.owner_run;
+            auto& next = state.next_renewals[segment.first];
+            if (!has_ended && now >= next) {
+                next = now + detail::renewal_time;
                 grants.push_back({name, segment});
             }
         }
     }
     for (const auto& grant : grants) {
-        auto& to = holder_of(grant.keys.owner);
-        to.next_renewal = now + (to.failed > 0 ? detail::retry_time : detail::renewal_time);
         send_grant(grant.keys, "", now, [this, grant](std::error_code error) {
             if (error == errc::target_refused) {
                 refence(grant.service, grant.keys);
+            } else if (error) {
+                services_[grant.service].next_renewals[grant.keys.first] =
+                    core_.now() + detail::retry_time;
             }
         });
     }
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -74,15 +74,17 @@
         bool writing = false;
         key_rates rates;
         std::list<running_move> moves;
+        std::map<std::uint32_t, boot_time> next_renewals;  ///< By first key of a range.
         boot_time next_plan;
     };
     /// What is known about the holds of one target.
     struct holder {
         std::string address;
-        boot_time held_until;        ///< Nothing granted so far lasts longer.
+        boot_time granted_until;     ///< No grant that may have arrived lasts longer.
+        boot_time sent_until;        ///< No grant that is on its way lasts longer.
         boot_time unanswered_until;  ///< Grants without an answer do not last longer.
-        boot_time next_renewal;
-        std::uint32_t failed = 0;  ///< Renewals in a row without an answer.
+        boot_time answered;        ///< Last answer to a grant.
+        std::uint32_t failed = 0;  ///< Grants in a row without an answer.
         std::uint32_t calls_running = 0;
     };
 
@@ -111,6 +113,9 @@
     [[nodiscard]] bool may_act(boot_time now) const { return active_ && now < right_.valid_until; }
     [[nodiscard]] std::string record_key(const std::string& name) const;
     holder& holder_of(const std::string& id);
+    [[nodiscard]] static boot_time held_until(const holder& target);
+    /// Whether a target has not answered for so long that it gets no keys.
+    [[nodiscard]] bool is_lost(const std::string& id, boot_time now) const;
     template <typename Handler>
     auto guarded(Handler handler) const;
 
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -121,6 +121,10 @@
         return {choice_kind::wait_for_owner, nullptr};
     }
     auto& target = *found->second;
+    if (now < target.avoid_until) {
+        return {choice_kind::wait_for_owner, nullptr,
+                std::chrono::duration_cast<milliseconds>(target.avoid_until - now)};
+    }
     if (target.running >= window_of(state, target, kind) || is_full(target, now) ||
         !take_token(target, now)) {
         return {choice_kind::wait_for_room, &target};
