Release keys only after the grants on their way were answered; record a move at once

Each decider now knows the grants that are on their way by range, sends a release only when none overlaps, and after an unanswered one waits for the end of its hold. Two tests fail without the change. They also showed that every move waited for 200 ms after its release (a pause that was meant for the next try) and that a release was repeated; both are mended. Long holds are granted only by a leader that stops while the store is lost, and only once more than half of the routers know of them, so that a successor waits less for lost targets.

--- a/include/mimosavalve/gateway/leader_term.hpp
+++ b/include/mimosavalve/gateway/leader_term.hpp
@@ -24,7 +24,8 @@
     std::uint64_t run = 0;
     boot_time follows;     ///< The router surely followed the leader at this time.
     boot_time store_lost;  ///< It surely did not reach the store at this time; epoch: it does.
-    std::optional<boot_time> told_store_lost;  ///< When it last told any leader so.
+    boot_time knows_long_holds;  ///< It surely knew that this leader grants long holds; epoch: no.
+    std::optional<boot_time> told_long_holds;  ///< When it last told any leader so.
 };
 using evidence_by_host = std::map<std::string, router_evidence>;
 
@@ -35,13 +36,17 @@
 std::optional<boot_time> right_without_store(const router_runs& recorded,
                                              const evidence_by_host& heard);
 
+/// Whether more than half of the recorded runs know that the leader grants long holds. Only then
+/// may it: a successor hears of them from one of these runs, and waits for their end.
+bool may_hold_long(const router_runs& recorded, const evidence_by_host& heard);
+
 /// Whether more than half of the recorded runs follow the new leader or have ended. A run has ended
 /// when another run of the same host was heard of.
 bool has_taken_over(const router_runs& recorded, const evidence_by_host& heard);
 
 struct hold_times {
     milliseconds calm{0};     ///< Of a grant while the store answers.
-    milliseconds longest{0};  ///< Of a grant after the store was lost.
+    milliseconds longest{0};  ///< Of a grant by a leader that is about to end without a successor.
 };
 
 /// Until when keys may be held that earlier leaders granted, known once the new leader has taken
--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -20,11 +20,12 @@
 struct sync_request {
     std::string host;
     std::string failure_domain;
-    std::uint64_t run = 0;    ///< Random at each start of the router's process.
-    std::uint64_t epoch = 0;  ///< Of the leader that the router follows.
-    bool store_lost = false;  ///< The router does not reach the store either.
-    /// Since the router last told any leader that it does not reach the store; `never_ms` if never.
-    std::uint64_t store_lost_age_ms = 0;
+    std::uint64_t run = 0;          ///< Random at each start of the router's process.
+    std::uint64_t epoch = 0;        ///< Of the leader that the router follows.
+    bool store_lost = false;        ///< The router does not reach the store either.
+    bool knows_long_holds = false;  ///< The last reply announced long holds.
+    /// Since the router last told any leader that it knows of long holds; `never_ms` if never.
+    std::uint64_t long_holds_age_ms = never_ms;
     std::uint64_t config_version = 0;
     std::uint64_t registry_number = 0;                 ///< As numbered by the leader.
     std::map<std::string, std::uint64_t> map_numbers;  ///< By service, as numbered by the leader.
@@ -44,7 +45,8 @@
     std::uint32_t rank = 0;          ///< Of the router that asked.
     std::uint64_t store_age_ms = 0;  ///< Since the leader's last good read of the store.
     std::uint64_t config_version = 0;
-    std::string config_text;               ///< Empty when the router's version is as new.
+    std::string config_text;  ///< Empty when the router's version is as new.
+    bool long_holds = false;  ///< The leader is about to grant holds as long as allowed.
     std::uint64_t operators_revision = 0;  ///< Of the store, up to which the leader knows them.
     std::set<std::string> evacuated_domains;
     std::uint64_t registry_number = 0;
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -152,12 +152,36 @@
 void fleet_control::stop() {
     stopping_ = true;
     if (leading_) {
-        core_.platform.store.end_lease(lease_, detail::call_in(detail::store_call_time),
-                                       [](std::error_code, std::uint64_t) {});
-        step_down("stopping");
+        hand_over();
     }
 }
 
+// Ends the lease, so that a successor can be elected at once. While the store is lost there can be
+// none: the leader goes on to the end of its process, by the confirmations of the other routers.
+void fleet_control::hand_over() {
+    core_.platform.store.end_lease(
+        lease_, detail::call_in(detail::store_call_time),
+        [this](std::error_code error, std::uint64_t) {
+            if (!leading_) {
+                return;
+            }
+            if (!error || error == errc::store_lease_expired) {
+                step_down("stopping");
+                return;
+            }
+            note_store(false, "end lease");
+            // The lease may have ended all the same.
+            lease_until_ = std::min(lease_until_, boot_clock::now());
+            auto timer =
+                std::make_shared<boost::asio::steady_timer>(core_.context, detail::first_pause);
+            timer->async_wait([this, timer, alive = std::weak_ptr<bool>(alive_)](auto failed) {
+                if (!failed && !alive.expired() && leading_) {
+                    hand_over();
+                }
+            });
+        });
+}
+
 bool fleet_control::is_ready() const {
     if (core_.state.config.version == 0 || core_.state.targets.empty()) {
         return false;
@@ -490,7 +514,7 @@
             }
             note_store(!error || error == errc::store_lease_expired, "keep lease");
             decider_.set_store_trouble(static_cast<bool>(error));
-            if (!error) {
+            if (!error && !stopping_) {
                 lease_until_ = std::max(lease_until_, now + ttl - detail::lease_margin);
             } else if (error == errc::store_lease_expired) {
                 step_down("lease ended in the store");
@@ -531,16 +555,24 @@
                                {{"epoch", static_cast<std::int64_t>(leader_epoch_)}});
         may_act_ = acts;
     }
-    decider_.set_long_holds(confirmed);
+    const auto heard = evidence(now);
+    decider_.set_long_holds(wants_long_holds() && may_hold_long(members_, heard) &&
+                            (!members_in_doubt_ || may_hold_long(pending_members_, heard)));
     decider_.extend(until);
 }
 
+// A leader that ends while the store is lost has no successor yet: its last grants should last.
+bool fleet_control::wants_long_holds() const {
+    return leading_ && stopping_ && confirmed_without_store_;
+}
+
 evidence_by_host fleet_control::evidence(boot_time now) const {
     evidence_by_host heard;
     for (const auto& [host, known] : followers_) {
         heard.emplace(host, known.evidence);
     }
-    heard[core_.settings.host] = {run_, now, store_good_ ? boot_time{} : now, std::nullopt};
+    heard[core_.settings.host] = {run_, now, store_good_ ? boot_time{} : now,
+                                  wants_long_holds() ? now : boot_time{}, told_long_holds_};
     return heard;
 }
 
@@ -726,12 +758,14 @@
     out.epoch = leader_epoch_;
     const auto now = boot_clock::now();
     out.store_lost = !store_good_;
-    if (out.store_lost) {
-        told_store_lost_ = now;
+    out.knows_long_holds = long_holds_announced_ && followed_epoch_ == leader_epoch_;
+    if (out.knows_long_holds) {
+        told_long_holds_ = now;
+    }
+    if (told_long_holds_) {
+        out.long_holds_age_ms =
+            static_cast<std::uint64_t>(-milliseconds_until(*told_long_holds_, now));
     }
-    out.store_lost_age_ms =
-        told_store_lost_ ? static_cast<std::uint64_t>(-milliseconds_until(*told_store_lost_, now))
-                         : never_ms;
     out.config_version = core_.state.config.version;
     if (followed_epoch_ == leader_epoch_) {
         out.registry_number = followed_registry_;
@@ -797,6 +831,7 @@
     core_.state.routers = reply.routers;
     core_.state.rank = reply.rank;
     followed_epoch_ = reply.epoch;
+    long_holds_announced_ = reply.long_holds;
     followed_registry_ = reply.registry_number;
     followed_maps_ = reply.map_numbers;
     if (!reply.config_text.empty()) {
@@ -850,8 +885,11 @@
     from.evidence.run = request->run;
     from.evidence.follows = surely_sent;
     from.evidence.store_lost = request->store_lost ? surely_sent : boot_time{};
-    if (request->store_lost_age_ms < never_ms) {
-        from.evidence.told_store_lost = now - milliseconds(request->store_lost_age_ms);
+    if (request->knows_long_holds) {
+        from.evidence.knows_long_holds = now;
+    }
+    if (request->long_holds_age_ms < never_ms) {
+        from.evidence.told_long_holds = now - milliseconds(request->long_holds_age_ms);
     }
     from.failure_domain = request->failure_domain;
     from.seen = now;
@@ -995,6 +1033,7 @@
     if (request.config_version < core_.state.config.version) {
         reply.config_text = config_text_;
     }
+    reply.long_holds = wants_long_holds();
     reply.operators_revision = operators_revision_;
     reply.evacuated_domains = evacuated_;
     reply.registry_number = registry_number_;
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -67,8 +67,10 @@
     void try_to_lead();
     void lead(std::uint64_t epoch, boot_time valid_until);
     void step_down(std::string_view why);
+    void hand_over();
     void keep_lease();
     void renew_right(boot_time now);
+    [[nodiscard]] bool wants_long_holds() const;
     [[nodiscard]] evidence_by_host evidence(boot_time now) const;
     void check_take_over(boot_time now);
     void load_members();
@@ -129,7 +131,8 @@
     bool members_running_ = false;
     bool taken_over_ = false;
     boot_time next_members_;
-    std::optional<boot_time> told_store_lost_;
+    bool long_holds_announced_ = false;  ///< By the leader that this router follows.
+    std::optional<boot_time> told_long_holds_;
 
     // The registry.
     registry_memory registry_memory_;
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -314,7 +314,8 @@
         }
         if (now >= move.not_before) {
             move.phase = move_phase::ready;
-        } else if (!move.call_running && now >= move.next_try) {
+            move.next_try = {};
+        } else if (!move.released && !move.call_running && now >= move.next_try) {
             release(move, now);
         }
     } else if (move.phase == move_phase::granting && !move.call_running && now >= move.next_try) {
@@ -323,8 +324,28 @@
 }
 
 boot_time key_decider::held_until(const holder& target) {
-    return target.calls_running > 0 ? std::max(target.granted_until, target.sent_until)
-                                    : target.granted_until;
+    auto end = target.granted_until;
+    for (const auto& grant : target.open_grants) {
+        end = std::max(end, grant.end);
+    }
+    return end;
+}
+
+bool key_decider::has_running_grant(const holder& target, const key_segment& keys) {
+    return std::any_of(
+        target.open_grants.begin(), target.open_grants.end(), [&](const open_grant& grant) {
+            return grant.running && grant.first <= keys.last && keys.first <= grant.last;
+        });
+}
+
+boot_time key_decider::unanswered_until(const holder& target, const key_segment& keys) {
+    boot_time end;
+    for (const auto& grant : target.open_grants) {
+        if (grant.first <= keys.last && keys.first <= grant.last) {
+            end = std::max(end, grant.end);
+        }
+    }
+    return end;
 }
 
 bool key_decider::is_lost(const std::string& id, boot_time now) const {
@@ -350,7 +371,8 @@
 
 void key_decider::release(running_move& move, boot_time now) {
     auto& from = holder_of(move.old_owner);
-    if (from.address.empty()) {
+    // A grant that arrives after the release would take the keys again.
+    if (from.address.empty() || has_running_grant(from, move.keys)) {
         return;
     }
     move.call_running = true;
@@ -376,7 +398,10 @@
                 released.handover = handover;
                 // A grant that got no answer may still take effect after the release, at a run
                 // that has forgotten the fence.
-                released.not_before = holder_of(released.old_owner).unanswered_until;
+                released.not_before =
+                    unanswered_until(holder_of(released.old_owner), released.keys);
+                // The pause was meant for another try, not for what follows.
+                released.next_try = {};
                 if (core_.now() >= released.not_before) {
                     released.phase = move_phase::ready;
                 }
@@ -474,8 +499,10 @@
     auto& to = holder_of(keys.owner);
     const auto hold = hold_time();
     const auto end = now + detail::with_margin(hold);
-    ++to.calls_running;
-    to.sent_until = std::max(to.sent_until, end);
+    std::erase_if(to.open_grants,
+                  [&](const open_grant& grant) { return !grant.running && grant.end <= now; });
+    const auto number = next_grant_++;
+    to.open_grants.push_back({number, keys.first, keys.last, end, true});
     if (to.answered == boot_time{}) {
         to.answered = now;
     }
@@ -485,22 +512,26 @@
                  std::chrono::duration_cast<milliseconds>(right_.valid_until - now));
     core_.platform.orders.grant(
         to.address, keys, hold, handover, detail::in(call_time),
-        guarded([this, id = keys.owner, end, done = std::move(done)](std::error_code error,
-                                                                     const std::string&) {
+        guarded([this, id = keys.owner, end, number, done = std::move(done)](std::error_code error,
+                                                                             const std::string&) {
             auto& target = holder_of(id);
-            --target.calls_running;
+            const bool answered = !error || error == errc::target_refused;
             // A grant that could not be sent holds nothing.
             if (error != errc::target_unreachable) {
                 target.granted_until = std::max(target.granted_until, end);
             }
-            if (!error || error == errc::target_refused) {
+            for (auto& grant : target.open_grants) {
+                grant.running = grant.running && grant.number != number;
+            }
+            if (answered || error == errc::target_unreachable) {
+                std::erase_if(target.open_grants,
+                              [&](const open_grant& grant) { return grant.number == number; });
+            }
+            if (answered) {
                 target.failed = 0;
                 target.answered = core_.now();
             } else {
                 ++target.failed;
-                if (error != errc::target_unreachable) {
-                    target.unanswered_until = std::max(target.unanswered_until, end);
-                }
                 core_.log.write("grant_failed", {{"target", id},
                                                  {"error", error.message()},
                                                  {"failures", std::int64_t{target.failed}}});
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "mimosavalve/gateway/key_plan.hpp"
 #include "mimosavalve/gateway/leader_term.hpp"
@@ -77,15 +78,21 @@
         std::map<std::uint32_t, boot_time> next_renewals;  ///< By first key of a range.
         boot_time next_plan;
     };
+    /// A grant that was sent and not answered: it may be on its way, or take effect later.
+    struct open_grant {
+        std::uint64_t number = 0;
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        boot_time end;        ///< Its hold does not last longer.
+        bool running = true;  ///< The call has not ended.
+    };
     /// What is known about the holds of one target.
     struct holder {
         std::string address;
-        boot_time granted_until;     ///< No grant that may have arrived lasts longer.
-        boot_time sent_until;        ///< No grant that is on its way lasts longer.
-        boot_time unanswered_until;  ///< Grants without an answer do not last longer.
+        boot_time granted_until;  ///< No grant that may have arrived lasts longer.
+        std::vector<open_grant> open_grants;
         boot_time answered;        ///< Last answer to a grant.
         std::uint32_t failed = 0;  ///< Grants in a row without an answer.
-        std::uint32_t calls_running = 0;
     };
 
     void load_records();
@@ -114,6 +121,10 @@
     [[nodiscard]] std::string record_key(const std::string& name) const;
     holder& holder_of(const std::string& id);
     [[nodiscard]] static boot_time held_until(const holder& target);
+    /// Whether a grant of some of these keys is on its way to the target.
+    [[nodiscard]] static bool has_running_grant(const holder& target, const key_segment& keys);
+    /// When the holds of unanswered grants of some of these keys have ended.
+    [[nodiscard]] static boot_time unanswered_until(const holder& target, const key_segment& keys);
     /// Whether a target has not answered for so long that it gets no keys.
     [[nodiscard]] bool is_lost(const std::string& id, boot_time now) const;
     template <typename Handler>
@@ -131,6 +142,7 @@
     boot_time settled_;  ///< Since then the set of targets is the same.
     std::size_t known_targets_ = 0;
     std::uint64_t next_fence_ = 1;
+    std::uint64_t next_grant_ = 1;
     std::map<std::string, service_state> services_;
     std::map<std::string, holder> holders_;  ///< By target id.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/gateway/leader_term.cpp
+++ b/src/gateway/leader_term.cpp
@@ -26,6 +26,18 @@
     return oldest_needed + confirmation_time;
 }
 
+bool may_hold_long(const router_runs& recorded, const evidence_by_host& heard) {
+    std::size_t counted = 0;
+    for (const auto& [host, run] : recorded) {
+        const auto found = heard.find(host);
+        counted += found != heard.end() && found->second.run == run &&
+                           found->second.knows_long_holds != boot_time{}
+                       ? 1
+                       : 0;
+    }
+    return counted > recorded.size() / 2;
+}
+
 bool has_taken_over(const router_runs& recorded, const evidence_by_host& heard) {
     std::size_t counted = 0;
     for (const auto& [host, run] : recorded) {
@@ -38,8 +50,8 @@
                               boot_time now) {
     auto end = now + confirmation_time + holds.calm;
     for (const auto& [host, router] : heard) {
-        if (router.told_store_lost) {
-            end = std::max(end, *router.told_store_lost + confirmation_time + holds.longest);
+        if (router.told_long_holds) {
+            end = std::max(end, *router.told_long_holds + confirmation_time + holds.longest);
         }
     }
     return end;
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -84,7 +84,8 @@
                              {"run", message.run},
                              {"epoch", message.epoch},
                              {"store_lost", message.store_lost},
-                             {"store_lost_age", message.store_lost_age_ms},
+                             {"knows_long", message.knows_long_holds},
+                             {"long_age", message.long_holds_age_ms},
                              {"config", message.config_version},
                              {"registry", message.registry_number},
                              {"maps", message.map_numbers},
@@ -100,7 +101,8 @@
         out.run = body.at("run");
         out.epoch = body.at("epoch");
         out.store_lost = body.at("store_lost");
-        out.store_lost_age_ms = body.at("store_lost_age");
+        out.knows_long_holds = body.at("knows_long");
+        out.long_holds_age_ms = body.at("long_age");
         out.config_version = body.at("config");
         out.registry_number = body.at("registry");
         out.map_numbers = body.at("maps").get<std::map<std::string, std::uint64_t>>();
@@ -129,6 +131,7 @@
                          {"rank", message.rank},
                          {"store_age_ms", message.store_age_ms},
                          {"config", message.config_version},
+                         {"long_holds", message.long_holds},
                          {"operators", message.operators_revision},
                          {"evacuated", message.evacuated_domains},
                          {"registry_number", message.registry_number},
@@ -160,6 +163,7 @@
         out.rank = body.at("rank");
         out.store_age_ms = body.at("store_age_ms");
         out.config_version = body.at("config");
+        out.long_holds = body.at("long_holds");
         out.operators_revision = body.at("operators");
         out.evacuated_domains = body.at("evacuated").get<std::set<std::string>>();
         out.registry_number = body.at("registry_number");
--- a/tests/gateway/decider_fixture.hpp
+++ b/tests/gateway/decider_fixture.hpp
@@ -23,8 +23,7 @@
     key_orders::done_handler done;
 };
 
-/// Store and targets of a decider in one place, with a clock that only the test moves. Answers come
-/// when the test says so, or at once while `answer_at_once` is on.
+/// Store and targets of a decider in one place, with a clock that only the test moves.
 class decider_fixture {
 public:
     decider_fixture()
@@ -49,15 +48,15 @@
                 }
             }
             items.revision = revision;
-            done({}, items);
+            later([done, items] { done({}, items); });
         };
         core.platform.store.read = [this](const std::string& key, call_deadline,
                                           metadata_store::item_handler done) {
             const auto found = stored.find(key);
             if (found == stored.end()) {
-                done(make_error_code(errc::not_found), {}, revision);
+                later([this, done] { done(make_error_code(errc::not_found), {}, revision); });
             } else {
-                done({}, found->second, revision);
+                later([this, done, item = found->second] { done({}, item, revision); });
             }
         };
         core.platform.store.write = [this](const store_batch& batch, call_deadline,
@@ -67,7 +66,7 @@
                 const auto found = stored.find(condition.key);
                 const auto current = found == stored.end() ? 0 : found->second.revision;
                 if (current != condition.revision) {
-                    done(make_error_code(errc::store_conflict), 0);
+                    later([done] { done(make_error_code(errc::store_conflict), 0); });
                     return;
                 }
             }
@@ -77,7 +76,9 @@
             }
             const bool lose = lose_write_answers > 0;
             lose_write_answers -= lose ? 1 : 0;
-            done(lose ? make_error_code(errc::store_unavailable) : std::error_code(), revision);
+            later([this, done, lose] {
+                done(lose ? make_error_code(errc::store_unavailable) : std::error_code(), revision);
+            });
         };
         core.platform.orders.grant = [this](const std::string& address, const key_segment& keys,
                                             milliseconds hold, const std::string& handover,
@@ -120,7 +121,9 @@
     /// Lets time pass in steps of the decider.
     void pass(milliseconds time) {
         for (const auto end = now + time; now < end; now += key_decider::tick_time) {
+            deliver();
             decider.tick();
+            deliver();
         }
     }
     [[nodiscard]] std::string owner_of(std::uint32_t key) const {
@@ -156,12 +159,23 @@
 private:
     void take(received_order order) {
         orders.push_back(order);
-        if (silent[order.address]) {
-            order.done(std::make_error_code(std::errc::timed_out), "");
-        } else {
-            order.done({}, order.grant ? "" : "handover-" + order.address);
+        const bool answers = !silent[order.address];
+        later([order, answers] {
+            order.done(answers ? std::error_code() : std::make_error_code(std::errc::timed_out),
+                       answers && !order.grant ? "handover-" + order.address : "");
+        });
+    }
+    void later(std::function<void()> answer) { answers_.push_back(std::move(answer)); }
+    // Answers never come inside the call that asked for them.
+    void deliver() {
+        while (!answers_.empty()) {
+            const auto answer = std::move(answers_.front());
+            answers_.pop_front();
+            answer();
         }
     }
+
+    std::deque<std::function<void()>> answers_;
 };
 
 }  // namespace mimosavalve::gateway::testing
--- a/tests/gateway/key_decider_test.cpp
+++ b/tests/gateway/key_decider_test.cpp
@@ -218,3 +218,50 @@
     fleet.decider.tick();
     CHECK(fleet.writes == before);
 }
+
+// Found by an incident: a renewal that waited for a connection arrived after the release and took
+// the keys again, while the next owner already served them.
+TEST_CASE("keys are released only after the grants on their way were answered [decider]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    fleet.record(owned_by("a", 7));
+    fleet.lead();
+    key_orders::done_handler late;
+    const auto grant = fleet.core.platform.orders.grant;
+    fleet.core.platform.orders.grant =
+        [&](const std::string&, const key_segment&, milliseconds, const std::string&, call_deadline,
+            key_orders::done_handler done) { late = std::move(done); };
+    fleet.pass(key_decider::tick_time);
+    REQUIRE(late);
+    fleet.core.platform.orders.grant = grant;
+    fleet.core.state.registry.targets["a"].leaving = true;
+    update_targets(fleet.core.state, fleet.now);
+    fleet.pass(std::chrono::milliseconds(200));
+    CHECK(fleet.count_orders(false, "a") == 0);
+    late({}, "");
+    fleet.pass(std::chrono::milliseconds(200));
+    CHECK(fleet.count_orders(false, "a") == 1);
+    CHECK(fleet.owner_of(0) == "b");
+}
+
+TEST_CASE("after an unanswered grant a release alone does not free the keys [decider]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    fleet.record(owned_by("a", 7));
+    fleet.lead();
+    fleet.silent["a"] = true;
+    fleet.pass(key_decider::tick_time);
+    const auto sent = fleet.now;
+    REQUIRE(fleet.count_orders(true, "a") == 1);
+    fleet.silent["a"] = false;
+    fleet.core.state.registry.targets["a"].leaving = true;
+    update_targets(fleet.core.state, fleet.now);
+    fleet.pass(std::chrono::milliseconds(1000));
+    CHECK(fleet.count_orders(false, "a") == 1);
+    CHECK(fleet.count_orders(true, "b") == 0);
+    fleet.pass(std::chrono::milliseconds(2500));
+    CHECK(fleet.count_orders(true, "b") > 0);
+    CHECK(fleet.now - sent > fleet.orders.front().hold);
+}
--- a/tests/gateway/leader_term_test.cpp
+++ b/tests/gateway/leader_term_test.cpp
@@ -20,36 +20,36 @@
 
 TEST_CASE("without the store a leader needs more than half of the recorded runs [leader_term]") {
     evidence_by_host heard;
-    heard["h1"] = {1, at(9), at(9), std::nullopt};
+    heard["h1"] = {1, at(9), at(9), {}, std::nullopt};
     CHECK_FALSE(right_without_store(three_runs(), heard));
-    heard["h2"] = {2, at(5), at(5), std::nullopt};
+    heard["h2"] = {2, at(5), at(5), {}, std::nullopt};
     REQUIRE(right_without_store(three_runs(), heard));
     CHECK(*right_without_store(three_runs(), heard) == at(5) + confirmation_time);
-    heard["h3"] = {3, at(8), at(8), std::nullopt};
+    heard["h3"] = {3, at(8), at(8), {}, std::nullopt};
     CHECK(*right_without_store(three_runs(), heard) == at(8) + confirmation_time);
 }
 
 TEST_CASE("a router that reaches the store does not confirm that it is lost [leader_term]") {
     evidence_by_host heard;
-    heard["h1"] = {1, at(9), at(9), std::nullopt};
-    heard["h2"] = {2, at(9), boot_time{}, std::nullopt};
+    heard["h1"] = {1, at(9), at(9), {}, std::nullopt};
+    heard["h2"] = {2, at(9), boot_time{}, {}, std::nullopt};
     CHECK_FALSE(right_without_store(three_runs(), heard));
 }
 
 TEST_CASE("a restarted router confirms nothing for the run on record [leader_term]") {
     evidence_by_host heard;
-    heard["h1"] = {1, at(9), at(9), std::nullopt};
-    heard["h2"] = {99, at(9), at(9), std::nullopt};
+    heard["h1"] = {1, at(9), at(9), {}, std::nullopt};
+    heard["h2"] = {99, at(9), at(9), {}, std::nullopt};
     CHECK_FALSE(right_without_store(three_runs(), heard));
     CHECK(has_taken_over(three_runs(), heard));
 }
 
-TEST_CASE("inherited holds last longer when a router had confirmed the loss [leader_term]") {
+TEST_CASE("inherited holds last longer when a router had heard of long ones [leader_term]") {
     evidence_by_host heard;
-    heard["h1"] = {1, at(9), {}, std::nullopt};
+    heard["h1"] = {1, at(9), {}, {}, std::nullopt};
     const hold_times holds{seconds(3), seconds(10)};
     CHECK(inherited_holds_end(holds, heard, at(9)) == at(12) + confirmation_time);
-    heard["h2"] = {2, at(9), {}, at(8)};
+    heard["h2"] = {2, at(9), {}, {}, at(8)};
     CHECK(inherited_holds_end(holds, heard, at(9)) == at(18) + confirmation_time);
 }
 
@@ -69,12 +69,21 @@
             // Each run follows one of the two, or is heard of by nobody.
             const auto side = *rc::gen::inRange(0, 3);
             if (side == 0) {
-                old_leader[host] = {1, at(9), at(9), std::nullopt};
+                old_leader[host] = {1, at(9), at(9), {}, std::nullopt};
             } else if (side == 1) {
-                new_leader[host] = {1, at(9), {}, std::nullopt};
+                new_leader[host] = {1, at(9), {}, {}, std::nullopt};
             }
         }
         RC_ASSERT(
             !(right_without_store(recorded, old_leader) && has_taken_over(recorded, new_leader)));
     });
 }
+
+TEST_CASE("long holds need more than half of the recorded runs to know of them [leader_term]") {
+    evidence_by_host heard;
+    heard["h1"] = {1, at(9), at(9), at(9), std::nullopt};
+    heard["h2"] = {99, at(9), at(9), at(9), std::nullopt};
+    CHECK_FALSE(may_hold_long(three_runs(), heard));
+    heard["h3"] = {3, at(9), at(9), at(9), std::nullopt};
+    CHECK(may_hold_long(three_runs(), heard));
+}
