--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -28,6 +28,7 @@
     std::uint32_t load_own = 0;     ///< with so many of this router's requests still there.
     boot_time load_at;
     double work_ms = 0;            ///< Mean time of its work without a queue; 0: not known.
+    double answer_ms = 0;          ///< Running mean of the time from a send to its answer.
     std::uint32_t work_count = 0;  ///< Answers without a queue since the last report,
     double work_sum_ms = 0;        ///< and the sum of their times.
     std::uint32_t failures = 0;    ///< In a row, without any answer.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -209,7 +209,8 @@
             !is_at_home(core_.state, target->entry, *route_)) {
             continue;
         }
-        work += work_ms_of(core_.state, *target);
+        // The time at the target, where a part of the requests waits for a slot.
+        work += std::max(target->answer_ms, work_ms_of(core_.state, *target));
         ++known;
         const auto lent = core_.state.places.find(id);
         if (keyed && target->lent_rate > 0) {
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -27,6 +27,8 @@
 constexpr double most_tokens = 2;
 // Of each target, for a router that has not heard of the leader yet.
 constexpr std::uint32_t places_before_lending = 1;
+// A running mean over about ten answers.
+constexpr double answer_weight = 0.1;
 // Assumed before the first answer.
 constexpr double unknown_work_ms = 100;
 constexpr milliseconds one_second{1000};
@@ -176,6 +178,10 @@
 void note_success(target_state& target, milliseconds latency, bool queued) {
     target.failures = 0;
     target.avoid_until = {};
+    const auto time_ms = static_cast<double>(latency.count());
+    target.answer_ms = target.answer_ms == 0 ? time_ms
+                                             : target.answer_ms + (time_ms - target.answer_ms) *
+                                                                      detail::answer_weight;
     if (!queued) {
         ++target.work_count;
         target.work_sum_ms += static_cast<double>(latency.count());
