--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -147,6 +147,7 @@
 TEST_CASE("lent places follow demand and their sum fits the targets [place_plan]") {
     const std::vector<lent_target> targets{{"a", 6}, {"b", 6}, {"c", 6}, {"d", 6}, {"e", 6}};
     std::vector<borrowing_router> routers;
+    routers.reserve(11);
     for (int number = 0; number < 11; ++number) {
         routers.push_back({"h" + std::to_string(number), number < 2 ? 20.0 : 2.0});
     }
