Read all pages of a listing of the store

Cause: a listing of more items than one page holds says so, but nobody asked for the next page: targets beyond the first page were taken for gone. Change: list_all follows the pages; its revision is that of the first page, so that a watch from there sees what changed meanwhile. An empty page that promises more is an error, not an endless loop. Tests: store_listing_test, four cases.

--- /dev/null
+++ b/src/gateway/store_listing.cpp
@@ -0,0 +1,62 @@
+#include "store_listing.hpp"
+
+#include <iterator>
+#include <memory>
+
+#include "mimosavalve/core/error.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+struct listing {
+    const metadata_store* store = nullptr;
+    std::string prefix;
+    call_deadline deadline;
+    metadata_store::items_handler done;
+    store_items items;
+};
+
+void take_page(std::unique_ptr<listing> running, std::error_code error, store_items page);
+
+void ask_for_page(std::unique_ptr<listing> running) {
+    const auto after = running->items.items.empty() ? "" : running->items.items.back().key;
+    const auto& store = *running->store;
+    const auto prefix = running->prefix;
+    const auto deadline = running->deadline;
+    // Handlers of calls are copyable functions, hence the shared pointer.
+    auto kept = std::make_shared<std::unique_ptr<listing>>(std::move(running));
+    store.list(prefix, after, deadline, [kept](std::error_code error, store_items page) {
+        take_page(std::move(*kept), error, std::move(page));
+    });
+}
+
+void take_page(std::unique_ptr<listing> running, std::error_code error, store_items page) {
+    if (!error && page.incomplete && page.items.empty()) {
+        error = make_error_code(errc::malformed_message);  // It would never end.
+    }
+    if (error) {
+        running->done(error, {});
+        return;
+    }
+    auto& all = running->items;
+    if (all.items.empty()) {
+        all.revision = page.revision;
+    }
+    std::move(page.items.begin(), page.items.end(), std::back_inserter(all.items));
+    if (page.incomplete) {
+        ask_for_page(std::move(running));
+    } else {
+        running->done({}, std::move(all));
+    }
+}
+
+}  // namespace detail
+
+void list_all(const metadata_store& store, const std::string& prefix, call_deadline deadline,
+              metadata_store::items_handler done) {
+    detail::ask_for_page(std::make_unique<detail::listing>(
+        detail::listing{&store, prefix, deadline, std::move(done), {}}));
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/tests/gateway/store_listing_test.cpp
@@ -0,0 +1,85 @@
+#include "gateway/store_listing.hpp"
+
+#include <doctest/doctest.h>
+
+#include "mimosavalve/core/error.hpp"
+
+using namespace mimosavalve;
+using namespace mimosavalve::gateway;
+
+namespace {
+
+// Answers one item a page, with a revision that grows from page to page.
+metadata_store paged_store(std::vector<std::string> keys, std::size_t fails_at) {
+    metadata_store store;
+    store.list = [keys = std::move(keys), fails_at, revision = std::uint64_t{40}](
+                     const std::string&, const std::string& after, call_deadline,
+                     const metadata_store::items_handler& done) mutable {
+        const auto next = std::upper_bound(keys.begin(), keys.end(), after);
+        store_items page;
+        page.revision = ++revision;
+        if (static_cast<std::size_t>(next - keys.begin()) == fails_at) {
+            done(make_error_code(errc::store_unavailable), {});
+            return;
+        }
+        if (next != keys.end()) {
+            page.items.push_back({*next, "value of " + *next, 7, 7, 0});
+            page.incomplete = std::next(next) != keys.end();
+        }
+        done({}, page);
+    };
+    return store;
+}
+
+struct outcome {
+    std::error_code error;
+    store_items items;
+    int calls = 0;
+};
+
+outcome list_from(const metadata_store& store) {
+    outcome seen;
+    list_all(store, "targets/", {}, [&](std::error_code error, store_items items) {
+        seen.error = error;
+        seen.items = std::move(items);
+        ++seen.calls;
+    });
+    return seen;
+}
+
+}  // namespace
+
+// The router took the first page for all targets and lost the others.
+TEST_CASE("a listing has the items of all pages [store_listing]") {
+    const auto seen = list_from(paged_store({"a", "b", "c"}, 9));
+    CHECK(seen.calls == 1);
+    CHECK_FALSE(seen.error);
+    REQUIRE(seen.items.items.size() == 3);
+    CHECK(seen.items.items.back().key == "c");
+}
+
+TEST_CASE(
+    "a listing has the revision of its first page, for the watch that follows [store_listing]") {
+    CHECK(list_from(paged_store({"a", "b", "c"}, 9)).items.revision == 41);
+}
+
+TEST_CASE("a page that fails fails the listing [store_listing]") {
+    const auto seen = list_from(paged_store({"a", "b", "c"}, 1));
+    CHECK(seen.calls == 1);
+    CHECK(seen.error == errc::store_unavailable);
+    CHECK(seen.items.items.empty());
+}
+
+TEST_CASE("an empty page that promises more ends the listing with an error [store_listing]") {
+    metadata_store store;
+    int calls = 0;
+    store.list = [&](const std::string&, const std::string&, call_deadline,
+                     const metadata_store::items_handler& done) {
+        ++calls;
+        store_items page;
+        page.incomplete = true;
+        done({}, page);
+    };
+    CHECK(list_from(store).error == errc::malformed_message);
+    CHECK(calls == 1);
+}
