Let no key leave its owner while an earlier leader may still renew it

A release does not make a target refuse a lower fence, so the old leader's next renewal takes the keys back. The release was taken as a proof that the keys are free, although the successor had not taken over. Ruled out: grants of this term in flight (has_running_grant covers them); a write in doubt (the record was right). Change: no key leaves an owner before the end of inherited holds is known and has passed; an owner that serves goes on until then. Also: reading the record again for a new service replaced the map of services whose moves were running, which would have renewed a released owner. Listings of the store now follow their pages. Tests: three cases in key_decider_test; all three fail on the former code.

--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -19,6 +19,7 @@
 /// Router to leader, about every 300 ms: what the router knows and what it has seen.
 struct sync_request {
     std::string host;
+    std::string address;  ///< Of the port for calls of other routers.
     std::string failure_domain;
     std::uint64_t run = 0;          ///< Random at each start of the router's process.
     std::uint64_t epoch = 0;        ///< Of the leader that the router follows.
@@ -63,8 +64,28 @@
 std::optional<sync_request> decode_sync_request(std::string_view bytes);
 std::optional<sync_reply> decode_sync_reply(std::string_view bytes);
 
+/// Who leads. Recorded in the store, and sent by a new leader to the routers on record that do not
+/// follow it: some may not reach the store, and follow a leader that does not reach it either.
+struct leader_identity {
+    std::string host;
+    std::string address;
+    std::uint64_t run = 0;
+    std::uint64_t epoch = 0;  ///< In the store: 0, since the revision of the item is the epoch.
+};
+std::string encode(const leader_identity& message);
+std::optional<leader_identity> decode_leader_identity(std::string_view bytes);
+
 /// One run of a router, as recorded by the leader.
-using router_runs = std::map<std::string, std::uint64_t>;  ///< Run by host.
+struct router_run {
+    router_run(std::uint64_t number = 0, std::string peer_address = {})
+        : run(number), address(std::move(peer_address)) {}
+
+    std::uint64_t run = 0;
+    std::string address;  ///< Of the port for calls of other routers.
+
+    bool operator==(const router_run&) const = default;
+};
+using router_runs = std::map<std::string, router_run>;  ///< By host.
 std::string encode(const router_runs& runs);
 std::optional<router_runs> decode_router_runs(std::string_view bytes);
 
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <nlohmann/json.hpp>
 #include <random>
 
 #include "mimosavalve/core/error.hpp"
+#include "store_listing.hpp"
 
 namespace mimosavalve::gateway {
 
@@ -53,6 +53,10 @@
 // A router that was heard of within this time counts as running.
 constexpr milliseconds members_time{1500};
 constexpr const char* sync_path = "/sync";
+constexpr const char* notice_path = "/leader";
+// Pause between notices of a new leader to the routers that do not follow it yet, and the time that
+// one may take: a router that is cut off does not answer.
+constexpr milliseconds notice_pause{500};
 constexpr const char* cbor_type = "application/cbor";
 
 call_deadline call_in(milliseconds time) {
@@ -116,6 +120,7 @@
                 load_members();
             }
             check_take_over(now);
+            notify_members(now);
             record_members(now);
             renew_right(now);
             if (now >= next_check_) {
@@ -201,19 +206,19 @@
 
 void fleet_control::list_operators() {
     operators_running_ = true;
-    core_.platform.store.list(core_.platform.keys.operators, "",
-                              detail::call_in(detail::store_call_time),
-                              [this](std::error_code error, const store_items& items) {
-                                  operators_running_ = false;
-                                  note_store(!error, "list operators");
-                                  if (error) {
-                                      retry_operators();
-                                      return;
-                                  }
-                                  operators_pause_ = {};
-                                  take_operators(items);
-                                  watch_operators();
-                              });
+    list_all(core_.platform.store, core_.platform.keys.operators,
+             detail::call_in(detail::store_call_time),
+             [this](std::error_code error, const store_items& items) {
+                 operators_running_ = false;
+                 note_store(!error, "list operators");
+                 if (error) {
+                     retry_operators();
+                     return;
+                 }
+                 operators_pause_ = {};
+                 take_operators(items);
+                 watch_operators();
+             });
 }
 
 void fleet_control::watch_operators() {
@@ -238,14 +243,14 @@
 
 void fleet_control::check_operators() {
     next_check_ = boot_clock::now() + detail::operators_check_time;
-    core_.platform.store.list(core_.platform.keys.operators, "",
-                              detail::call_in(detail::store_call_time),
-                              [this](std::error_code error, const store_items& items) {
-                                  note_store(!error, "check operators");
-                                  if (!error && items.revision >= operators_revision_) {
-                                      take_operators(items);
-                                  }
-                              });
+    list_all(core_.platform.store, core_.platform.keys.operators,
+             detail::call_in(detail::store_call_time),
+             [this](std::error_code error, const store_items& items) {
+                 note_store(!error, "check operators");
+                 if (!error && items.revision >= operators_revision_) {
+                     take_operators(items);
+                 }
+             });
 }
 
 void fleet_control::take_operators(const store_items& items) {
@@ -336,23 +341,23 @@
 // --- The leader ---
 
 void fleet_control::list_leader() {
-    core_.platform.store.list(core_.platform.keys.own + "leader", "",
-                              detail::call_in(detail::store_call_time),
-                              [this](std::error_code error, const store_items& items) {
-                                  note_store(!error, "list leader");
-                                  if (error) {
-                                      retry_leader();
-                                      return;
-                                  }
-                                  leader_pause_ = {};
-                                  leader_revision_ = items.revision;
-                                  if (items.items.empty()) {
-                                      take_leader({});
-                                  } else {
-                                      take_leader(items.items.front());
-                                  }
-                                  watch_leader();
-                              });
+    list_all(core_.platform.store, core_.platform.keys.own + "leader",
+             detail::call_in(detail::store_call_time),
+             [this](std::error_code error, const store_items& items) {
+                 note_store(!error, "list leader");
+                 if (error) {
+                     retry_leader();
+                     return;
+                 }
+                 leader_pause_ = {};
+                 leader_revision_ = items.revision;
+                 if (items.items.empty()) {
+                     take_leader_item({});
+                 } else {
+                     take_leader_item(items.items.front());
+                 }
+                 watch_leader();
+             });
 }
 
 void fleet_control::watch_leader() {
@@ -368,7 +373,7 @@
                                    note_store(true, "watch leader");
                                    leader_revision_ = std::max(items.revision, leader_revision_);
                                    if (!items.items.empty()) {
-                                       take_leader(items.items.back());
+                                       take_leader_item(items.items.back());
                                    }
                                    watch_leader();
                                });
@@ -384,7 +389,7 @@
     });
 }
 
-void fleet_control::take_leader(const store_item& item) {
+void fleet_control::take_leader_item(const store_item& item) {
     if (item.revision == 0) {
         if (leader_epoch_ != 0) {
             core_.log.write_always("leader_gone", {{"host", leader_host_}});
@@ -396,24 +401,38 @@
         stand_for_election();
         return;
     }
-    if (item.created < leader_epoch_) {
+    auto leader = decode_leader_identity(item.value);
+    if (!leader) {
+        core_.log.write_always("record_unreadable", {{"key", item.key}});
+        leader.emplace();  // Nobody can be followed, and nobody may stand while the item lasts.
+    }
+    leader->epoch = item.created;
+    take_leader(*leader);
+}
+
+void fleet_control::take_leader(const leader_identity& leader) {
+    if (leader.epoch < newest_epoch_) {
         return;
     }
-    const auto body = nlohmann::json::parse(item.value, nullptr, false);
-    leader_host_ = body.is_object() ? body.value("host", "") : "";
-    leader_address_ = body.is_object() ? body.value("address", "") : "";
-    if (item.created != leader_epoch_) {
+    newest_epoch_ = leader.epoch;
+    leader_host_ = leader.host;
+    leader_address_ = leader.address;
+    if (leader.epoch != leader_epoch_) {
         core_.log.write_always(
             "leader_known",
-            {{"host", leader_host_}, {"epoch", static_cast<std::int64_t>(item.created)}});
+            {{"host", leader_host_}, {"epoch", static_cast<std::int64_t>(leader.epoch)}});
     }
-    leader_epoch_ = item.created;
-    if (leading_ && body.is_object() && body.value("run", std::uint64_t{0}) != run_) {
+    leader_epoch_ = leader.epoch;
+    if (leading_ && leader.run != run_) {
         step_down("another leader is on record");
     }
     next_sync_ = {};
 }
 
+leader_identity fleet_control::own_identity() const {
+    return {core_.settings.host, core_.settings.peer_address, run_, leading_ ? leader_epoch_ : 0};
+}
+
 void fleet_control::stand_for_election() {
     if (standing_ || stopping_ || leading_ || boot_clock::now() < next_election_) {
         return;
@@ -438,38 +457,36 @@
 void fleet_control::try_to_lead() {
     const auto sent = boot_clock::now();
     const auto ttl = std::max(detail::lease_time, core_.settings.shortest_lease);
-    core_.platform.store.open_lease(
-        ttl, detail::call_in(detail::store_call_time),
-        [this, sent, ttl](std::error_code error, std::uint64_t lease) {
-            if (error || lease == 0) {
-                standing_ = false;
-                note_store(false, "open lease");
-                return;
-            }
-            lease_ = lease;
-            const nlohmann::json value = {{"host", core_.settings.host},
-                                          {"address", core_.settings.peer_address},
-                                          {"run", run_}};
-            store_batch batch;
-            const auto key = core_.platform.keys.own + "leader";
-            batch.conditions = {{key, 0}};
-            batch.writes = {{key, value.dump(), lease}};
-            core_.platform.store.write(batch, detail::call_in(detail::store_call_time),
-                                       [this, until = sent + ttl - detail::lease_margin](
-                                           std::error_code failed, std::uint64_t revision) {
-                                           standing_ = false;
-                                           if (!failed) {
-                                               lead(revision, until);
-                                           }
-                                           // Without an answer the watch tells who leads; the lease
-                                           // lapses.
-                                       });
-        });
+    core_.platform.store.open_lease(ttl, detail::call_in(detail::store_call_time),
+                                    [this, sent, ttl](std::error_code error, std::uint64_t lease) {
+                                        if (error || lease == 0) {
+                                            standing_ = false;
+                                            note_store(false, "open lease");
+                                            return;
+                                        }
+                                        lease_ = lease;
+                                        store_batch batch;
+                                        const auto key = core_.platform.keys.own + "leader";
+                                        batch.conditions = {{key, 0}};
+                                        batch.writes = {{key, encode(own_identity()), lease}};
+                                        core_.platform.store.write(
+                                            batch, detail::call_in(detail::store_call_time),
+                                            [this, until = sent + ttl - detail::lease_margin](
+                                                std::error_code failed, std::uint64_t revision) {
+                                                standing_ = false;
+                                                if (!failed) {
+                                                    lead(revision, until);
+                                                }
+                                                // Without an answer the watch tells who leads; the
+                                                // lease lapses.
+                                            });
+                                    });
 }
 
 void fleet_control::lead(std::uint64_t epoch, boot_time valid_until) {
     leading_ = true;
     leader_epoch_ = epoch;
+    newest_epoch_ = std::max(newest_epoch_, epoch);
     leader_host_ = core_.settings.host;
     lease_until_ = valid_until;
     next_keep_ = boot_clock::now() + detail::lease_keep_time;
@@ -593,6 +610,44 @@
                             {"inherited_holds_ms", milliseconds_until(end, now)}});
 }
 
+// A successor acts fully only when most routers follow it. Those that do not reach the store would
+// stay with its predecessor until the store is back.
+void fleet_control::notify_members(boot_time now) {
+    if (taken_over_ || !members_loaded_ || now < next_notice_) {
+        return;
+    }
+    next_notice_ = now + detail::notice_pause;
+    const auto body = encode(own_identity());
+    for (const auto& [host, known] : members_) {
+        const auto to = parse_endpoint(known.address);
+        if (!to || host == core_.settings.host || followers_.contains(host)) {
+            continue;
+        }
+        calls_.send(*to, {"POST", detail::notice_path, detail::cbor_type, body, {}},
+                    detail::call_in(detail::notice_pause),
+                    [this, host = host](std::error_code error, const call_answer&) {
+                        // The next round tells it again.
+                        core_.log.write("leader_notice",
+                                        {{"host", host}, {"error", error ? error.message() : ""}});
+                    });
+    }
+}
+
+void fleet_control::serve_notice(const std::string& body, const small_server::respond& respond) {
+    constexpr unsigned ok = 200;
+    constexpr unsigned bad_request = 400;
+    const auto notice = decode_leader_identity(body);
+    if (!notice) {
+        respond({bad_request, "text/plain", ""});
+        return;
+    }
+    // A notice that was long on its way may speak of a leader that has ended.
+    if (notice->epoch > newest_epoch_) {
+        take_leader(*notice);
+    }
+    respond({ok, "text/plain", ""});
+}
+
 void fleet_control::load_members() {
     members_running_ = true;
     core_.platform.store.read(
@@ -616,10 +671,11 @@
         return;
     }
     next_members_ = now + detail::members_time;
-    router_runs current{{core_.settings.host, run_}};
+    router_runs current;
+    current.emplace(core_.settings.host, router_run(run_, core_.settings.peer_address));
     for (const auto& [host, known] : followers_) {
         if (now - known.seen < detail::members_time) {
-            current.emplace(host, known.evidence.run);
+            current.emplace(host, router_run(known.evidence.run, known.address));
         }
     }
     if (current == members_ && !members_in_doubt_) {
@@ -662,40 +718,40 @@
     registry_running_ = true;
     next_registry_ =
         boot_clock::now() + (leading_ ? detail::registry_time : detail::own_registry_time);
-    core_.platform.store.list(
-        core_.platform.keys.targets, "", detail::call_in(detail::store_call_time),
-        [this](std::error_code error, const store_items& items) {
-            registry_running_ = false;
-            const auto now = boot_clock::now();
-            if (error) {
-                note_store(false, "list targets");
-                note_registry_outage(registry_memory_, now);
-                next_registry_ = now + detail::own_registry_time;
-                return;
-            }
-            if (!store_good_) {
-                note_registry_outage(registry_memory_, now);
-            }
-            note_store(true, "list targets");
-            registry_read_ = now;
-            registry_reading reading;
-            reading.revision = items.revision;
-            reading.evacuated_domains = evacuated_;
-            for (const auto& item : items.items) {
-                const auto id =
-                    std::string_view(item.key).substr(core_.platform.keys.targets.size());
-                auto entry = core_.platform.decode_target(id, item.value);
-                if (entry) {
-                    reading.targets.push_back(std::move(*entry));
-                } else {
-                    ++reading.ignored_entries;
-                }
-            }
-            if (reading.ignored_entries > 0) {
-                count(core_.metrics, "registry_entries_ignored", reading.ignored_entries);
-            }
-            take_registry(merge_reading(core_.state.registry, reading, registry_memory_, now));
-        });
+    list_all(core_.platform.store, core_.platform.keys.targets,
+             detail::call_in(detail::store_call_time),
+             [this](std::error_code error, const store_items& items) {
+                 registry_running_ = false;
+                 const auto now = boot_clock::now();
+                 if (error) {
+                     note_store(false, "list targets");
+                     note_registry_outage(registry_memory_, now);
+                     next_registry_ = now + detail::own_registry_time;
+                     return;
+                 }
+                 if (!store_good_) {
+                     note_registry_outage(registry_memory_, now);
+                 }
+                 note_store(true, "list targets");
+                 registry_read_ = now;
+                 registry_reading reading;
+                 reading.revision = items.revision;
+                 reading.evacuated_domains = evacuated_;
+                 for (const auto& item : items.items) {
+                     const auto id =
+                         std::string_view(item.key).substr(core_.platform.keys.targets.size());
+                     auto entry = core_.platform.decode_target(id, item.value);
+                     if (entry) {
+                         reading.targets.push_back(std::move(*entry));
+                     } else {
+                         ++reading.ignored_entries;
+                     }
+                 }
+                 if (reading.ignored_entries > 0) {
+                     count(core_.metrics, "registry_entries_ignored", reading.ignored_entries);
+                 }
+                 take_registry(merge_reading(core_.state.registry, reading, registry_memory_, now));
+             });
 }
 
 void fleet_control::take_registry(const registry_state& next) {
@@ -731,21 +787,21 @@
 void fleet_control::read_key_records() {
     next_records_ = boot_clock::now() + detail::records_time;
     const auto prefix = core_.platform.keys.own + "keys/";
-    core_.platform.store.list(prefix, "", detail::call_in(detail::store_call_time),
-                              [this, prefix](std::error_code error, const store_items& items) {
-                                  note_store(!error, "list keys");
-                                  if (error || leading_) {
-                                      return;
-                                  }
-                                  for (const auto& item : items.items) {
-                                      if (auto map = decode_key_map(item.value)) {
-                                          core_.state.keys.insert_or_assign(
-                                              item.key.substr(prefix.size()), std::move(*map));
-                                      }
-                                  }
-                                  followed_maps_.clear();
-                                  state_changed();
-                              });
+    list_all(core_.platform.store, prefix, detail::call_in(detail::store_call_time),
+             [this, prefix](std::error_code error, const store_items& items) {
+                 note_store(!error, "list keys");
+                 if (error || leading_) {
+                     return;
+                 }
+                 for (const auto& item : items.items) {
+                     if (auto map = decode_key_map(item.value)) {
+                         core_.state.keys.insert_or_assign(item.key.substr(prefix.size()),
+                                                           std::move(*map));
+                     }
+                 }
+                 followed_maps_.clear();
+                 state_changed();
+             });
 }
 
 // --- Following, and being followed ---
@@ -753,6 +809,7 @@
 sync_request fleet_control::make_request() {
     sync_request out;
     out.host = core_.settings.host;
+    out.address = core_.settings.peer_address;
     out.failure_domain = core_.settings.failure_domain;
     out.run = run_;
     out.epoch = leader_epoch_;
@@ -891,6 +948,7 @@
     if (request->long_holds_age_ms < never_ms) {
         from.evidence.told_long_holds = now - milliseconds(request->long_holds_age_ms);
     }
+    from.address = request->address;
     from.failure_domain = request->failure_domain;
     from.seen = now;
     take_reports(request->host, *request, now);
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -30,6 +30,8 @@
 
     /// A call of another router of ours.
     void serve_sync(const std::string& body, small_server::respond respond);
+    /// A router tells that it leads.
+    void serve_notice(const std::string& body, const small_server::respond& respond);
 
     /// Whether this router knows enough to serve.
     [[nodiscard]] bool is_ready() const;
@@ -38,6 +40,7 @@
     struct follower {
         router_evidence evidence;
         boot_time replied;  ///< To its last call.
+        std::string address;
         std::string failure_domain;
         boot_time seen;
         boot_time told_work;  ///< When it last got the work times.
@@ -62,7 +65,9 @@
     void list_leader();
     void watch_leader();
     void retry_leader();
-    void take_leader(const store_item& item);
+    void take_leader_item(const store_item& item);
+    void take_leader(const leader_identity& leader);
+    [[nodiscard]] leader_identity own_identity() const;
     void stand_for_election();
     void try_to_lead();
     void lead(std::uint64_t epoch, boot_time valid_until);
@@ -73,6 +78,7 @@
     [[nodiscard]] bool wants_long_holds() const;
     [[nodiscard]] evidence_by_host evidence(boot_time now) const;
     void check_take_over(boot_time now);
+    void notify_members(boot_time now);
     void load_members();
     void record_members(boot_time now);
     [[nodiscard]] std::string members_key() const;
@@ -112,6 +118,7 @@
     // The leader.
     std::uint64_t leader_revision_ = 0;
     std::uint64_t leader_epoch_ = 0;  ///< 0: none known.
+    std::uint64_t newest_epoch_ = 0;  ///< Of all leaders that were known.
     std::string leader_host_;
     std::string leader_address_;
     milliseconds leader_pause_{0};
@@ -130,6 +137,7 @@
     bool members_loaded_ = false;
     bool members_running_ = false;
     bool taken_over_ = false;
+    boot_time next_notice_;
     boot_time next_members_;
     bool long_holds_announced_ = false;  ///< By the leader that this router follows.
     std::optional<boot_time> told_long_holds_;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -137,6 +137,8 @@
             respond({is_ready ? ok : unavailable, "text/plain", is_ready ? "ready\n" : ""});
         } else if (path == "/sync") {
             control_.serve_sync(body, std::move(respond));
+        } else if (path == "/leader") {
+            control_.serve_notice(body, respond);
         } else if (path == "/metrics") {
             respond({ok, "text/plain", metrics_text()});
         } else {
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -4,6 +4,7 @@
 
 #include "mimosavalve/core/error.hpp"
 #include "mimosavalve/gateway/peer_messages.hpp"
+#include "store_listing.hpp"
 
 namespace mimosavalve::gateway {
 
@@ -126,21 +127,25 @@
 void key_decider::load_records() {
     loading_ = true;
     const auto prefix = record_key("");
-    core_.platform.store.list(
-        prefix, "", detail::in(detail::store_call_time),
+    list_all(
+        core_.platform.store, prefix, detail::in(detail::store_call_time),
         guarded([this, prefix](std::error_code error, const store_items& items) {
             loading_ = false;
             if (error) {
                 return;  // `tick` asks again.
             }
             for (const auto& item : items.items) {
+                const auto name = item.key.substr(prefix.size());
+                auto& state = services_[name];
+                if (state.loaded) {
+                    continue;  // Read again for another service; moves may be running in this one.
+                }
                 const auto map = decode_key_map(item.value);
-                auto& state = services_[item.key.substr(prefix.size())];
                 state.revision = item.revision;
                 state.loaded = true;
                 if (map) {
                     state.recorded = *map;
-                    core_.state.keys.insert_or_assign(item.key.substr(prefix.size()), *map);
+                    core_.state.keys.insert_or_assign(name, *map);
                 } else {
                     core_.log.write_always("record_unreadable", {{"key", item.key}});
                 }
@@ -274,6 +279,14 @@
     }
     auto& map = core_.state.keys[name];
     const auto old = segment_of(map, planned.first);
+    const auto old_target = core_.state.targets.find(old.owner);
+    const bool old_serves = old_target != core_.state.targets.end() &&
+                            old_target->second->entry.started_unix_ms == old.owner_run &&
+                            may_send(core_.state, *old_target->second, now) &&
+                            !is_lost(old.owner, now);
+    if (old.owner != planned.to && old_serves && now < inherited_end_) {
+        return;  // The owner goes on serving until its keys may leave.
+    }
     running_move move;
     move.service = name;
     move.keys = {planned.first, planned.last, planned.to, next_fence_++, false, planned.to_run};
@@ -283,8 +296,7 @@
     const bool same_target = old.owner == planned.to;
     if (!old.owner.empty() && !same_target) {
         move.phase = move_phase::releasing;
-        move.inherited = old.fence < right_.epoch * detail::fences_per_epoch;
-        move.not_before = old_hold_end(move);
+        move.not_before = free_at(move);
         auto marked = old;
         marked.wait_ms = static_cast<std::uint32_t>(expected_wait_ms(move, now));
         marked.first = planned.first;
@@ -309,9 +321,7 @@
 void key_decider::step(const std::string& /*name*/, service_state& /*state*/, running_move& move,
                        boot_time now) {
     if (move.phase == move_phase::releasing) {
-        if (!move.released) {
-            move.not_before = old_hold_end(move);
-        }
+        move.not_before = free_at(move);
         if (now >= move.not_before) {
             move.phase = move_phase::ready;
             move.next_try = {};
@@ -354,9 +364,12 @@
            now - known->second.answered >= detail::silence_to_lose;
 }
 
-boot_time key_decider::old_hold_end(const running_move& move) {
-    const auto own = held_until(holder_of(move.old_owner));
-    return move.inherited ? std::max(own, inherited_end_) : own;
+boot_time key_decider::free_at(const running_move& move) {
+    const auto& from = holder_of(move.old_owner);
+    // A grant that got no answer may still take effect after the release, at a run that has
+    // forgotten the fence.
+    const auto own = move.released ? unanswered_until(from, move.keys) : held_until(from);
+    return std::max(own, inherited_end_);
 }
 
 std::int64_t key_decider::expected_wait_ms(const running_move& move, boot_time now) {
@@ -364,9 +377,11 @@
     const auto found = holders_.find(move.old_owner);
     const bool answers = core_.state.registry.targets.contains(move.old_owner) &&
                          found != holders_.end() && found->second.failed == 0;
-    const auto until_end =
-        milliseconds_until(std::min(move.not_before, now + detail::longest_wait), now);
-    return answers ? std::min<std::int64_t>(detail::handover_time.count(), until_end) : until_end;
+    auto until = std::min(move.not_before, now + detail::longest_wait);
+    if (answers) {
+        until = std::min(until, std::max(now + detail::handover_time, inherited_end_));
+    }
+    return milliseconds_until(until, now);
 }
 
 void key_decider::release(running_move& move, boot_time now) {
@@ -396,10 +411,7 @@
                 }
                 released.released = true;
                 released.handover = handover;
-                // A grant that got no answer may still take effect after the release, at a run
-                // that has forgotten the fence.
-                released.not_before =
-                    unanswered_until(holder_of(released.old_owner), released.keys);
+                released.not_before = free_at(released);
                 // The pause was meant for another try, not for what follows.
                 released.next_try = {};
                 if (core_.now() >= released.not_before) {
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -33,7 +33,9 @@
     /// Begins to decide. Reads the recorded owners first.
     void begin(const leadership& right);
     void extend(boot_time valid_until) { right_.valid_until = valid_until; }
-    /// From now on, keys that earlier leaders granted are known to be held until `end` at most.
+    /// From now on, keys that earlier leaders granted are known to be held until `end` at most. No
+    /// key leaves an owner before: a leader that has lost the store may renew it until then, and a
+    /// release does not make the target refuse that.
     void set_inherited_end(boot_time end) { inherited_end_ = end; }
     void end();
     [[nodiscard]] bool is_active() const { return active_; }
@@ -64,8 +66,7 @@
         boot_time next_try;
         std::uint32_t tries = 0;
         bool call_running = false;
-        bool inherited = false;  ///< An earlier leader granted the keys to the old owner.
-        bool released = false;   ///< By the old owner.
+        bool released = false;  ///< By the old owner.
         boot_time began;
     };
     struct service_state {
@@ -101,8 +102,8 @@
                     boot_time now);
     void step(const std::string& name, service_state& state, running_move& move, boot_time now);
     void release(running_move& move, boot_time now);
-    /// When the hold of the old owner has surely ended.
-    [[nodiscard]] boot_time old_hold_end(const running_move& move);
+    /// When the old owner surely holds the keys no longer and no grant can give them back to it.
+    [[nodiscard]] boot_time free_at(const running_move& move);
     [[nodiscard]] std::int64_t expected_wait_ms(const running_move& move, boot_time now);
     void record(const std::string& name, service_state& state, boot_time now);
     void finish_record(const std::string& name, const key_map& written, std::error_code error,
--- a/src/gateway/leader_term.cpp
+++ b/src/gateway/leader_term.cpp
@@ -8,9 +8,9 @@
 std::optional<boot_time> right_without_store(const router_runs& recorded,
                                              const evidence_by_host& heard) {
     std::vector<boot_time> confirmed;
-    for (const auto& [host, run] : recorded) {
+    for (const auto& [host, known] : recorded) {
         const auto found = heard.find(host);
-        if (found != heard.end() && found->second.run == run) {
+        if (found != heard.end() && found->second.run == known.run) {
             confirmed.push_back(std::min(found->second.follows, found->second.store_lost));
         }
     }
@@ -28,9 +28,9 @@
 
 bool may_hold_long(const router_runs& recorded, const evidence_by_host& heard) {
     std::size_t counted = 0;
-    for (const auto& [host, run] : recorded) {
+    for (const auto& [host, known] : recorded) {
         const auto found = heard.find(host);
-        counted += found != heard.end() && found->second.run == run &&
+        counted += found != heard.end() && found->second.run == known.run &&
                            found->second.knows_long_holds != boot_time{}
                        ? 1
                        : 0;
@@ -40,7 +40,7 @@
 
 bool has_taken_over(const router_runs& recorded, const evidence_by_host& heard) {
     std::size_t counted = 0;
-    for (const auto& [host, run] : recorded) {
+    for (const auto& [host, known] : recorded) {
         counted += heard.contains(host) ? 1 : 0;
     }
     return recorded.empty() || counted > recorded.size() / 2;
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -78,6 +78,7 @@
         work[id] = {report.count, report.sum_ms};
     }
     return detail::to_bytes({{"host", message.host},
+                             {"address", message.address},
                              {"domain", message.failure_domain},
                              {"demand", message.demand},
                              {"work", std::move(work)},
@@ -97,6 +98,7 @@
         const auto body = detail::from_bytes(bytes);
         sync_request out;
         out.host = body.at("host");
+        out.address = body.at("address");
         out.failure_domain = body.at("domain");
         out.run = body.at("run");
         out.epoch = body.at("epoch");
@@ -186,13 +188,44 @@
     }
 }
 
+std::string encode(const leader_identity& message) {
+    return detail::to_bytes({{"host", message.host},
+                             {"address", message.address},
+                             {"run", message.run},
+                             {"epoch", message.epoch}});
+}
+
+std::optional<leader_identity> decode_leader_identity(std::string_view bytes) {
+    try {
+        const auto body = detail::from_bytes(bytes);
+        leader_identity out;
+        out.host = body.at("host");
+        out.address = body.at("address");
+        out.run = body.at("run");
+        out.epoch = body.at("epoch");
+        return out;
+    } catch (const detail::json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode(const router_runs& runs) {
-    return detail::to_bytes(runs);
+    auto body = detail::json::object();
+    for (const auto& [host, known] : runs) {
+        body[host] = {known.run, known.address};
+    }
+    return detail::to_bytes(body);
 }
 
 std::optional<router_runs> decode_router_runs(std::string_view bytes) {
     try {
-        return detail::from_bytes(bytes).get<router_runs>();
+        const auto body = detail::from_bytes(bytes);
+        router_runs out;
+        for (const auto& [host, value] : body.items()) {
+            out.emplace(
+                host, router_run(value.at(0).get<std::uint64_t>(), value.at(1).get<std::string>()));
+        }
+        return out;
     } catch (const detail::json::exception&) {
         return std::nullopt;
     }
--- a/tests/gateway/key_decider_test.cpp
+++ b/tests/gateway/key_decider_test.cpp
@@ -118,6 +118,74 @@
     CHECK(fleet.count_orders(true, "b") > 0);
 }
 
+// Found by a hunt: a leader without the store renewed the old owner's keys after the successor had
+// released them there and granted them to another target.
+TEST_CASE("no key leaves its owner while an earlier leader may still renew it [decider]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    fleet.record(owned_by("a", 7));
+    fleet.lead();
+    fleet.decider.set_inherited_end(boot_time::max());
+    fleet.pass(std::chrono::milliseconds(200));
+    fleet.core.state.registry.targets["a"].leaving = true;
+    update_targets(fleet.core.state, fleet.now);
+    fleet.pass(std::chrono::seconds(3));
+    CHECK(fleet.count_orders(true, "b") == 0);
+    fleet.decider.set_inherited_end(fleet.now + std::chrono::seconds(2));
+    fleet.pass(std::chrono::milliseconds(1900));
+    CHECK(fleet.count_orders(true, "b") == 0);
+    fleet.pass(std::chrono::milliseconds(300));
+    CHECK(fleet.count_orders(true, "b") > 0);
+    CHECK(fleet.owner_of(0) == "b");
+}
+
+TEST_CASE("an owner that serves keeps its keys until they may leave [decider]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.record(owned_by("a", 7));
+    fleet.lead();
+    fleet.decider.set_inherited_end(fleet.now + std::chrono::seconds(5));
+    fleet.pass(std::chrono::milliseconds(200));
+    fleet.add_target("b");
+    key_load load;
+    load.counts[1000] = 400;
+    load.counts[2000] = 400;
+    const auto load_for = [&](int rounds) {
+        for (int round = 0; round < rounds; ++round) {
+            fleet.decider.add_loads({{"status", load}});
+            fleet.pass(std::chrono::milliseconds(200));
+        }
+    };
+    load_for(20);
+    CHECK(fleet.count_orders(false, "a") == 0);
+    CHECK_FALSE(segment_of(fleet.core.state.keys.at("status"), 1000).moving);
+    load_for(15);
+    CHECK(fleet.count_orders(true, "b") > 0);
+}
+
+TEST_CASE("reading the record for a new service leaves running moves of others alone [decider]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    fleet.record(owned_by("a", 7));
+    fleet.lead();
+    fleet.pass(std::chrono::milliseconds(200));
+    fleet.silent["a"] = true;
+    fleet.core.state.registry.targets["a"].leaving = true;
+    update_targets(fleet.core.state, fleet.now);
+    fleet.pass(std::chrono::milliseconds(100));
+    REQUIRE(segment_of(fleet.core.state.keys.at("status"), 0).moving);
+    const auto renewals = fleet.count_orders(true, "a");
+    service added;
+    added.name = "journal";
+    added.keyed = true;
+    fleet.core.state.config.services.emplace("journal", added);
+    fleet.pass(std::chrono::milliseconds(1500));
+    CHECK(segment_of(fleet.core.state.keys.at("status"), 0).moving);
+    CHECK(fleet.count_orders(true, "a") == renewals);
+}
+
 TEST_CASE("a target that restarts under its id gets its keys with a higher fence [decider]") {
     decider_fixture fleet;
     fleet.add_target("a", 1);
