Split the control side by concern; drop what nobody uses

Cause: fleet_control was one file of 1,100 lines with election, right to act, registry, operators' items, following and lending in one class, so that none of it could be read or tested alone. Change: store_follower (list, watch, list again), operator_items, leader_election, leader_right, registry_reader, sync_client, sync_server and the free function plan_lending; fleet_control ties them together. One region_of over the map of regions instead of five look-ups; one test for a keyed request in exchange instead of four. Timers and answers are guarded by one class, lifetime, instead of shared timers. Removed as unused: missing_since, fresh, idle_since, query_value, grants_by_call, health_path, the probe order, contact_time, most_descriptors. An unreadable record is logged wherever it is met.

--- a/include/mimosavalve/gateway/http_message.hpp
+++ b/include/mimosavalve/gateway/http_message.hpp
@@ -36,8 +36,6 @@
 bool is_hop_by_hop(const message_head& head, std::string_view name);
 
 std::string_view path_of(const message_head& head);
-/// Value of `name` in the query of a request target; empty when it is missing.
-std::string query_value(std::string_view target, std::string_view name);
 
 /// What a parser calls while it reads a message. `head` comes once, then `body` any number of
 /// times without chunk framing, then `done`.
--- /dev/null
+++ b/include/mimosavalve/gateway/lending.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "mimosavalve/gateway/place_plan.hpp"
+
+namespace mimosavalve::gateway {
+
+/// What the leader lends to the routers for a short time.
+struct lending_plan {
+    lent_places places;                                          ///< By host, then target.
+    std::map<std::string, std::map<std::string, double>> rates;  ///< Requests/s, by host, target.
+};
+
+/// Divides the places of targets without keys, and the rates of owners near their capacity, among
+/// the routers. `routers`: failure domain by host. See `lend_places` and `lend_rates` for the loads
+/// that this answers.
+lending_plan plan_lending(const routing_state& state, const demand_rates& demand,
+                          const std::map<std::string, std::string>& routers, boot_time now);
+
+}  // namespace mimosavalve::gateway
--- a/include/mimosavalve/gateway/platform_port.hpp
+++ b/include/mimosavalve/gateway/platform_port.hpp
@@ -106,15 +106,6 @@
     std::function<void(const std::string& address, const key_segment& keys, call_deadline,
                        done_handler)>
         release;
-    struct health {
-        bool good = false;
-        std::string id;
-        std::optional<target_load> load;
-        std::uint32_t cold_left_ms = 0;
-    };
-    std::function<void(const std::string& address, const std::string& path, call_deadline,
-                       std::function<void(std::error_code, health)>)>
-        probe;
 };
 
 /// Keys of the store that the product reads or writes.
--- a/include/mimosavalve/gateway/route_config.hpp
+++ b/include/mimosavalve/gateway/route_config.hpp
@@ -36,12 +36,10 @@
 
 struct service {
     std::string name;
-    std::string health_path;
     std::uint32_t most_connections = 0;  ///< Of one target, from all callers together; 0: no bound.
     std::chrono::milliseconds cold_time{0};
     double cold_requests_per_second = 0;  ///< What a cold target bears from all routers together.
     bool keyed = false;                   ///< Each key is served by its owner only.
-    bool grants_by_call = false;
 };
 
 /// Bounds for what callers send and how long they take.
--- a/include/mimosavalve/gateway/target_link.hpp
+++ b/include/mimosavalve/gateway/target_link.hpp
@@ -46,7 +46,6 @@
     bool is_quiet();
 
     std::string target_id;
-    std::chrono::steady_clock::time_point idle_since;
     std::chrono::steady_clock::time_point idle_until;  ///< The target closes it about then.
 
 private:
--- a/include/mimosavalve/gateway/target_registry.hpp
+++ b/include/mimosavalve/gateway/target_registry.hpp
@@ -44,7 +44,6 @@
 /// Remembers which entries are missing only because the store was away.
 struct registry_memory {
     boot_time lenient_until;  ///< Until then missing entries are kept.
-    std::map<std::string, boot_time> missing_since;
 };
 
 /// Time after the return of the store within which live targets have written their entries again
@@ -57,7 +56,7 @@
 /// The state after a reading. An older reading than the state changes nothing. Entries that are
 /// missing after an outage stay as they were until `lenient_until`.
 registry_state merge_reading(const registry_state& state, const registry_reading& reading,
-                             registry_memory& memory, boot_time now);
+                             const registry_memory& memory, boot_time now);
 
 /// Whether the two differ in anything but sequence numbers and the remaining cold time.
 bool differs_in_use(const registry_state& left, const registry_state& right);
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -36,8 +36,7 @@
     std::uint32_t refused_connects = 0;  ///< In a row.
     boot_time unreachable_until;         ///< Set after connects that failed in a row.
     boot_time cold_until;                ///< Cold until then, as far as is known.
-    bool fresh = true;     ///< Started while this router ran and not yet known to be warm.
-    rate_gate cold_gate;   ///< This router's share of what a cold target bears.
+    rate_gate cold_gate;                 ///< This router's share of what a cold target bears.
     double lent_rate = 0;  ///< Requests per second that this router may send; 0: no bound.
     double tokens = 0;     ///< Of that rate.
     boot_time tokens_at;
@@ -51,7 +50,7 @@
     std::map<std::string, key_map, std::less<>> keys;       ///< By service.
     std::map<std::string, boot_time, std::less<>> keys_at;  ///< When they were learnt.
     std::map<std::string, std::unique_ptr<target_state>, std::less<>> targets;
-    std::map<std::string, std::string> regions;  ///< Of failure domains.
+    region_map regions;
     std::string own_domain;
     std::string own_region;
     platform_bounds bounds;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -128,8 +128,7 @@
     const auto now = boot_clock::now();
     ++core_.demand[demand_place(service_, route_->home_regions)];
     note_request(core_.repeats[service_], core_.settings.bounds, now);
-    const auto kind = core_.state.config.services.find(service_);
-    if (key_ && kind != core_.state.config.services.end() && kind->second.keyed) {
+    if (is_keyed()) {
         if (*key_ >= key_count) {
             refuse(detail::status_bad_request, "key-out-of-range");
             return;
@@ -139,6 +138,11 @@
     dispatch();
 }
 
+bool exchange::is_keyed() const {
+    const auto kind = core_.state.config.services.find(service_);
+    return key_ && kind != core_.state.config.services.end() && kind->second.keyed;
+}
+
 void exchange::dispatch() {
     const auto now = boot_clock::now();
     const choice_request request{&*route_, service_, key_, tried_};
@@ -187,8 +191,7 @@
 
 wait_estimate exchange::estimate_wait() const {
     wait_estimate estimate;
-    const auto kind = core_.state.config.services.find(service_);
-    const bool keyed = key_ && kind != core_.state.config.services.end() && kind->second.keyed;
+    const bool keyed = is_keyed();
     const auto owner_of = [this](const exchange& of) {
         const auto map = core_.state.keys.find(of.service_);
         return map == core_.state.keys.end() || !of.key_
@@ -455,12 +458,11 @@
     const auto found = core_.state.targets.find(target_id_);
     if (found != core_.state.targets.end()) {
         const auto& target = *found->second;
-        const auto region = core_.state.regions.find(target.entry.failure_domain);
         // Times from another region hold the way there, too.
         // Failures are often quick and say nothing about the work.
-        const bool queued = !success || target.load.waiting > 0 || target.load.slots == 0 ||
-                            region == core_.state.regions.end() ||
-                            region->second != core_.state.own_region;
+        const bool queued =
+            !success || target.load.waiting > 0 || target.load.slots == 0 ||
+            region_of(core_.state.regions, target.entry.failure_domain) != core_.state.own_region;
         note_success(*found->second,
                      std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_), queued);
     }
@@ -494,8 +496,7 @@
                                        {"status", std::int64_t{status}},
                                        {"age_ms", age_ms()},
                                        {"sends", std::int64_t{attempts_}}});
-    const auto kind = core_.state.config.services.find(service_);
-    const bool keyed = key_ && kind != core_.state.config.services.end() && kind->second.keyed;
+    const bool keyed = is_keyed();
     if (keyed && !misdirected && !refused_with_room) {
         // Only the owner can run it, and the owner is full.
         refuse(detail::status_unavailable, "owner-full", estimate_wait());
@@ -544,8 +545,7 @@
         if (!reached) {
             tried_.push_back(from);
         }
-        const auto kind = core_.state.config.services.find(service_);
-        if (key_ && kind != core_.state.config.services.end() && kind->second.keyed) {
+        if (is_keyed()) {
             tried_.clear();
         }
         dispatch();
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -59,6 +59,8 @@
     [[nodiscard]] std::uint32_t priority() const { return route_ ? route_->priority : 0; }
 
 private:
+    /// Whether only the owner of the request's key can run it.
+    [[nodiscard]] bool is_keyed() const;
     void dispatch();
     /// Lets the request wait if it may still be answered in time, else answers it at once.
     void wait_or_refuse(const target_choice& choice);
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -2,9 +2,9 @@
 
 namespace mimosavalve::gateway {
 
-std::string region_of(const gateway_settings& settings, const std::string& failure_domain) {
-    const auto found = settings.regions.find(failure_domain);
-    return found == settings.regions.end() ? std::string() : found->second;
+std::string_view region_of(const region_map& regions, std::string_view failure_domain) {
+    const auto found = regions.find(failure_domain);
+    return found == regions.end() ? std::string_view() : std::string_view(found->second);
 }
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -233,21 +233,6 @@
     return target.substr(0, target.find('?'));
 }
 
-std::string query_value(std::string_view target, std::string_view name) {
-    auto start = target.find('?');
-    while (start != std::string_view::npos) {
-        const auto rest = target.substr(start + 1);
-        const auto end = rest.find('&');
-        const auto pair = rest.substr(0, end);
-        const auto equals = pair.find('=');
-        if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
-            return std::string(pair.substr(equals + 1));
-        }
-        start = end == std::string_view::npos ? end : start + 1 + end;
-    }
-    return {};
-}
-
 std::string_view reason_phrase(unsigned status) {
     return detail::view_of(detail::http::obsolete_reason(detail::http::int_to_status(status)));
 }
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -54,16 +54,6 @@
 
 }  // namespace detail
 
-template <typename Handler>
-auto key_decider::guarded(Handler handler) const {
-    // Answers that arrive in another term, or after the end, are dropped.
-    return [alive = std::weak_ptr<bool>(alive_), handler = std::move(handler)](auto&&... values) {
-        if (!alive.expired()) {
-            handler(std::forward<decltype(values)>(values)...);
-        }
-    };
-}
-
 key_decider::key_decider(router_core& core, std::function<void()> changed)
     : core_(core), changed_(std::move(changed)) {}
 
@@ -104,7 +94,7 @@
     inherited_end_ = boot_time::max();
     services_.clear();
     holders_.clear();
-    alive_ = std::make_shared<bool>(true);
+    term_.renew();
     load_records();
 }
 
@@ -112,7 +102,7 @@
     active_ = false;
     services_.clear();
     holders_.clear();
-    alive_ = std::make_shared<bool>(true);
+    term_.renew();
 }
 
 void key_decider::set_long_holds(bool on) {
@@ -129,7 +119,7 @@
     const auto prefix = record_key("");
     list_all(
         core_.platform.store, prefix, detail::in(detail::store_call_time),
-        guarded([this, prefix](std::error_code error, const store_items& items) {
+        term_.guard([this, prefix](std::error_code error, const store_items& items) {
             loading_ = false;
             if (error) {
                 return;  // `tick` asks again.
@@ -395,8 +385,8 @@
     // Carries the new fence, so that a late renewal with the old one is refused.
     core_.platform.orders.release(
         from.address, move.keys, detail::in(detail::release_call_time),
-        guarded([this, service = move.service, fence = move.keys.fence](
-                    std::error_code error, const std::string& handover) {
+        term_.guard([this, service = move.service, fence = move.keys.fence](
+                        std::error_code error, const std::string& handover) {
             const auto found = services_.find(service);
             if (found == services_.end()) {
                 return;
@@ -445,7 +435,7 @@
     batch.writes = {{record_key(name), encode(next), 0}};
     core_.platform.store.write(
         batch, detail::in(detail::store_call_time),
-        guarded([this, name, next](std::error_code error, std::uint64_t revision) {
+        term_.guard([this, name, next](std::error_code error, std::uint64_t revision) {
             finish_record(name, next, error, revision);
         }));
 }
@@ -480,8 +470,8 @@
 void key_decider::confirm_record(const std::string& name, const key_map& written) {
     core_.platform.store.read(
         record_key(name), detail::in(detail::store_call_time),
-        guarded([this, name, written](std::error_code error, const store_item& item,
-                                      std::uint64_t /*revision*/) {
+        term_.guard([this, name, written](std::error_code error, const store_item& item,
+                                          std::uint64_t /*revision*/) {
             auto& state = services_[name];
             const auto map = decode_key_map(item.value);
             if (error && error != errc::not_found) {
@@ -525,8 +515,8 @@
                  std::chrono::duration_cast<milliseconds>(right_.valid_until - now));
     core_.platform.orders.grant(
         to.address, keys, hold, handover, detail::in(call_time),
-        guarded([this, id = keys.owner, end, number, done = std::move(done)](std::error_code error,
-                                                                             const std::string&) {
+        term_.guard([this, id = keys.owner, end, number, done = std::move(done)](
+                        std::error_code error, const std::string&) {
             auto& target = holder_of(id);
             const bool answered = !error || error == errc::target_refused;
             // A grant that could not be sent holds nothing.
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -4,10 +4,10 @@
 #include <functional>
 #include <list>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
+#include "lifetime.hpp"
 #include "mimosavalve/gateway/key_plan.hpp"
 #include "mimosavalve/gateway/leader_term.hpp"
 #include "mimosavalve/gateway/platform_port.hpp"
@@ -128,8 +128,6 @@
     [[nodiscard]] static boot_time unanswered_until(const holder& target, const key_segment& keys);
     /// Whether a target has not answered for so long that it gets no keys.
     [[nodiscard]] bool is_lost(const std::string& id, boot_time now) const;
-    template <typename Handler>
-    auto guarded(Handler handler) const;
 
     router_core& core_;
     std::function<void()> changed_;
@@ -146,7 +144,7 @@
     std::uint64_t next_grant_ = 1;
     std::map<std::string, service_state> services_;
     std::map<std::string, holder> holders_;  ///< By target id.
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    lifetime term_;
 };
 
 }  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/leader_election.cpp
@@ -0,0 +1,210 @@
+#include "leader_election.hpp"
+
+#include <random>
+
+#include "control_timing.hpp"
+#include "mimosavalve/core/error.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// The leader's right ends this long after its last renewal arrived; holds of keys outlast it.
+constexpr milliseconds leader_lease_time{1200};
+constexpr milliseconds lease_keep_time{350};
+// The leader stops this much before the store may have ended its lease.
+constexpr milliseconds lease_margin{150};
+// Candidates wait a random part of this, so that mostly one of them writes.
+constexpr milliseconds election_spread{120};
+// Pause after a failed candidacy: the watch tells meanwhile who leads.
+constexpr milliseconds election_pause{600};
+
+milliseconds random_pause() {
+    static std::minstd_rand source{std::random_device{}()};
+    return milliseconds(
+        std::uniform_int_distribution<std::int64_t>(0, election_spread.count())(source));
+}
+
+}  // namespace detail
+
+leader_election::leader_election(router_core& core, fleet_state& fleet, callbacks handlers)
+    : core_(core),
+      fleet_(fleet),
+      handlers_(std::move(handlers)),
+      follower_(core, fleet, "leader",
+                {[this](const store_items& items) {
+                     take_item(items.items.empty() ? store_item{} : items.items.front());
+                 },
+                 [this](const store_items& items) { take_item(items.items.back()); }}) {}
+
+void leader_election::start() {
+    follower_.start(key());
+}
+
+void leader_election::tick(boot_time now) {
+    if (fleet_.leading) {
+        keep_lease(now);
+    }
+    if (fleet_.leader.epoch == 0 && follower_.revision() != 0) {
+        stand();
+    }
+}
+
+milliseconds leader_election::lease_time() const {
+    return std::max(detail::leader_lease_time, core_.settings.shortest_lease);
+}
+
+void leader_election::take_item(const store_item& item) {
+    if (item.revision == 0) {
+        if (fleet_.leader.epoch != 0) {
+            core_.log.write_always("leader_gone", {{"host", fleet_.leader.host}});
+        }
+        fleet_.leader = {};
+        step_down("lease ended");
+        stand();
+        return;
+    }
+    auto leader = decode_leader_identity(item.value);
+    if (!leader) {
+        core_.log.write_always("record_unreadable", {{"key", item.key}});
+        leader.emplace();  // Nobody can be followed, and nobody may stand while the item lasts.
+    }
+    leader->epoch = item.created;
+    take_leader(*leader);
+}
+
+void leader_election::take_notice(const leader_identity& leader) {
+    // A notice that was long on its way may speak of a leader that has ended.
+    if (leader.epoch > fleet_.newest_epoch) {
+        take_leader(leader);
+    }
+}
+
+void leader_election::take_leader(const leader_identity& leader) {
+    if (leader.epoch < fleet_.newest_epoch) {
+        return;
+    }
+    if (leader.epoch != fleet_.leader.epoch) {
+        core_.log.write_always(
+            "leader_known",
+            {{"host", leader.host}, {"epoch", static_cast<std::int64_t>(leader.epoch)}});
+    }
+    fleet_.newest_epoch = leader.epoch;
+    fleet_.leader = leader;
+    if (leader.run != fleet_.run) {
+        step_down("another leader is on record");
+    }
+    handlers_.known();
+}
+
+void leader_election::stand() {
+    if (standing_ || fleet_.stopping || fleet_.leading || core_.now() < next_standing_) {
+        return;
+    }
+    standing_ = true;
+    next_standing_ = core_.now() + detail::election_pause;
+    run_after(core_.context, detail::random_pause(), life_, [this] {
+        if (fleet_.leader.epoch != 0 || fleet_.stopping) {
+            standing_ = false;
+        } else {
+            open_lease();
+        }
+    });
+}
+
+void leader_election::open_lease() {
+    const auto until = core_.now() + lease_time() - detail::lease_margin;
+    core_.platform.store.open_lease(
+        lease_time(), detail::call_in(detail::store_call_time),
+        life_.guard([this, until](std::error_code error, std::uint64_t lease) {
+            if (error || lease == 0) {
+                standing_ = false;
+                note_store(core_, fleet_, false, "open lease");
+                return;
+            }
+            take_lead(lease, until);
+        }));
+}
+
+void leader_election::take_lead(std::uint64_t lease, boot_time valid_until) {
+    const leader_identity own{core_.settings.host, core_.settings.peer_address, fleet_.run, 0};
+    store_batch batch;
+    batch.conditions = {{key(), 0}};
+    batch.writes = {{key(), encode(own), lease}};
+    core_.platform.store.write(
+        batch, detail::call_in(detail::store_call_time),
+        life_.guard([this, own, lease, valid_until](std::error_code error, std::uint64_t revision) {
+            standing_ = false;
+            // Without an answer the watch tells who leads; the lease lapses.
+            if (error) {
+                return;
+            }
+            lease_ = lease;
+            lease_until_ = valid_until;
+            next_keep_ = core_.now() + detail::lease_keep_time;
+            fleet_.leading = true;
+            fleet_.leader = own;
+            fleet_.leader.epoch = revision;
+            fleet_.newest_epoch = std::max(fleet_.newest_epoch, revision);
+            core_.log.write_always("leader_began",
+                                   {{"epoch", static_cast<std::int64_t>(revision)}});
+            count(core_.metrics, "terms_as_leader");
+            handlers_.began();
+        }));
+}
+
+void leader_election::step_down(std::string_view why) {
+    if (!fleet_.leading) {
+        return;
+    }
+    fleet_.leading = false;
+    core_.log.write_always("leader_ended", {{"why", why}});
+    handlers_.ended(why);
+}
+
+void leader_election::keep_lease(boot_time now) {
+    if (keep_running_ || now < next_keep_) {
+        return;
+    }
+    keep_running_ = true;
+    next_keep_ = now + detail::lease_keep_time;
+    core_.platform.store.keep_lease(
+        lease_, detail::call_in(detail::lease_keep_time),
+        life_.guard([this, now, lease = lease_](std::error_code error, std::uint64_t) {
+            keep_running_ = false;
+            if (!fleet_.leading || lease != lease_) {
+                return;
+            }
+            note_store(core_, fleet_, !error || error == errc::store_lease_expired, "keep lease");
+            handlers_.lease_answered(error);
+            if (!error && !fleet_.stopping) {
+                lease_until_ = std::max(lease_until_, now + lease_time() - detail::lease_margin);
+            } else if (error == errc::store_lease_expired) {
+                step_down("lease ended in the store");
+                fleet_.leader = {};
+            }
+        }));
+}
+
+void leader_election::hand_over() {
+    core_.platform.store.end_lease(lease_, detail::call_in(detail::store_call_time),
+                                   life_.guard([this](std::error_code error, std::uint64_t) {
+                                       if (!fleet_.leading) {
+                                           return;
+                                       }
+                                       if (!error || error == errc::store_lease_expired) {
+                                           step_down("stopping");
+                                           return;
+                                       }
+                                       note_store(core_, fleet_, false, "end lease");
+                                       // The lease may have ended all the same.
+                                       lease_until_ = std::min(lease_until_, core_.now());
+                                       run_after(core_.context, detail::first_pause, life_, [this] {
+                                           if (fleet_.leading) {
+                                               hand_over();
+                                           }
+                                       });
+                                   }));
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/operator_items.cpp
@@ -0,0 +1,112 @@
+#include "operator_items.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// A configuration has to be in force within 2.5 s (the platform's page on rules), also when a watch
+// missed it.
+constexpr milliseconds operators_check_time{900};
+
+}  // namespace detail
+
+operator_items::operator_items(router_core& core, fleet_state& fleet, callbacks handlers)
+    : core_(core),
+      handlers_(std::move(handlers)),
+      follower_(core, fleet, "operators",
+                {[this](const store_items& items) { take_all(items); },
+                 [this](const store_items& items) {
+                     for (const auto& item : items.items) {
+                         take_item(item);
+                     }
+                     handlers_.evacuations_changed();
+                 }}) {}
+
+void operator_items::start() {
+    follower_.start(core_.platform.keys.operators);
+}
+
+void operator_items::check_when_due(boot_time now) {
+    if (now >= next_check_) {
+        next_check_ = now + detail::operators_check_time;
+        follower_.check();
+    }
+}
+
+void operator_items::take_from_leader(const std::string& config_text, std::uint64_t revision,
+                                      const std::set<std::string>& evacuated) {
+    if (!config_text.empty()) {
+        take_config(config_text, 0);
+    }
+    if (revision > follower_.revision()) {
+        evacuated_ = evacuated;
+    }
+}
+
+void operator_items::take_all(const store_items& items) {
+    const auto& prefix = core_.platform.keys.evacuations;
+    std::set<std::string> listed;
+    for (const auto& item : items.items) {
+        take_item(item);
+        if (item.key.starts_with(prefix)) {
+            listed.insert(item.key.substr(prefix.size()));
+        }
+    }
+    for (const auto& domain : std::set<std::string>(evacuated_)) {
+        set_evacuated(domain, listed.contains(domain));
+    }
+    handlers_.evacuations_changed();
+}
+
+void operator_items::take_item(const store_item& item) {
+    const auto& keys = core_.platform.keys;
+    if (item.key == keys.config && item.revision != 0) {
+        take_config(item.value, item.revision);
+    } else if (item.key.starts_with(keys.evacuations)) {
+        set_evacuated(item.key.substr(keys.evacuations.size()), item.revision != 0);
+    }
+}
+
+void operator_items::set_evacuated(const std::string& domain, bool on) {
+    if (on == evacuated_.contains(domain)) {
+        return;
+    }
+    core_.log.write_always("evacuation", {{"failure_domain", domain}, {"on", std::int64_t{on}}});
+    if (on) {
+        evacuated_.insert(domain);
+    } else {
+        evacuated_.erase(domain);
+    }
+}
+
+void operator_items::take_config(const std::string& text, std::uint64_t revision) {
+    std::string problem;
+    auto config = core_.platform.decode_config(text, problem);
+    if (config && config->version == core_.state.config.version) {
+        return;
+    }
+    if (config) {
+        problem = problem_of(*config, core_.state.config.version);
+    }
+    if (!problem.empty()) {
+        core_.log.write_always(
+            "config_rejected",
+            {{"problem", problem},
+             {"revision", static_cast<std::int64_t>(revision)},
+             {"in_force", static_cast<std::int64_t>(core_.state.config.version)}});
+        count(core_.metrics, "configs_rejected");
+        return;
+    }
+    core_.state.config = std::move(*config);
+    core_.state.routes = route_index(core_.state.config);
+    config_text_ = text;
+    core_.log.write_always(
+        "config_in_force",
+        {{"version", static_cast<std::int64_t>(core_.state.config.version)},
+         {"revision", static_cast<std::int64_t>(revision)},
+         {"routes", static_cast<std::int64_t>(core_.state.config.routes.size())}});
+    count(core_.metrics, "configs_applied");
+    handlers_.config_changed();
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/operator_items.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include "store_follower.hpp"
+
+namespace mimosavalve::gateway {
+
+/// What the operators ask for: the configuration and the evacuated failure domains. A configuration
+/// in force is never replaced by an older one.
+class operator_items {
+public:
+    struct callbacks {
+        std::function<void()> config_changed;
+        std::function<void()> evacuations_changed;
+    };
+
+    operator_items(router_core& core, fleet_state& fleet, callbacks handlers);
+
+    void start();
+    /// Lists the items now and then beside the watch, when this router leads.
+    void check_when_due(boot_time now);
+
+    /// Takes what the leader knows, if that is newer.
+    void take_from_leader(const std::string& config_text, std::uint64_t revision,
+                          const std::set<std::string>& evacuated);
+
+    [[nodiscard]] const std::string& config_text() const { return config_text_; }
+    [[nodiscard]] const std::set<std::string>& evacuated() const { return evacuated_; }
+    [[nodiscard]] std::uint64_t revision() const { return follower_.revision(); }
+
+private:
+    void take_all(const store_items& items);
+    void take_item(const store_item& item);
+    void take_config(const std::string& text, std::uint64_t revision);
+    void set_evacuated(const std::string& domain, bool on);
+
+    router_core& core_;
+    callbacks handlers_;
+    store_follower follower_;
+    std::string config_text_;
+    std::set<std::string> evacuated_;
+    boot_time next_check_;
+};
+
+}  // namespace mimosavalve::gateway
--- a/src/gateway/place_plan.cpp
+++ b/src/gateway/place_plan.cpp
@@ -71,10 +71,8 @@
                                const std::string& router, const std::string& own, boot_time now) {
     std::set<std::string> served;
     for (const auto& [id, target] : state.targets) {
-        const auto found = state.regions.find(target->entry.failure_domain);
-        if (target->entry.service == service && found != state.regions.end() &&
-            may_send(state, *target, now)) {
-            served.insert(found->second);
+        if (target->entry.service == service && may_send(state, *target, now)) {
+            served.emplace(region_of(state.regions, target->entry.failure_domain));
         }
     }
     region_demand out;
--- /dev/null
+++ b/src/gateway/registry_reader.cpp
@@ -0,0 +1,100 @@
+#include "registry_reader.hpp"
+
+#include "control_timing.hpp"
+#include "store_listing.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// A leaving target has to be known everywhere within 2.5 s (leave time of the platform).
+constexpr milliseconds leader_read_time{300};
+// A router that reads for itself, since its leader is silent.
+constexpr milliseconds own_read_time{800};
+
+}  // namespace detail
+
+registry_reader::registry_reader(router_core& core, fleet_state& fleet,
+                                 std::function<void()> changed)
+    : core_(core), fleet_(fleet), changed_(std::move(changed)) {}
+
+void registry_reader::read_when_due(boot_time now) {
+    if (running_ || now < next_read_) {
+        return;
+    }
+    running_ = true;
+    next_read_ = now + (fleet_.leading ? detail::leader_read_time : detail::own_read_time);
+    list_all(core_.platform.store, core_.platform.keys.targets,
+             detail::call_in(detail::store_call_time),
+             life_.guard([this](std::error_code error, const store_items& items) {
+                 running_ = false;
+                 take_reading(error, items);
+             }));
+}
+
+void registry_reader::take_reading(std::error_code error, const store_items& items) {
+    const auto now = core_.now();
+    if (error || !fleet_.store_good) {
+        note_registry_outage(memory_, now);
+    }
+    note_store(core_, fleet_, !error, "list targets");
+    if (error) {
+        next_read_ = now + detail::own_read_time;
+        return;
+    }
+    fleet_.registry_read = now;
+    registry_reading reading;
+    reading.revision = items.revision;
+    reading.evacuated_domains = core_.state.registry.evacuated_domains;
+    for (const auto& item : items.items) {
+        const auto id = std::string_view(item.key).substr(core_.platform.keys.targets.size());
+        auto entry = core_.platform.decode_target(id, item.value);
+        if (entry) {
+            reading.targets.push_back(std::move(*entry));
+        } else {
+            ++reading.ignored_entries;
+        }
+    }
+    if (reading.ignored_entries > 0) {
+        count(core_.metrics, "registry_entries_ignored", reading.ignored_entries);
+    }
+    take(merge_reading(core_.state.registry, reading, memory_, now));
+}
+
+void registry_reader::take(const registry_state& next) {
+    const auto& known = core_.state.registry;
+    const bool changed = differs_in_use(known, next);
+    const auto revision = static_cast<std::int64_t>(next.revision);
+    for (const auto& [id, entry] : next.targets) {
+        const auto found = known.targets.find(id);
+        if (found == known.targets.end() || found->second.leaving != entry.leaving ||
+            found->second.started_unix_ms != entry.started_unix_ms) {
+            core_.log.write("target_state", {{"target", id},
+                                             {"service", entry.service},
+                                             {"leaving", std::int64_t{entry.leaving}},
+                                             {"revision", revision}});
+        }
+    }
+    for (const auto& [id, entry] : known.targets) {
+        if (!next.targets.contains(id)) {
+            core_.log.write("target_gone", {{"target", id}, {"revision", revision}});
+        }
+    }
+    core_.state.registry = next;
+    for (auto& removed : update_targets(core_.state, core_.now())) {
+        core_.idle_links.erase(removed->entry.id);
+    }
+    if (changed) {
+        changed_();
+    }
+}
+
+void registry_reader::set_evacuated(const std::set<std::string>& domains) {
+    if (core_.state.registry.evacuated_domains != domains) {
+        auto next = core_.state.registry;
+        next.evacuated_domains = domains;
+        take(next);
+    }
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/store_follower.cpp
@@ -0,0 +1,76 @@
+#include "store_follower.hpp"
+
+#include "control_timing.hpp"
+#include "mimosavalve/core/error.hpp"
+#include "store_listing.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// A watch is one call however long it waits; keep-alive probes find a silent connection sooner.
+constexpr milliseconds watch_time{20000};
+constexpr milliseconds watch_slack{2000};
+
+}  // namespace detail
+
+store_follower::store_follower(router_core& core, fleet_state& fleet, std::string name,
+                               callbacks handlers)
+    : core_(core), fleet_(fleet), name_(std::move(name)), handlers_(std::move(handlers)) {}
+
+void store_follower::start(std::string prefix) {
+    prefix_ = std::move(prefix);
+    list();
+}
+
+void store_follower::list() {
+    list_all(core_.platform.store, prefix_, detail::call_in(detail::store_call_time),
+             life_.guard([this](std::error_code error, const store_items& items) {
+                 note_store(core_, fleet_, !error, "list " + name_);
+                 if (error) {
+                     list_later();
+                     return;
+                 }
+                 pause_ = {};
+                 revision_ = items.revision;
+                 handlers_.listed(items);
+                 watch();
+             }));
+}
+
+void store_follower::watch() {
+    core_.platform.store.watch(prefix_, revision_, detail::watch_time,
+                               detail::call_in(detail::watch_time + detail::watch_slack),
+                               life_.guard([this](std::error_code error, const store_items& items) {
+                                   if (error) {
+                                       note_store(core_, fleet_, error == errc::history_lost,
+                                                  "watch " + name_);
+                                       list_later();
+                                       return;
+                                   }
+                                   note_store(core_, fleet_, true, "watch " + name_);
+                                   revision_ = std::max(items.revision, revision_);
+                                   if (!items.items.empty()) {
+                                       handlers_.changed(items);
+                                   }
+                                   watch();
+                               }));
+}
+
+void store_follower::list_later() {
+    pause_ = detail::next_pause(pause_);
+    run_after(core_.context, pause_, life_, [this] { list(); });
+}
+
+void store_follower::check() {
+    list_all(core_.platform.store, prefix_, detail::call_in(detail::store_call_time),
+             life_.guard([this](std::error_code error, const store_items& items) {
+                 note_store(core_, fleet_, !error, "check " + name_);
+                 if (!error && items.revision >= revision_) {
+                     revision_ = items.revision;
+                     handlers_.listed(items);
+                 }
+             }));
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/sync_client.cpp
@@ -0,0 +1,127 @@
+#include "sync_client.hpp"
+
+#include "control_timing.hpp"
+#include "peer_paths.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// Silence of the leader after which a router reads the store itself.
+constexpr milliseconds leader_silence{900};
+constexpr milliseconds sync_call_time{900};
+constexpr milliseconds sync_retry{150};
+// Failed calls in a row after which the leader is logged as silent; one is lost now and then.
+constexpr std::uint32_t failures_to_log = 2;
+
+}  // namespace detail
+
+void move_reports(router_core& core, sync_request& out) {
+    out.key_loads = std::exchange(core.key_loads, {});
+    out.demand = std::exchange(core.demand, {});
+    for (auto& [id, target] : core.state.targets) {
+        if (target->work_count > 0) {
+            out.work[id] = {std::exchange(target->work_count, 0),
+                            std::exchange(target->work_sum_ms, 0)};
+        }
+    }
+}
+
+sync_client::sync_client(router_core& core, fleet_state& fleet, call_client& calls,
+                         callbacks handlers)
+    : core_(core), fleet_(fleet), calls_(calls), handlers_(std::move(handlers)) {}
+
+void sync_client::tick(boot_time now) {
+    if (!running_ && now >= next_call_) {
+        call_leader();
+    }
+}
+
+bool sync_client::is_informed(boot_time now) const {
+    return now - informed_ < detail::leader_silence;
+}
+
+sync_request sync_client::make_request() {
+    const auto now = core_.now();
+    sync_request out;
+    out.host = core_.settings.host;
+    out.address = core_.settings.peer_address;
+    out.failure_domain = core_.settings.failure_domain;
+    out.run = fleet_.run;
+    out.epoch = fleet_.leader.epoch;
+    out.store_lost = !fleet_.store_good;
+    const bool same_leader = followed_epoch_ == fleet_.leader.epoch;
+    out.knows_long_holds = long_holds_announced_ && same_leader;
+    if (out.knows_long_holds) {
+        fleet_.told_long_holds = now;
+    }
+    if (fleet_.told_long_holds) {
+        out.long_holds_age_ms =
+            static_cast<std::uint64_t>(-milliseconds_until(*fleet_.told_long_holds, now));
+    }
+    out.config_version = core_.state.config.version;
+    if (same_leader) {
+        out.registry_number = followed_registry_;
+        out.map_numbers = followed_maps_;
+    }
+    move_reports(core_, out);
+    return out;
+}
+
+void sync_client::call_leader() {
+    const auto to = parse_endpoint(fleet_.leader.address);
+    if (fleet_.leader.epoch == 0 || !to || fleet_.leader.host == core_.settings.host ||
+        fleet_.stopping || fleet_.leading) {
+        next_call_ = core_.now() + detail::sync_retry;
+        return;
+    }
+    running_ = true;
+    auto body = encode(make_request());
+    count(core_.metrics, "sync_bytes_sent", body.size());
+    calls_.send(*to, {"POST", peer_paths::sync, peer_paths::body_type, std::move(body), {}},
+                detail::call_in(detail::sync_call_time),
+                life_.guard([this, epoch = fleet_.leader.epoch](std::error_code error,
+                                                                const call_answer& answer) {
+                    running_ = false;
+                    take_answer(epoch, error, answer);
+                }));
+}
+
+void sync_client::take_answer(std::uint64_t epoch, std::error_code error,
+                              const call_answer& answer) {
+    constexpr unsigned ok = 200;
+    count(core_.metrics, "sync_bytes_received", answer.body.size());
+    const auto reply =
+        !error && answer.head.status == ok ? decode_sync_reply(answer.body) : std::nullopt;
+    if (!reply || reply->epoch != epoch) {
+        ++failures_;
+        if (failures_ == detail::failures_to_log) {
+            core_.log.write_always("leader_silent", {{"host", fleet_.leader.host}});
+        }
+        next_call_ = core_.now() + detail::sync_retry;
+        return;
+    }
+    if (failures_ >= detail::failures_to_log) {
+        core_.log.write_always("leader_heard", {{"host", fleet_.leader.host}});
+    }
+    failures_ = 0;
+    if (!fleet_.leading) {
+        take(*reply);
+    }
+    next_call_ = {};
+    call_leader();
+}
+
+void sync_client::take(const sync_reply& reply) {
+    if (milliseconds(reply.store_age_ms) < detail::leader_silence) {
+        informed_ = core_.now();
+        fleet_.registry_read = informed_;
+    }
+    followed_epoch_ = reply.epoch;
+    followed_registry_ = reply.registry_number;
+    followed_maps_ = reply.map_numbers;
+    long_holds_announced_ = reply.long_holds;
+    handlers_.news(reply);
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/sync_server.cpp
@@ -0,0 +1,272 @@
+#include "sync_server.hpp"
+
+#include <cmath>
+
+#include "peer_paths.hpp"
+#include "sync_client.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// The leader keeps a router's call this long when there is nothing new.
+constexpr milliseconds reply_wait{200};
+// A router that was not heard of for this long no longer shares limits. Longer than a cut after
+// which a router may go on sending without our knowledge.
+constexpr milliseconds follower_life{10000};
+// A router that was heard of within this time counts as running.
+constexpr milliseconds running_time{1500};
+// Places are divided again, and work times passed on, this often.
+constexpr milliseconds lending_time{200};
+constexpr milliseconds work_time{1000};
+// Weight of one answer in a target's mean work time.
+constexpr double work_weight = 0.1;
+
+}  // namespace detail
+
+void take_rates(routing_state& state, const std::map<std::string, double>& rates) {
+    for (auto& [id, target] : state.targets) {
+        const auto found = rates.find(id);
+        target->lent_rate = found == rates.end() ? 0 : found->second;
+    }
+}
+
+sync_server::sync_server(router_core& core, fleet_state& fleet, sources from)
+    : core_(core), fleet_(fleet), from_(std::move(from)) {}
+
+void sync_server::begin() {
+    followers_.clear();
+    ++registry_number_;
+}
+
+void sync_server::end() {
+    constexpr unsigned unavailable = 503;
+    for (auto& waiting : waiting_) {
+        waiting.respond({unavailable, "text/plain", ""});
+    }
+    waiting_.clear();
+}
+
+void sync_server::tick(boot_time now) {
+    if (now >= next_lending_) {
+        sync_request own;
+        move_reports(core_, own);
+        take_reports(core_.settings.host, own, now);
+        lend(now);
+    }
+    for (auto& waiting : waiting_) {
+        if (now >= waiting.due) {
+            reply_to(waiting);
+        }
+    }
+    std::erase_if(waiting_, [](const auto& waiting) { return !waiting.respond; });
+}
+
+evidence_by_host sync_server::evidence(boot_time now) const {
+    evidence_by_host heard;
+    for (const auto& [host, known] : followers_) {
+        heard.emplace(host, known.evidence);
+    }
+    heard[core_.settings.host] = {fleet_.run, now, fleet_.store_good ? boot_time{} : now,
+                                  from_.announces_long_holds() ? now : boot_time{},
+                                  fleet_.told_long_holds};
+    return heard;
+}
+
+router_runs sync_server::followers(boot_time now) const {
+    router_runs running;
+    for (const auto& [host, known] : followers_) {
+        if (now - known.seen < detail::running_time) {
+            running.emplace(host, router_run(known.evidence.run, known.address));
+        }
+    }
+    return running;
+}
+
+void sync_server::serve(const std::string& body, small_server::respond respond) {
+    constexpr unsigned bad_request = 400;
+    constexpr unsigned unavailable = 503;
+    auto request = decode_sync_request(body);
+    if (!request) {
+        respond({bad_request, "text/plain", ""});
+        return;
+    }
+    if (!fleet_.leading || request->epoch != fleet_.leader.epoch) {
+        respond({unavailable, "text/plain", ""});
+        return;
+    }
+    const auto now = core_.now();
+    note_caller(*request, now);
+    take_reports(request->host, *request, now);
+    pending_reply waiting{std::move(*request), std::move(respond), now + detail::reply_wait};
+    if (is_behind(waiting.request)) {
+        reply_to(waiting);
+    } else {
+        waiting_.push_back(std::move(waiting));
+    }
+}
+
+void sync_server::note_caller(const sync_request& request, boot_time now) {
+    auto& from = followers_[request.host];
+    // The router sent this after our last answer, which may have been long on its way.
+    const auto surely_sent = from.evidence.run == request.run ? from.replied : boot_time{};
+    from.evidence.run = request.run;
+    from.evidence.follows = surely_sent;
+    from.evidence.store_lost = request.store_lost ? surely_sent : boot_time{};
+    if (request.knows_long_holds) {
+        from.evidence.knows_long_holds = now;
+    }
+    if (request.long_holds_age_ms < never_ms) {
+        from.evidence.told_long_holds = now - milliseconds(request.long_holds_age_ms);
+    }
+    from.address = request.address;
+    from.failure_domain = request.failure_domain;
+    from.seen = now;
+}
+
+bool sync_server::is_behind(const sync_request& request) const {
+    if (request.config_version < core_.state.config.version ||
+        request.registry_number != registry_number_) {
+        return true;
+    }
+    return std::any_of(map_numbers_.begin(), map_numbers_.end(), [&](const auto& numbered) {
+        const auto known = request.map_numbers.find(numbered.first);
+        return known == request.map_numbers.end() || known->second != numbered.second;
+    });
+}
+
+void sync_server::take_reports(const std::string& host, sync_request& request, boot_time now) {
+    from_.take_key_loads(request.key_loads);
+    for (const auto& [service, load] : request.key_loads) {
+        const auto map = core_.state.keys.find(service);
+        if (map == core_.state.keys.end()) {
+            continue;
+        }
+        for (const auto& [key, requests] : load.counts) {
+            note_demand(demand_, segment_of(map->second, key).owner, host, requests, now);
+        }
+    }
+    request.key_loads.clear();
+    for (const auto& [service, requests] : request.demand) {
+        note_demand(demand_, service, host, requests, now);
+    }
+    for (const auto& [id, report] : request.work) {
+        const auto found = core_.state.targets.find(id);
+        if (found == core_.state.targets.end() || report.count == 0) {
+            continue;
+        }
+        auto& known = found->second->work_ms;
+        const double mean = report.sum_ms / report.count;
+        const double weight = std::min(report.count * detail::work_weight, 1.0);
+        known = known == 0 ? mean : known + (mean - known) * weight;
+    }
+}
+
+void sync_server::lend(boot_time now) {
+    next_lending_ = now + detail::lending_time;
+    forget_old_demand(demand_, now);
+    std::map<std::string, std::string> routers;
+    routers.emplace(core_.settings.host, core_.settings.failure_domain);
+    for (const auto& [host, known] : followers_) {
+        routers.emplace(host, known.failure_domain);
+    }
+    lent_ = plan_lending(core_.state, demand_, routers, now);
+    const auto& own = lent_.places[core_.settings.host];
+    core_.state.places.clear();
+    core_.state.places.insert(own.begin(), own.end());
+    take_rates(core_.state, lent_.rates[core_.settings.host]);
+}
+
+void sync_server::add_maps(sync_reply& reply, const sync_request& request, boot_time now) const {
+    reply.map_numbers = map_numbers_;
+    for (const auto& [service, number] : map_numbers_) {
+        const auto known = request.map_numbers.find(service);
+        const auto found = core_.state.keys.find(service);
+        if (found == core_.state.keys.end() ||
+            (known != request.map_numbers.end() && known->second == number)) {
+            continue;
+        }
+        auto map = found->second;
+        const auto learnt = core_.state.keys_at.find(service);
+        const auto age = learnt == core_.state.keys_at.end()
+                             ? std::int64_t{0}
+                             : -milliseconds_until(learnt->second, now);
+        for (auto& segment : map.segments) {
+            segment.wait_ms -=
+                std::min<std::uint32_t>(segment.wait_ms, static_cast<std::uint32_t>(age));
+        }
+        reply.maps.emplace(service, std::move(map));
+    }
+}
+
+void sync_server::reply_to(pending_reply& waiting) {
+    const auto now = core_.now();
+    const auto& request = waiting.request;
+    std::erase_if(followers_, [&](const auto& known) {
+        return now - known.second.seen > detail::follower_life;
+    });
+    sync_reply reply;
+    reply.epoch = fleet_.leader.epoch;
+    reply.routers = static_cast<std::uint32_t>(followers_.size()) + 1;
+    reply.rank = static_cast<std::uint32_t>(
+        std::distance(followers_.begin(), followers_.find(request.host)) + 1);
+    reply.store_age_ms = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(-milliseconds_until(fleet_.registry_read, now), 0));
+    reply.config_version = core_.state.config.version;
+    if (request.config_version < core_.state.config.version) {
+        reply.config_text = from_.config_text();
+    }
+    reply.long_holds = from_.announces_long_holds();
+    from_.describe(reply);
+    reply.registry_number = registry_number_;
+    if (request.registry_number != registry_number_) {
+        reply.registry = core_.state.registry;
+    }
+    add_maps(reply, request, now);
+    const auto places = lent_.places.find(request.host);
+    if (places != lent_.places.end()) {
+        reply.places = places->second;
+    }
+    const auto rates = lent_.rates.find(request.host);
+    if (rates != lent_.rates.end()) {
+        reply.rates = rates->second;
+    }
+    auto& asking = followers_[request.host];
+    asking.replied = now;
+    if (now - asking.told_work >= detail::work_time) {
+        asking.told_work = now;
+        for (const auto& [id, target] : core_.state.targets) {
+            if (target->work_ms > 0) {
+                reply.work_ms.emplace(id, std::round(target->work_ms));
+            }
+        }
+    }
+    core_.state.routers = reply.routers;
+    core_.state.rank = 0;
+    const auto respond = std::exchange(waiting.respond, nullptr);
+    respond({200, peer_paths::body_type, encode(reply)});
+}
+
+void sync_server::note_change() {
+    for (const auto& [service, map] : core_.state.keys) {
+        auto& known = numbered_maps_[service];
+        if (known != map || map_numbers_[service] == 0) {
+            known = map;
+            ++map_numbers_[service];
+        }
+    }
+    if (answer_posted_) {
+        return;
+    }
+    // Several changes in one step are told at once.
+    answer_posted_ = true;
+    core_.defer(life_.guard([this] {
+        answer_posted_ = false;
+        for (auto& waiting : waiting_) {
+            reply_to(waiting);
+        }
+        waiting_.clear();
+    }));
+}
+
+}  // namespace mimosavalve::gateway
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -151,7 +151,6 @@
     input_.shrink_to_fit();
     connection_->want_read(false);
     connection_->set_callbacks({});
-    idle_since = std::chrono::steady_clock::now();
 }
 
 bool target_link::is_quiet() {
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -20,7 +20,7 @@
 }
 
 registry_state merge_reading(const registry_state& state, const registry_reading& reading,
-                             registry_memory& memory, boot_time now) {
+                             const registry_memory& memory, boot_time now) {
     if (reading.revision < state.revision) {
         return state;
     }
@@ -29,17 +29,13 @@
     next.evacuated_domains = reading.evacuated_domains;
     for (const auto& entry : reading.targets) {
         next.targets.insert_or_assign(entry.id, entry);
-        memory.missing_since.erase(entry.id);
     }
     for (const auto& [id, entry] : state.targets) {
         if (next.targets.contains(id)) {
             continue;
         }
-        memory.missing_since.try_emplace(id, now);
         if (now < memory.lenient_until) {
             next.targets.emplace(id, entry);
-        } else {
-            memory.missing_since.erase(id);
         }
     }
     return next;
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -52,9 +52,8 @@
         now - target.load_at < load_report_life ? std::max(target.load.slowness, 0.1) : 1;
     double time = (queue + 1) * work_ms_of(state, target) * slowness;
     if (target.entry.failure_domain != state.own_domain) {
-        const auto region = state.regions.find(target.entry.failure_domain);
         const bool same_region =
-            region != state.regions.end() && region->second == state.own_region;
+            region_of(state.regions, target.entry.failure_domain) == state.own_region;
         time += same_region ? domain_cost_ms : region_cost_ms;
         // The link between regions is narrow: one large body delays everything else on it.
         time += !same_region && on.kind == request_kind::upload ? upload_region_cost_ms : 0;
@@ -224,10 +223,8 @@
     if (on.home_regions.empty()) {
         return true;
     }
-    const auto region = state.regions.find(target.failure_domain);
-    return region != state.regions.end() &&
-           std::find(on.home_regions.begin(), on.home_regions.end(), region->second) !=
-               on.home_regions.end();
+    return std::find(on.home_regions.begin(), on.home_regions.end(),
+                     region_of(state.regions, target.failure_domain)) != on.home_regions.end();
 }
 
 bool has_use(const routing_state& state, const target_entry& target) {
