Let a move go on when the old owner never answers its release; play the platform over sockets

Cause: a move remembered one running call for release and grant. When the hold of a silent owner ended while the release was still unanswered, the move went on to recording, and the late answer of the release was dropped by its phase check, so that the grant was never sent: the keys had no owner until the next leader. Found by the new tests over real processes: tests/platform starts routers with stand-ins for the platform's store (watch, dropped history, pages, leases, lost answers, hosts that are refused or get no answer) and for targets (fences, holds, releases that forget, late grants, silence, 421), and checks that no key has two holders and nothing that may run once runs twice. Change: a flag for each of the two calls.

--- a/include/mimosavalve/gateway/call_client.hpp
+++ b/include/mimosavalve/gateway/call_client.hpp
@@ -22,6 +22,7 @@
     std::string content_type;  ///< Empty: no body.
     std::string body;
     std::vector<header_field> fields;  ///< Besides Host, length and type.
+    std::string host;                  ///< Value of Host; empty: the endpoint.
 };
 
 struct call_answer {
--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -19,7 +19,9 @@
 
 std::string text_of(const call& what, const tcp::endpoint& to) {
     std::string text = what.method + " " + what.target + " HTTP/1.1\r\n";
-    append_field(text, "Host", to.address().to_string() + ":" + std::to_string(to.port()));
+    append_field(
+        text, "Host",
+        what.host.empty() ? to.address().to_string() + ":" + std::to_string(to.port()) : what.host);
     for (const auto& field : what.fields) {
         append_field(text, field.name, field.value);
     }
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -124,7 +124,7 @@
     if (notice) {
         election_.take_notice(*notice);
     }
-    respond({notice ? ok : bad_request, "text/plain", ""});
+    respond({notice ? ok : bad_request, "text/plain", "", {}});
 }
 
 bool fleet_control::is_ready() const {
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -134,15 +134,15 @@
                 log_.write_always(is_ready ? "ready" : "not_ready", {});
                 was_ready_ = is_ready;
             }
-            respond({is_ready ? ok : unavailable, "text/plain", is_ready ? "ready\n" : ""});
+            respond({is_ready ? ok : unavailable, "text/plain", is_ready ? "ready\n" : "", {}});
         } else if (path == "/sync") {
             control_.serve_sync(body, std::move(respond));
         } else if (path == "/leader") {
             control_.serve_notice(body, respond);
         } else if (path == "/metrics") {
-            respond({ok, "text/plain", metrics_text()});
+            respond({ok, "text/plain", metrics_text(), {}});
         } else {
-            respond({not_found, "text/plain", ""});
+            respond({not_found, "text/plain", "", {}});
         }
     }
 
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -315,10 +315,10 @@
         if (now >= move.not_before) {
             move.phase = move_phase::ready;
             move.next_try = {};
-        } else if (!move.released && !move.call_running && now >= move.next_try) {
+        } else if (!move.released && !move.release_running && now >= move.next_try) {
             release(move, now);
         }
-    } else if (move.phase == move_phase::granting && !move.call_running && now >= move.next_try) {
+    } else if (move.phase == move_phase::granting && !move.grant_running && now >= move.next_try) {
         grant_moved(move, now);
     }
 }
@@ -380,7 +380,7 @@
     if (from.address.empty() || has_running_grant(from, move.keys)) {
         return;
     }
-    move.call_running = true;
+    move.release_running = true;
     move.next_try = now + detail::retry_time;
     // Carries the new fence, so that a late renewal with the old one is refused.
     core_.platform.orders.release(
@@ -392,11 +392,12 @@
                 return;
             }
             for (auto& released : found->second.moves) {
-                if (released.keys.fence != fence || released.phase != move_phase::releasing) {
+                if (released.keys.fence != fence) {
                     continue;
                 }
-                released.call_running = false;
-                if (error) {
+                released.release_running = false;
+                // The hold may have ended while the owner did not answer.
+                if (error || released.phase != move_phase::releasing) {
                     continue;
                 }
                 released.released = true;
@@ -547,7 +548,7 @@
     if (!may_act(now)) {
         return;
     }
-    move.call_running = true;
+    move.grant_running = true;
     ++move.tries;
     move.next_try = now + detail::retry_time;
     send_grant(move.keys, move.handover, now,
@@ -560,7 +561,7 @@
                        if (moved.keys.fence != fence) {
                            continue;
                        }
-                       moved.call_running = false;
+                       moved.grant_running = false;
                        // A target that does not answer keeps the keys on record until the next
                        // plan finds that it is lost.
                        if (!error || moved.tries >= detail::most_grant_tries ||
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -65,7 +65,8 @@
         boot_time not_before;  ///< The old owner may hold the keys until then.
         boot_time next_try;
         std::uint32_t tries = 0;
-        bool call_running = false;
+        bool release_running = false;
+        bool grant_running = false;
         bool released = false;  ///< By the old owner.
         boot_time began;
     };
--- a/src/gateway/leader_right.cpp
+++ b/src/gateway/leader_right.cpp
@@ -103,7 +103,7 @@
         if (!to || heard.contains(host)) {
             continue;
         }
-        calls_.send(*to, {"POST", peer_paths::leader, peer_paths::body_type, body, {}},
+        calls_.send(*to, {"POST", peer_paths::leader, peer_paths::body_type, body, {}, {}},
                     detail::call_in(detail::notice_pause),
                     term_.guard([this, host = host](std::error_code error, const call_answer&) {
                         // The next round tells it again.
--- a/src/gateway/small_server.cpp
+++ b/src/gateway/small_server.cpp
@@ -133,6 +133,9 @@
     text.append(reason_phrase(what.status)).append("\r\n");
     append_field(text, "Content-Type", what.content_type);
     append_field(text, "Content-Length", std::to_string(what.body.size()));
+    for (const auto& field : what.fields) {
+        append_field(text, field.name, field.value);
+    }
     to.connection->write(text + "\r\n" + what.body);
 }
 
--- a/src/gateway/small_server.hpp
+++ b/src/gateway/small_server.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "mimosavalve/gateway/http_message.hpp"
 #include "mimosavalve/gateway/stream.hpp"
@@ -33,6 +34,7 @@
     unsigned status = 200;
     std::string content_type = "text/plain";
     std::string body;
+    std::vector<header_field> fields;  ///< Besides type and length.
 };
 
 /// Serves small calls whose bodies fit into memory: readiness, metrics, and our own processes.
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -78,7 +78,7 @@
     running_ = true;
     auto body = encode(make_request());
     count(core_.metrics, "sync_bytes_sent", body.size());
-    calls_.send(*to, {"POST", peer_paths::sync, peer_paths::body_type, std::move(body), {}},
+    calls_.send(*to, {"POST", peer_paths::sync, peer_paths::body_type, std::move(body), {}, {}},
                 detail::call_in(detail::sync_call_time),
                 life_.guard([this, epoch = fleet_.leader.epoch](std::error_code error,
                                                                 const call_answer& answer) {
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -42,7 +42,7 @@
 void sync_server::end() {
     constexpr unsigned unavailable = 503;
     for (auto& waiting : waiting_) {
-        waiting.respond({unavailable, "text/plain", ""});
+        waiting.respond({unavailable, "text/plain", "", {}});
     }
     waiting_.clear();
 }
@@ -88,11 +88,11 @@
     constexpr unsigned unavailable = 503;
     auto request = decode_sync_request(body);
     if (!request) {
-        respond({bad_request, "text/plain", ""});
+        respond({bad_request, "text/plain", "", {}});
         return;
     }
     if (!fleet_.leading || request->epoch != fleet_.leader.epoch) {
-        respond({unavailable, "text/plain", ""});
+        respond({unavailable, "text/plain", "", {}});
         return;
     }
     const auto now = core_.now();
@@ -244,7 +244,7 @@
     core_.state.routers = reply.routers;
     core_.state.rank = 0;
     const auto respond = std::exchange(waiting.respond, nullptr);
-    respond({200, peer_paths::body_type, encode(reply)});
+    respond({200, peer_paths::body_type, encode(reply), {}});
 }
 
 void sync_server::note_change() {
--- a/tests/gateway/key_decider_test.cpp
+++ b/tests/gateway/key_decider_test.cpp
@@ -105,6 +105,32 @@
     CHECK(fleet.owner_of(0) == "b");
 }
 
+// Found by a test over sockets: the release was still on its way when the hold ended, and the move
+// waited for it for ever.
+TEST_CASE("a move goes on when the old owner never answers its release [decider]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    fleet.record(owned_by("a", 7));
+    fleet.lead();
+    fleet.pass(std::chrono::milliseconds(100));
+    std::vector<key_orders::done_handler> unanswered;
+    fleet.core.platform.orders.release = [&](const std::string&, const key_segment&, call_deadline,
+                                             key_orders::done_handler done) {
+        unanswered.push_back(std::move(done));
+    };
+    fleet.remove_target("a");
+    fleet.pass(std::chrono::seconds(4));
+    REQUIRE_FALSE(unanswered.empty());
+    CHECK(fleet.count_orders(true, "b") > 0);
+    CHECK(fleet.owner_of(0) == "b");
+    for (const auto& answer : unanswered) {
+        answer(std::make_error_code(std::errc::timed_out), "");
+    }
+    fleet.pass(std::chrono::seconds(1));
+    CHECK(fleet.owner_of(0) == "b");
+}
+
 TEST_CASE("holds of an earlier leader are waited for as long as they may last [decider]") {
     decider_fixture fleet;
     fleet.add_target("b");
--- /dev/null
+++ b/tests/platform/store_standin.cpp
@@ -0,0 +1,353 @@
+#include "store_standin.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "base64.hpp"
+#include "wire_names.hpp"
+
+namespace mimosavalve::platform::testing {
+
+namespace {
+
+using gateway::milliseconds;
+using gateway::small_answer;
+using nlohmann::json;
+
+constexpr unsigned ok = 200;
+constexpr unsigned bad_request = 400;
+constexpr unsigned not_found = 404;
+constexpr unsigned gone = 410;
+constexpr unsigned precondition_failed = 412;
+constexpr unsigned unavailable = 503;
+
+small_answer answer(unsigned status, const json& body) {
+    return {status, "application/json", body.dump(), {}};
+}
+
+std::string unescaped(std::string_view text) {
+    std::string out;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        if (text[at] == '%' && at + 2 < text.size()) {
+            out.push_back(
+                static_cast<char>(std::stoi(std::string(text.substr(at + 1, 2)), nullptr, 16)));
+            at += 2;
+        } else {
+            out.push_back(text[at]);
+        }
+    }
+    return out;
+}
+
+std::map<std::string, std::string> query_of(std::string_view target) {
+    std::map<std::string, std::string> out;
+    const auto mark = target.find('?');
+    auto rest = mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
+    while (!rest.empty()) {
+        const auto part = rest.substr(0, rest.find('&'));
+        const auto equals = part.find('=');
+        out[unescaped(part.substr(0, equals))] = unescaped(part.substr(equals + 1));
+        rest.remove_prefix(std::min(part.size() + 1, rest.size()));
+    }
+    return out;
+}
+
+std::string member(const std::map<std::string, std::string>& query, const std::string& name) {
+    const auto found = query.find(name);
+    return found == query.end() ? std::string() : found->second;
+}
+
+std::uint64_t number(const std::string& text) {
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+}  // namespace
+
+void store_standin::listen(const std::string& host, const gateway::tcp::endpoint& address) {
+    servers_[host] = std::make_unique<gateway::small_server>(
+        context_, address,
+        [this, host](const gateway::message_head& head, const std::string& body,
+                     const gateway::small_server::respond& respond) {
+            serve(host, head, body, respond);
+        });
+}
+
+void store_standin::set_access(const std::string& host, store_access access) {
+    access_[host] = access;
+    // Watches that wait are cut, or go silent.
+    for (auto& waiting : watchers_) {
+        if (waiting.host == host && access == store_access::refused) {
+            waiting.respond(answer(unavailable, json::object()));
+        }
+    }
+    std::erase_if(watchers_, [&](const auto& waiting) {
+        return waiting.host == host && access != store_access::served;
+    });
+}
+
+void store_standin::put(const std::string& key, const std::string& value) {
+    apply(key, value, 0, ++revision_);
+    wake_watchers();
+}
+
+void store_standin::remove(const std::string& key) {
+    erase(key, ++revision_);
+    wake_watchers();
+}
+
+const std::string* store_standin::value_of(const std::string& key) const {
+    const auto found = items_.find(key);
+    return found == items_.end() ? nullptr : &found->second.value;
+}
+
+void store_standin::drop_history() {
+    history_.clear();
+    history_from_ = revision_;
+    const auto waiting = std::move(watchers_);
+    watchers_.clear();
+    for (const auto& watch : waiting) {
+        watch.respond(answer(gone, json::object()));
+    }
+}
+
+void store_standin::serve(const std::string& host, const gateway::message_head& head,
+                          const std::string& body, const gateway::small_server::respond& respond) {
+    const auto access = access_[host];
+    if (access == store_access::silent) {
+        return;
+    }
+    if (access == store_access::refused) {
+        respond(answer(unavailable, json::object()));
+        return;
+    }
+    const auto path = std::string(gateway::path_of(head));
+    const auto query = query_of(head.target);
+    const auto id_after = [&](const char* prefix) {
+        return number(path.substr(std::string_view(prefix).size()));
+    };
+    if (path == wire::read_item_path) {
+        respond(read(query));
+    } else if (path == wire::list_items_path) {
+        respond(list(query));
+    } else if (path == wire::watch_path) {
+        watch(host, query, respond);
+    } else if (path == wire::write_path) {
+        const auto written = write(body);
+        if (written.status == ok && lose_write_answers > 0) {
+            --lose_write_answers;
+        } else {
+            respond(written);
+        }
+    } else if (path == wire::open_lease_path) {
+        respond(open_lease(body));
+    } else if (path.starts_with(wire::keep_lease_path)) {
+        respond(keep_lease(id_after(wire::keep_lease_path)));
+    } else if (path.starts_with(wire::end_lease_path)) {
+        const auto id = id_after(wire::end_lease_path);
+        const bool known = leases_.contains(id);
+        end_lease(id);
+        respond(answer(known ? ok : not_found, json::object()));
+    } else {
+        respond(answer(bad_request, json::object()));
+    }
+}
+
+namespace {
+
+template <typename Item>
+json to_json(const std::string& key, const Item& item) {
+    return {{"key", key},
+            {"value", encode_base64(item.value)},
+            {"revision", item.revision},
+            {"createRev", item.created},
+            {"lease", item.lease}};
+}
+
+}  // namespace
+
+small_answer store_standin::read(const std::map<std::string, std::string>& query) const {
+    const auto found = items_.find(member(query, "key"));
+    if (found == items_.end()) {
+        return answer(not_found, {{"asOf", revision_}});
+    }
+    auto body = to_json(found->first, found->second);
+    body["asOf"] = revision_;
+    return answer(ok, body);
+}
+
+small_answer store_standin::list(const std::map<std::string, std::string>& query) const {
+    const auto prefix = member(query, "prefix");
+    const auto after = member(query, "after");
+    json items = json::array();
+    bool more = false;
+    for (const auto& [key, item] : items_) {
+        if (!key.starts_with(prefix) || key <= after) {
+            continue;
+        }
+        more = items.size() >= page_items;
+        if (more) {
+            break;
+        }
+        items.push_back(to_json(key, item));
+    }
+    return answer(ok, {{"items", items}, {"hasMore", more}, {"asOf", revision_}});
+}
+
+std::string store_standin::events_after(const std::string& prefix, std::uint64_t after) const {
+    json events = json::array();
+    for (const auto& change : history_) {
+        if (change.now.revision <= after || !change.key.starts_with(prefix)) {
+            continue;
+        }
+        events.push_back(
+            change.deleted
+                ? json({{"key", change.key}, {"revision", change.now.revision}, {"deleted", true}})
+                : to_json(change.key, change.now));
+    }
+    return events.empty() ? std::string() : json({{"events", events}, {"asOf", revision_}}).dump();
+}
+
+void store_standin::watch(const std::string& host, const std::map<std::string, std::string>& query,
+                          const gateway::small_server::respond& respond) {
+    const watcher added{host, member(query, "prefix"), number(member(query, "after")), respond};
+    if (added.after < history_from_) {
+        respond(answer(gone, json::object()));
+        return;
+    }
+    const auto events = events_after(added.prefix, added.after);
+    if (!events.empty()) {
+        respond({ok, "application/json", events, {}});
+        return;
+    }
+    watchers_.push_back(added);
+    const auto placed = &watchers_.back();
+    gateway::run_after(
+        context_, milliseconds(number(member(query, "waitMs"))), life_,
+        [this, placed, after = added.after] {
+            for (auto at = watchers_.begin(); at != watchers_.end(); ++at) {
+                if (&*at == placed && at->after == after) {
+                    const auto ended = at->respond;
+                    watchers_.erase(at);
+                    ended(answer(ok, {{"events", json::array()}, {"asOf", revision_}}));
+                    return;
+                }
+            }
+        });
+}
+
+void store_standin::wake_watchers() {
+    for (auto at = watchers_.begin(); at != watchers_.end();) {
+        const auto events = events_after(at->prefix, at->after);
+        if (events.empty()) {
+            ++at;
+            continue;
+        }
+        const auto respond = at->respond;
+        at = watchers_.erase(at);
+        respond({ok, "application/json", events, {}});
+    }
+}
+
+small_answer store_standin::write(const std::string& text) {
+    const auto body = json::parse(text, nullptr, false);
+    if (!body.is_object()) {
+        return answer(bad_request, json::object());
+    }
+    json current = json::array();
+    bool holds = true;
+    for (const auto& row : body.at("precondition")) {
+        const auto key = row.at("key").get<std::string>();
+        const auto found = items_.find(key);
+        const auto revision = found == items_.end() ? 0 : found->second.revision;
+        holds = holds && revision == row.at("revision").get<std::uint64_t>();
+        current.push_back(found == items_.end() ? json({{"key", key}, {"revision", 0}})
+                                                : to_json(key, found->second));
+    }
+    if (!holds) {
+        return answer(precondition_failed, {{"items", current}, {"asOf", revision_}});
+    }
+    for (const auto& row : body.at("puts")) {
+        const auto lease = row.at("lease").get<std::uint64_t>();
+        if (lease != 0 && !leases_.contains(lease)) {
+            return answer(not_found, json::object());
+        }
+    }
+    ++revision_;
+    for (const auto& row : body.at("puts")) {
+        apply(row.at("key").get<std::string>(), decode_base64(row.at("value").get<std::string>()),
+              row.at("lease").get<std::uint64_t>(), revision_);
+    }
+    for (const auto& key : body.at("remove")) {
+        erase(key.get<std::string>(), revision_);
+    }
+    const auto written = revision_;
+    wake_watchers();
+    return answer(ok, {{"revision", written}});
+}
+
+small_answer store_standin::open_lease(const std::string& text) {
+    const auto ttl = json::parse(text).at("ttlMs").get<std::uint64_t>();
+    const auto id = next_lease_++;
+    leases_[id] = {ttl, 0};
+    arm_lease(id);
+    return answer(ok, {{"lease", id}, {"ttlMs", ttl}});
+}
+
+small_answer store_standin::keep_lease(std::uint64_t id) {
+    const auto found = leases_.find(id);
+    if (found == leases_.end()) {
+        return answer(not_found, json::object());
+    }
+    ++found->second.renewals;
+    arm_lease(id);
+    return answer(ok, {{"ttlMs", found->second.ttl_ms}});
+}
+
+void store_standin::arm_lease(std::uint64_t id) {
+    const auto& lease = leases_.at(id);
+    gateway::run_after(context_, milliseconds(lease.ttl_ms), life_,
+                       [this, id, renewals = lease.renewals] {
+                           const auto found = leases_.find(id);
+                           if (found != leases_.end() && found->second.renewals == renewals) {
+                               end_lease(id);
+                           }
+                       });
+}
+
+void store_standin::end_lease(std::uint64_t id) {
+    if (leases_.erase(id) == 0) {
+        return;
+    }
+    std::vector<std::string> ended;
+    for (const auto& [key, item] : items_) {
+        if (item.lease == id) {
+            ended.push_back(key);
+        }
+    }
+    ++revision_;
+    for (const auto& key : ended) {
+        erase(key, revision_);
+    }
+    wake_watchers();
+}
+
+void store_standin::apply(const std::string& key, const std::string& value, std::uint64_t lease,
+                          std::uint64_t revision) {
+    auto& placed = items_[key];
+    placed.value = value;
+    placed.revision = revision;
+    placed.created = placed.created == 0 ? revision : placed.created;
+    placed.lease = lease;
+    history_.push_back({key, placed, false});
+}
+
+void store_standin::erase(const std::string& key, std::uint64_t revision) {
+    if (items_.erase(key) > 0) {
+        stored_change removed;
+        removed.key = key;
+        removed.now.revision = revision;
+        removed.deleted = true;
+        history_.push_back(std::move(removed));
+    }
+}
+
+}  // namespace mimosavalve::platform::testing
--- /dev/null
+++ b/tests/platform/store_standin.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/lifetime.hpp"
+#include "gateway/small_server.hpp"
+
+namespace mimosavalve::platform::testing {
+
+/// How the store treats one host.
+enum class store_access { served, refused, silent };
+
+/// Stands in for the platform's store. It listens on one address for each host, so that it can
+/// refuse some hosts and serve the others.
+class store_standin {
+public:
+    explicit store_standin(boost::asio::io_context& context) : context_(context) {}
+
+    void listen(const std::string& host, const gateway::tcp::endpoint& address);
+    void set_access(const std::string& host, store_access access);
+
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    [[nodiscard]] const std::string* value_of(const std::string& key) const;
+
+    /// Forgets all changes; watches from before are told so.
+    void drop_history();
+
+    std::size_t page_items = 500;          ///< Most items of one page.
+    std::uint32_t lose_write_answers = 0;  ///< So many of the next writes are done, not answered.
+
+private:
+    struct stored_item {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        std::uint64_t lease = 0;
+    };
+    struct stored_change {
+        std::string key;
+        stored_item now;  ///< Revision of the change.
+        bool deleted = false;
+    };
+    struct watcher {
+        std::string host;
+        std::string prefix;
+        std::uint64_t after = 0;
+        gateway::small_server::respond respond;
+    };
+    struct lease_state {
+        std::uint64_t ttl_ms = 0;
+        std::uint64_t renewals = 0;
+    };
+
+    void serve(const std::string& host, const gateway::message_head& head, const std::string& body,
+               const gateway::small_server::respond& respond);
+    [[nodiscard]] gateway::small_answer read(const std::map<std::string, std::string>& query) const;
+    [[nodiscard]] gateway::small_answer list(const std::map<std::string, std::string>& query) const;
+    void watch(const std::string& host, const std::map<std::string, std::string>& query,
+               const gateway::small_server::respond& respond);
+    gateway::small_answer write(const std::string& body);
+    gateway::small_answer open_lease(const std::string& body);
+    gateway::small_answer keep_lease(std::uint64_t id);
+    void end_lease(std::uint64_t id);
+    void arm_lease(std::uint64_t id);
+    void apply(const std::string& key, const std::string& value, std::uint64_t lease,
+               std::uint64_t revision);
+    void erase(const std::string& key, std::uint64_t revision);
+    void wake_watchers();
+    [[nodiscard]] std::string events_after(const std::string& prefix, std::uint64_t after) const;
+
+    boost::asio::io_context& context_;
+    std::map<std::string, std::unique_ptr<gateway::small_server>> servers_;
+    std::map<std::string, store_access> access_;
+    std::map<std::string, stored_item> items_;
+    std::deque<stored_change> history_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t history_from_ = 1;  ///< Changes after this revision are remembered.
+    std::uint64_t next_lease_ = 1;
+    std::map<std::uint64_t, lease_state> leases_;
+    std::list<watcher> watchers_;
+    gateway::lifetime life_;
+};
+
+}  // namespace mimosavalve::platform::testing
--- /dev/null
+++ b/tests/platform/target_standin.cpp
@@ -0,0 +1,192 @@
+#include "target_standin.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "wire_names.hpp"
+
+namespace mimosavalve::platform::testing {
+
+namespace {
+
+using gateway::boot_clock;
+using gateway::milliseconds;
+using gateway::small_answer;
+using nlohmann::json;
+
+constexpr unsigned ok = 200;
+constexpr unsigned conflict = 409;
+constexpr unsigned misdirected = 421;
+constexpr std::uint32_t slots = 4;
+
+std::string address_text(const gateway::tcp::endpoint& address) {
+    return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+bool overlap(std::uint32_t first, std::uint32_t last, std::uint32_t other_first,
+             std::uint32_t other_last) {
+    return first <= other_last && other_first <= last;
+}
+
+}  // namespace
+
+target_standin::target_standin(boost::asio::io_context& context, description what,
+                               target_group& group, target_history& history)
+    : context_(context), what_(std::move(what)), group_(group), history_(history) {
+    started_unix_ms_ =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                       std::chrono::system_clock::now().time_since_epoch())
+                                       .count());
+    server_ = std::make_unique<gateway::small_server>(
+        context_, what_.address,
+        [this](const gateway::message_head& head, const std::string& body,
+               const gateway::small_server::respond& respond) { serve(head, body, respond); });
+    group_.push_back(this);
+}
+
+target_standin::~target_standin() {
+    std::erase(group_, this);
+}
+
+std::string target_standin::entry() const {
+    return json({{"service", what_.service},
+                 {"address", address_text(what_.address)},
+                 {"zone", what_.failure_domain},
+                 {"version", "1"},
+                 {"slots", slots},
+                 {"state", leaving ? "draining" : "ready"},
+                 {"warmupLeftMs", 0},
+                 {"sequence", sequence_},
+                 {"born", started_unix_ms_}})
+        .dump();
+}
+
+bool target_standin::holds(std::uint32_t key) const {
+    const auto now = boot_clock::now();
+    return std::any_of(holds_.begin(), holds_.end(), [&](const hold& held) {
+        return held.first <= key && key <= held.last && now < held.end;
+    });
+}
+
+void target_standin::serve(const gateway::message_head& head, const std::string& body,
+                           const gateway::small_server::respond& respond) {
+    if (silent) {
+        return;
+    }
+    const auto path = gateway::path_of(head);
+    if (path == wire::grant_path) {
+        const auto arrived = boot_clock::now();
+        if (grant_delay.count() > 0) {
+            gateway::run_after(context_, grant_delay, life_,
+                               [this, body, arrived] { grant(body, arrived); });
+            return;
+        }
+        respond({grant(body, arrived), "application/json", "{}", {}});
+    } else if (path == wire::release_path) {
+        release(body);
+        small_answer answer{ok, "application/json", "{}", {}};
+        answer.fields.push_back({wire::handover_header, "handover-" + what_.id});
+        respond(answer);
+    } else {
+        run(head, respond);
+    }
+}
+
+unsigned target_standin::grant(const std::string& body, gateway::boot_time arrived) {
+    const auto order = json::parse(body);
+    const hold added{order.at("from"), order.at("to"), order.at("fence"),
+                     arrived + milliseconds(order.at("holdMs").get<std::int64_t>())};
+    for (const auto& held : holds_) {
+        if (overlap(held.first, held.last, added.first, added.last) && held.fence > added.fence) {
+            return conflict;
+        }
+    }
+    check_holders(added);
+    std::erase_if(holds_, [&](const hold& held) {
+        return held.first >= added.first && held.last <= added.last && held.fence <= added.fence;
+    });
+    holds_.push_back(added);
+    return ok;
+}
+
+// Two holders of a key at the same time, or a fence below that of another holder, break the
+// guarantee that a key has one owner.
+void target_standin::check_holders(const hold& added) {
+    const auto now = boot_clock::now();
+    if (added.end <= now) {
+        return;
+    }
+    for (const auto* other : group_) {
+        if (other == this || other->what_.service != what_.service) {
+            continue;
+        }
+        for (const auto& held : other->holds_) {
+            if (!overlap(held.first, held.last, added.first, added.last)) {
+                continue;
+            }
+            if (now < held.end) {
+                history_.violations.push_back("key " + std::to_string(added.first) +
+                                              " is held by " + other->what_.id +
+                                              " and granted to " + what_.id);
+            } else if (held.fence >= added.fence) {
+                history_.violations.push_back("the fence of " + what_.id +
+                                              " is not above that of " + other->what_.id);
+            }
+        }
+    }
+}
+
+void target_standin::release(const std::string& body) {
+    const auto order = json::parse(body);
+    const std::uint32_t first = order.at("from");
+    const std::uint32_t last = order.at("to");
+    std::vector<hold> rest;
+    for (const auto& held : holds_) {
+        if (!overlap(held.first, held.last, first, last)) {
+            rest.push_back(held);
+            continue;
+        }
+        if (held.first < first) {
+            rest.push_back({held.first, first - 1, held.fence, held.end});
+        }
+        if (held.last > last) {
+            rest.push_back({last + 1, held.last, held.fence, held.end});
+        }
+    }
+    holds_ = std::move(rest);
+}
+
+small_answer target_standin::with_identity(small_answer answer,
+                                           const gateway::message_head& head) const {
+    answer.fields.push_back(
+        {wire::request_id_header, std::string(gateway::field_of(head, wire::request_id_header))});
+    answer.fields.push_back(
+        {wire::load_header, std::to_string(running_) + ",0," + std::to_string(slots)});
+    return answer;
+}
+
+void target_standin::run(const gateway::message_head& head,
+                         const gateway::small_server::respond& respond) {
+    const auto id = std::string(gateway::field_of(head, wire::request_id_header));
+    const auto expected = gateway::field_of(head, wire::expected_target_header);
+    const auto key = std::string(gateway::field_of(head, wire::key_header));
+    const bool held =
+        !what_.keyed || (!key.empty() && holds(static_cast<std::uint32_t>(std::stoul(key))));
+    if (!held || (!expected.empty() && expected != what_.id)) {
+        small_answer refusal{misdirected, "text/plain", "", {}};
+        refusal.fields.push_back({wire::not_run_header, "1"});
+        respond(with_identity(refusal, head));
+        return;
+    }
+    ++history_.runs[id];
+    ++runs_;
+    ++running_;
+    gateway::run_after(context_, what_.work, life_, [this, head, respond] {
+        --running_;
+        small_answer done{ok, "text/plain", "done by " + what_.id, {}};
+        done.fields.push_back({wire::signature_header, "signed-" + what_.id});
+        respond(with_identity(done, head));
+    });
+}
+
+}  // namespace mimosavalve::platform::testing
