Tell followers differences instead of whole states

Half of the followers are across the link between the regions. Places and rates are told when they differ from what the last reply told, work times when they change by a twentieth. A router that has read the registry or the maps elsewhere asks for whole ones.

--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -9,6 +9,7 @@
 
 #include "mimosavalve/gateway/key_load.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
+#include "mimosavalve/gateway/state_update.hpp"
 #include "mimosavalve/gateway/target_registry.hpp"
 
 namespace mimosavalve::gateway {
@@ -28,6 +29,7 @@
     /// Since the router last told any leader that it knows of long holds; `never_ms` if never.
     std::uint64_t long_holds_age_ms = never_ms;
     std::uint64_t config_version = 0;
+    std::uint64_t reply_number = 0;  ///< Of the last reply that arrived from this leader; 0: none.
     std::uint64_t registry_number = 0;                 ///< As numbered by the leader.
     std::map<std::string, std::uint64_t> map_numbers;  ///< By service, as numbered by the leader.
     std::map<std::string, key_load> key_loads;         ///< By service, since the last report.
@@ -39,9 +41,10 @@
     std::map<std::string, work_report> work;  ///< Answers by target that did not queue, since then.
 };
 
-/// Leader to router: whatever the router does not have yet.
+/// Leader to router: whatever the router does not have yet. What the last reply told is left out.
 struct sync_reply {
     std::uint64_t epoch = 0;
+    std::uint64_t number = 0;  ///< Grows with each reply to the same router.
     std::uint32_t routers = 1;
     std::uint32_t rank = 0;          ///< Of the router that asked.
     std::uint64_t store_age_ms = 0;  ///< Since the leader's last good read of the store.
@@ -51,12 +54,14 @@
     std::uint64_t operators_revision = 0;  ///< Of the store, up to which the leader knows them.
     std::set<std::string> evacuated_domains;
     std::uint64_t registry_number = 0;
-    std::optional<registry_state> registry;
+    std::optional<registry_update> registry;
     std::map<std::string, std::uint64_t> map_numbers;
-    std::map<std::string, key_map> maps;          ///< The changed ones.
-    std::map<std::string, std::uint32_t> places;  ///< Requests at a time, by target without keys.
-    std::map<std::string, double> rates;    ///< Requests per second, by target near its capacity.
-    std::map<std::string, double> work_ms;  ///< Mean work time by target.
+    std::map<std::string, key_map_update> maps;  ///< The changed ones.
+    /// Requests at a time, by target without keys.
+    std::optional<std::map<std::string, std::uint32_t>> places;
+    /// Requests per second, by target near its capacity.
+    std::optional<std::map<std::string, double>> rates;
+    std::map<std::string, double> work_ms;  ///< Mean work times that have changed, by target.
 };
 
 std::string encode(const sync_request& message);
--- a/include/mimosavalve/gateway/target_registry.hpp
+++ b/include/mimosavalve/gateway/target_registry.hpp
@@ -58,6 +58,9 @@
 registry_state merge_reading(const registry_state& state, const registry_reading& reading,
                              const registry_memory& memory, boot_time now);
 
+/// Whether the two entries are the same but for the sequence number and the remaining cold time.
+bool is_same_use(const target_entry& left, const target_entry& right);
+
 /// Whether the two differ in anything but sequence numbers and the remaining cold time.
 bool differs_in_use(const registry_state& left, const registry_state& right);
 
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -79,6 +79,7 @@
         client_.tick(now);
     }
     if (fleet_.leading || (!client_.is_informed(now) && !fleet_.stopping)) {
+        client_.forget_registry();
         registry_.read_when_due(now);
     }
     if (!fleet_.leading && !client_.is_informed(now) && !fleet_.stopping) {
@@ -148,23 +149,31 @@
     core_.state.rank = news.rank;
     operators_.take_from_leader(news.config_text, news.operators_revision, news.evacuated_domains);
     if (news.registry && news.registry->revision >= core_.state.registry.revision) {
-        auto next = *news.registry;
+        auto next = applied(core_.state.registry, *news.registry);
         next.evacuated_domains = operators_.evacuated();
         registry_.take(next);
+    } else if (news.registry) {
+        client_.forget_registry();  // This router has read a newer one.
     }
     registry_.set_evacuated(operators_.evacuated());
-    core_.state.places.clear();
-    core_.state.places.insert(news.places.begin(), news.places.end());
-    take_rates(core_.state, news.rates);
+    if (news.places) {
+        core_.state.places.clear();
+        core_.state.places.insert(news.places->begin(), news.places->end());
+    }
+    if (news.rates) {
+        take_rates(core_.state, *news.rates);
+    }
     for (const auto& [id, work_ms] : news.work_ms) {
         const auto found = core_.state.targets.find(id);
         if (found != core_.state.targets.end()) {
             found->second->work_ms = work_ms;
         }
     }
-    for (const auto& [service, map] : news.maps) {
-        core_.state.keys.insert_or_assign(service, map);
-        core_.state.keys_at[service] = now;
+    for (const auto& [service, update] : news.maps) {
+        auto& learnt = core_.state.keys_at[service];
+        apply(core_.state.keys[service], update,
+              std::chrono::duration_cast<milliseconds>(now - learnt));
+        learnt = now;
     }
     if (!news.maps.empty()) {
         core_.wake_waiting();
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -18,45 +18,45 @@
     return json::from_cbor(bytes.begin(), bytes.end(), true, false);
 }
 
-json map_to_json(const key_map& map) {
+json segments_to_json(const std::vector<key_segment>& segments) {
     json out = json::array();
-    for (const auto& segment : map.segments) {
+    for (const auto& segment : segments) {
         out.push_back({segment.first, segment.last, segment.owner, segment.fence, segment.moving,
                        segment.owner_run, segment.wait_ms});
     }
     return out;
 }
 
-key_map map_from_json(const json& value) {
-    key_map out;
-    out.segments.clear();
+std::vector<key_segment> segments_from_json(const json& value) {
+    std::vector<key_segment> out;
     for (const auto& item : value) {
-        out.segments.push_back(
+        out.push_back(
             {item.at(0), item.at(1), item.at(2), item.at(3), item.at(4), item.at(5), item.at(6)});
     }
     return out;
 }
 
-json registry_to_json(const registry_state& state) {
+json registry_to_json(const registry_update& update) {
     json targets = json::array();
-    for (const auto& [id, entry] : state.targets) {
-        targets.push_back({id, entry.service, entry.address, entry.failure_domain, entry.slots,
-                           entry.leaving, entry.cold_left_ms, entry.started_unix_ms,
+    for (const auto& entry : update.entries) {
+        targets.push_back({entry.id, entry.service, entry.address, entry.failure_domain,
+                           entry.slots, entry.leaving, entry.cold_left_ms, entry.started_unix_ms,
                            entry.sequence});
     }
-    return {{"revision", state.revision},
+    return {{"whole", update.whole},
+            {"revision", update.revision},
             {"targets", std::move(targets)},
-            {"evacuated", state.evacuated_domains}};
+            {"removed", update.removed}};
 }
 
-registry_state registry_from_json(const json& value) {
-    registry_state out;
+registry_update registry_from_json(const json& value) {
+    registry_update out;
+    out.whole = value.at("whole");
     out.revision = value.at("revision");
-    out.evacuated_domains = value.at("evacuated").get<std::set<std::string>>();
+    out.removed = value.at("removed").get<std::vector<std::string>>();
     for (const auto& item : value.at("targets")) {
-        target_entry entry{item.at(0), item.at(1), item.at(2), item.at(3), item.at(4),
-                           item.at(5), item.at(6), item.at(7), item.at(8)};
-        out.targets.emplace(entry.id, entry);
+        out.entries.push_back({item.at(0), item.at(1), item.at(2), item.at(3), item.at(4),
+                               item.at(5), item.at(6), item.at(7), item.at(8)});
     }
     return out;
 }
@@ -88,6 +88,7 @@
                              {"knows_long", message.knows_long_holds},
                              {"long_age", message.long_holds_age_ms},
                              {"config", message.config_version},
+                             {"reply", message.reply_number},
                              {"registry", message.registry_number},
                              {"maps", message.map_numbers},
                              {"loads", std::move(loads)}});
@@ -106,6 +107,7 @@
         out.knows_long_holds = body.at("knows_long");
         out.long_holds_age_ms = body.at("long_age");
         out.config_version = body.at("config");
+        out.reply_number = body.at("reply");
         out.registry_number = body.at("registry");
         out.map_numbers = body.at("maps").get<std::map<std::string, std::uint64_t>>();
         out.demand = body.at("demand").get<std::map<std::string, std::uint32_t>>();
@@ -129,6 +131,7 @@
 
 std::string encode(const sync_reply& message) {
     detail::json body = {{"epoch", message.epoch},
+                         {"number", message.number},
                          {"routers", message.routers},
                          {"rank", message.rank},
                          {"store_age_ms", message.store_age_ms},
@@ -137,10 +140,16 @@
                          {"operators", message.operators_revision},
                          {"evacuated", message.evacuated_domains},
                          {"registry_number", message.registry_number},
-                         {"map_numbers", message.map_numbers},
-                         {"places", message.places},
-                         {"rates", message.rates},
-                         {"work_ms", message.work_ms}};
+                         {"map_numbers", message.map_numbers}};
+    if (message.places) {
+        body["places"] = *message.places;
+    }
+    if (message.rates) {
+        body["rates"] = *message.rates;
+    }
+    if (!message.work_ms.empty()) {
+        body["work_ms"] = message.work_ms;
+    }
     if (!message.config_text.empty()) {
         body["config_text"] = message.config_text;
     }
@@ -149,8 +158,8 @@
     }
     if (!message.maps.empty()) {
         auto& maps = body["maps"];
-        for (const auto& [service, map] : message.maps) {
-            maps[service] = detail::map_to_json(map);
+        for (const auto& [service, update] : message.maps) {
+            maps[service] = {update.whole, detail::segments_to_json(update.segments)};
         }
     }
     return detail::to_bytes(body);
@@ -161,6 +170,7 @@
         const auto body = detail::from_bytes(bytes);
         sync_reply out;
         out.epoch = body.at("epoch");
+        out.number = body.at("number");
         out.routers = body.at("routers");
         out.rank = body.at("rank");
         out.store_age_ms = body.at("store_age_ms");
@@ -170,16 +180,22 @@
         out.evacuated_domains = body.at("evacuated").get<std::set<std::string>>();
         out.registry_number = body.at("registry_number");
         out.map_numbers = body.at("map_numbers").get<std::map<std::string, std::uint64_t>>();
-        out.places = body.at("places").get<std::map<std::string, std::uint32_t>>();
-        out.rates = body.at("rates").get<std::map<std::string, double>>();
-        out.work_ms = body.at("work_ms").get<std::map<std::string, double>>();
+        if (body.contains("places")) {
+            out.places = body.at("places").get<std::map<std::string, std::uint32_t>>();
+        }
+        if (body.contains("rates")) {
+            out.rates = body.at("rates").get<std::map<std::string, double>>();
+        }
+        if (body.contains("work_ms")) {
+            out.work_ms = body.at("work_ms").get<std::map<std::string, double>>();
+        }
         out.config_text = body.value("config_text", "");
         if (body.contains("registry")) {
             out.registry = detail::registry_from_json(body.at("registry"));
         }
         if (body.contains("maps")) {
-            for (const auto& [service, map] : body.at("maps").items()) {
-                out.maps.emplace(service, detail::map_from_json(map));
+            for (const auto& [service, update] : body.at("maps").items()) {
+                out.maps[service] = {update.at(0), detail::segments_from_json(update.at(1))};
             }
         }
         return out;
@@ -232,12 +248,12 @@
 }
 
 std::string encode(const key_map& map) {
-    return detail::to_bytes(detail::map_to_json(map));
+    return detail::to_bytes(detail::segments_to_json(map.segments));
 }
 
 std::optional<key_map> decode_key_map(std::string_view bytes) {
     try {
-        auto map = detail::map_from_json(detail::from_bytes(bytes));
+        key_map map{detail::segments_from_json(detail::from_bytes(bytes))};
         return problem_of(map).empty() ? std::optional(std::move(map)) : std::nullopt;
     } catch (const detail::json::exception&) {
         return std::nullopt;
--- /dev/null
+++ b/src/gateway/state_update.cpp
@@ -0,0 +1,81 @@
+#include "mimosavalve/gateway/state_update.hpp"
+
+#include <algorithm>
+
+namespace mimosavalve::gateway {
+
+key_map_update whole_update(const key_map& map) {
+    return {true, map.segments};
+}
+
+key_map_update difference(const key_map& before, const key_map& after) {
+    key_map_update update;
+    auto known = before.segments.begin();
+    for (const auto& segment : after.segments) {
+        while (known != before.segments.end() && known->first < segment.first) {
+            ++known;
+        }
+        if (known == before.segments.end() || *known != segment) {
+            update.segments.push_back(segment);
+        }
+    }
+    return update;
+}
+
+void apply(key_map& map, const key_map_update& update, milliseconds passed) {
+    if (update.whole) {
+        map.segments = update.segments;
+        return;
+    }
+    const auto age = static_cast<std::uint32_t>(std::max<std::int64_t>(passed.count(), 0));
+    for (auto& segment : map.segments) {
+        segment.wait_ms -= std::min(segment.wait_ms, age);
+    }
+    for (const auto& segment : update.segments) {
+        assign(map, segment);
+    }
+}
+
+registry_update whole_update(const registry_state& state) {
+    registry_update update;
+    update.whole = true;
+    update.revision = state.revision;
+    for (const auto& [id, entry] : state.targets) {
+        update.entries.push_back(entry);
+    }
+    return update;
+}
+
+registry_update difference(const registry_state& before, const registry_state& after) {
+    registry_update update;
+    update.revision = after.revision;
+    for (const auto& [id, entry] : after.targets) {
+        const auto known = before.targets.find(id);
+        if (known == before.targets.end() || !is_same_use(known->second, entry)) {
+            update.entries.push_back(entry);
+        }
+    }
+    for (const auto& [id, entry] : before.targets) {
+        if (!after.targets.contains(id)) {
+            update.removed.push_back(id);
+        }
+    }
+    return update;
+}
+
+registry_state applied(const registry_state& state, const registry_update& update) {
+    registry_state next = state;
+    if (update.whole) {
+        next.targets.clear();
+    }
+    next.revision = update.revision;
+    for (const auto& entry : update.entries) {
+        next.targets.insert_or_assign(entry.id, entry);
+    }
+    for (const auto& id : update.removed) {
+        next.targets.erase(id);
+    }
+    return next;
+}
+
+}  // namespace mimosavalve::gateway
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -61,6 +61,7 @@
     }
     out.config_version = core_.state.config.version;
     if (same_leader) {
+        out.reply_number = followed_reply_;
         out.registry_number = followed_registry_;
         out.map_numbers = followed_maps_;
     }
@@ -118,6 +119,7 @@
         fleet_.registry_read = informed_;
     }
     followed_epoch_ = reply.epoch;
+    followed_reply_ = reply.number;
     followed_registry_ = reply.registry_number;
     followed_maps_ = reply.map_numbers;
     long_holds_announced_ = reply.long_holds;
--- a/src/gateway/sync_client.hpp
+++ b/src/gateway/sync_client.hpp
@@ -22,8 +22,10 @@
     void tick(boot_time now);
     /// Calls the leader without a pause, since another one is known.
     void hurry() { next_call_ = {}; }
-    /// The maps of keys were read from elsewhere: the next call asks for all of them.
+    /// The maps of keys, or the registry, were read from elsewhere: differences to what the leader
+    /// told last do not apply.
     void forget_maps() { followed_maps_.clear(); }
+    void forget_registry() { followed_registry_ = 0; }
 
     /// Whether the leader told news lately that were not old themselves.
     [[nodiscard]] bool is_informed(boot_time now) const;
@@ -44,6 +46,7 @@
     std::uint32_t failures_ = 0;  ///< In a row.
     // As numbered by the leader of this epoch.
     std::uint64_t followed_epoch_ = 0;
+    std::uint64_t followed_reply_ = 0;
     std::uint64_t followed_registry_ = 0;
     std::map<std::string, std::uint64_t> followed_maps_;
     bool long_holds_announced_ = false;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -19,9 +19,23 @@
 // Places are divided again, and work times passed on, this often.
 constexpr milliseconds lending_time{200};
 constexpr milliseconds work_time{1000};
+// Smaller changes of rates and work times are not worth a message.
+constexpr double told_change = 0.05;
 // Weight of one answer in a target's mean work time.
 constexpr double work_weight = 0.1;
 
+bool differs(double told, double now) {
+    return std::abs(now - told) > told * told_change;
+}
+
+// Whether a router acts differently by the rates than by those that it was told.
+bool differ(const std::map<std::string, double>& told, const std::map<std::string, double>& now) {
+    return !std::equal(told.begin(), told.end(), now.begin(), now.end(),
+                       [](const auto& one, const auto& other) {
+                           return one.first == other.first && !differs(one.second, other.second);
+                       });
+}
+
 }  // namespace detail
 
 void take_rates(routing_state& state, const std::map<std::string, double>& rates) {
@@ -36,7 +50,11 @@
 
 void sync_server::begin() {
     followers_.clear();
-    ++registry_number_;
+    registries_.restart();
+    registries_.add(core_.state.registry);
+    for (auto& [service, maps] : maps_) {
+        maps.restart();
+    }
 }
 
 void sync_server::end() {
@@ -119,6 +137,12 @@
     if (request.long_holds_age_ms < never_ms) {
         from.evidence.told_long_holds = now - milliseconds(request.long_holds_age_ms);
     }
+    if (request.reply_number != from.reply_number) {
+        // Our last reply did not arrive: nothing that it told is known.
+        from.places.reset();
+        from.rates.reset();
+        from.work_ms.clear();
+    }
     from.address = request.address;
     from.failure_domain = request.failure_domain;
     from.seen = now;
@@ -126,12 +150,12 @@
 
 bool sync_server::is_behind(const sync_request& request) const {
     if (request.config_version < core_.state.config.version ||
-        request.registry_number != registry_number_) {
+        request.registry_number != registries_.number()) {
         return true;
     }
-    return std::any_of(map_numbers_.begin(), map_numbers_.end(), [&](const auto& numbered) {
+    return std::any_of(maps_.begin(), maps_.end(), [&](const auto& numbered) {
         const auto known = request.map_numbers.find(numbered.first);
-        return known == request.map_numbers.end() || known->second != numbered.second;
+        return known == request.map_numbers.end() || known->second != numbered.second.number();
     });
 }
 
@@ -178,27 +202,71 @@
 }
 
 void sync_server::add_maps(sync_reply& reply, const sync_request& request, boot_time now) const {
-    reply.map_numbers = map_numbers_;
-    for (const auto& [service, number] : map_numbers_) {
+    for (const auto& [service, maps] : maps_) {
+        reply.map_numbers[service] = maps.number();
         const auto known = request.map_numbers.find(service);
-        const auto found = core_.state.keys.find(service);
-        if (found == core_.state.keys.end() ||
-            (known != request.map_numbers.end() && known->second == number)) {
+        const auto asked = known == request.map_numbers.end() ? 0 : known->second;
+        if (asked == maps.number() || maps.last() == nullptr) {
             continue;
         }
-        auto map = found->second;
+        const auto* before = maps.find(asked);
+        auto update =
+            before == nullptr ? whole_update(*maps.last()) : difference(*before, *maps.last());
         const auto learnt = core_.state.keys_at.find(service);
         const auto age = learnt == core_.state.keys_at.end()
                              ? std::int64_t{0}
                              : -milliseconds_until(learnt->second, now);
-        for (auto& segment : map.segments) {
+        for (auto& segment : update.segments) {
             segment.wait_ms -=
                 std::min<std::uint32_t>(segment.wait_ms, static_cast<std::uint32_t>(age));
         }
-        reply.maps.emplace(service, std::move(map));
+        reply.maps.emplace(service, std::move(update));
     }
 }
 
+void sync_server::add_registry(sync_reply& reply, const sync_request& request) const {
+    reply.registry_number = registries_.number();
+    if (request.registry_number == registries_.number() || registries_.last() == nullptr) {
+        return;
+    }
+    const auto* before = registries_.find(request.registry_number);
+    reply.registry = before == nullptr ? whole_update(*registries_.last())
+                                       : difference(*before, *registries_.last());
+}
+
+void sync_server::add_loans(sync_reply& reply, const std::string& host, follower& asking) const {
+    const auto places = lent_.places.find(host);
+    const auto& now_lent =
+        places == lent_.places.end() ? std::map<std::string, std::uint32_t>() : places->second;
+    if (!asking.places || *asking.places != now_lent) {
+        reply.places = now_lent;
+        asking.places = now_lent;
+    }
+    const auto rates = lent_.rates.find(host);
+    const auto& now_rates =
+        rates == lent_.rates.end() ? std::map<std::string, double>() : rates->second;
+    if (!asking.rates || detail::differ(*asking.rates, now_rates)) {
+        reply.rates = now_rates;
+        asking.rates = now_rates;
+    }
+}
+
+void sync_server::add_work(sync_reply& reply, follower& asking, boot_time now) const {
+    if (now - asking.told_work < detail::work_time) {
+        return;
+    }
+    asking.told_work = now;
+    for (const auto& [id, target] : core_.state.targets) {
+        auto& told = asking.work_ms[id];
+        if (target->work_ms > 0 && detail::differs(told, target->work_ms)) {
+            told = std::round(target->work_ms);
+            reply.work_ms.emplace(id, told);
+        }
+    }
+    std::erase_if(asking.work_ms,
+                  [&](const auto& told) { return !core_.state.targets.contains(told.first); });
+}
+
 void sync_server::reply_to(pending_reply& waiting) {
     const auto now = core_.now();
     const auto& request = waiting.request;
@@ -218,29 +286,13 @@
     }
     reply.long_holds = from_.announces_long_holds();
     from_.describe(reply);
-    reply.registry_number = registry_number_;
-    if (request.registry_number != registry_number_) {
-        reply.registry = core_.state.registry;
-    }
+    add_registry(reply, request);
     add_maps(reply, request, now);
-    const auto places = lent_.places.find(request.host);
-    if (places != lent_.places.end()) {
-        reply.places = places->second;
-    }
-    const auto rates = lent_.rates.find(request.host);
-    if (rates != lent_.rates.end()) {
-        reply.rates = rates->second;
-    }
     auto& asking = followers_[request.host];
     asking.replied = now;
-    if (now - asking.told_work >= detail::work_time) {
-        asking.told_work = now;
-        for (const auto& [id, target] : core_.state.targets) {
-            if (target->work_ms > 0) {
-                reply.work_ms.emplace(id, std::round(target->work_ms));
-            }
-        }
-    }
+    reply.number = ++asking.reply_number;
+    add_loans(reply, request.host, asking);
+    add_work(reply, asking, now);
     core_.state.routers = reply.routers;
     core_.state.rank = 0;
     const auto respond = std::exchange(waiting.respond, nullptr);
@@ -249,10 +301,9 @@
 
 void sync_server::note_change() {
     for (const auto& [service, map] : core_.state.keys) {
-        auto& known = numbered_maps_[service];
-        if (known != map || map_numbers_[service] == 0) {
-            known = map;
-            ++map_numbers_[service];
+        auto& maps = maps_[service];
+        if (maps.last() == nullptr || *maps.last() != map) {
+            maps.add(map);
         }
     }
     if (answer_posted_) {
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -30,7 +30,7 @@
     void tick(boot_time now);
 
     void serve(const std::string& body, small_server::respond respond);
-    void note_registry_change() { ++registry_number_; }
+    void note_registry_change() { registries_.add(core_.state.registry); }
     /// Something that routers follow has changed.
     void note_change();
 
@@ -45,7 +45,12 @@
         std::string address;
         std::string failure_domain;
         boot_time seen;
-        boot_time told_work;  ///< When it last got the work times.
+        // What the last reply told.
+        std::uint64_t reply_number = 0;
+        std::optional<std::map<std::string, std::uint32_t>> places;
+        std::optional<std::map<std::string, double>> rates;
+        std::map<std::string, double> work_ms;
+        boot_time told_work;  ///< When work times were last compared.
     };
     struct pending_reply {
         sync_request request;
@@ -59,6 +64,9 @@
     void lend(boot_time now);
     void reply_to(pending_reply& waiting);
     void add_maps(sync_reply& reply, const sync_request& request, boot_time now) const;
+    void add_registry(sync_reply& reply, const sync_request& request) const;
+    void add_loans(sync_reply& reply, const std::string& host, follower& asking) const;
+    void add_work(sync_reply& reply, follower& asking, boot_time now) const;
 
     router_core& core_;
     fleet_state& fleet_;
@@ -66,9 +74,8 @@
     std::map<std::string, follower> followers_;  ///< By host.
     std::vector<pending_reply> waiting_;
     bool answer_posted_ = false;
-    std::uint64_t registry_number_ = 1;
-    std::map<std::string, std::uint64_t> map_numbers_;  ///< By service.
-    std::map<std::string, key_map> numbered_maps_;
+    state_history<registry_state> registries_;
+    std::map<std::string, state_history<key_map>> maps_;  ///< By service.
     demand_rates demand_;
     lending_plan lent_;
     boot_time next_lending_;
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -4,8 +4,6 @@
 
 namespace mimosavalve::gateway {
 
-namespace detail {
-
 bool is_same_use(const target_entry& left, const target_entry& right) {
     return left.id == right.id && left.service == right.service && left.address == right.address &&
            left.failure_domain == right.failure_domain && left.slots == right.slots &&
@@ -13,8 +11,6 @@
            left.started_unix_ms == right.started_unix_ms;
 }
 
-}  // namespace detail
-
 void note_registry_outage(registry_memory& memory, boot_time now) {
     memory.lenient_until = now + entry_return_time;
 }
@@ -45,7 +41,7 @@
     return left.evacuated_domains != right.evacuated_domains ||
            !std::equal(left.targets.begin(), left.targets.end(), right.targets.begin(),
                        right.targets.end(), [](const auto& one, const auto& other) {
-                           return detail::is_same_use(one.second, other.second);
+                           return is_same_use(one.second, other.second);
                        });
 }
 
--- /dev/null
+++ b/tests/gateway/state_update_test.cpp
@@ -0,0 +1,125 @@
+#include "mimosavalve/gateway/state_update.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "mimosavalve/gateway/peer_messages.hpp"
+
+using namespace mimosavalve::gateway;
+using std::chrono::milliseconds;
+
+namespace {
+
+key_map random_map() {
+    key_map map;
+    const auto changes = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 65536), rc::gen::inRange(0, 65536)));
+    std::uint64_t fence = 1;
+    for (const auto& [one, other] : changes) {
+        const auto first = static_cast<std::uint32_t>(std::min(one, other));
+        const auto last = static_cast<std::uint32_t>(std::max(one, other));
+        assign(map, {first, last, "o" + std::to_string(fence % 3), fence, fence % 5 == 0, 1, 0});
+        ++fence;
+    }
+    return map;
+}
+
+target_entry entry_of(const std::string& id, std::uint64_t run) {
+    target_entry entry;
+    entry.id = id;
+    entry.service = "status";
+    entry.address = "10.0.0.1:80";
+    entry.started_unix_ms = run;
+    return entry;
+}
+
+}  // namespace
+
+TEST_CASE("a map and its difference to another one give that one [state_update]") {
+    rc::check([] {
+        const auto before = random_map();
+        const auto after = random_map();
+        auto map = before;
+        apply(map, difference(before, after), milliseconds(0));
+        RC_ASSERT(problem_of(map).empty());
+        for (std::uint32_t key = 0; key < key_count; key += 97) {
+            const auto& expected = segment_of(after, key);
+            const auto& got = segment_of(map, key);
+            RC_ASSERT(got.owner == expected.owner);
+            RC_ASSERT(got.fence == expected.fence);
+            RC_ASSERT(got.moving == expected.moving);
+        }
+    });
+}
+
+TEST_CASE("the difference of two maps has only the ranges that changed [state_update]") {
+    key_map before;
+    for (std::uint32_t part = 0; part < 8; ++part) {
+        assign(before,
+               {part * 8192, part * 8192 + 8191, "o" + std::to_string(part), 1, false, 1, 0});
+    }
+    auto after = before;
+    assign(after, {100, 199, "o5", 9, false, 1, 0});
+    CHECK(difference(before, after).segments.size() == 3);
+    CHECK(difference(before, before).segments.empty());
+}
+
+TEST_CASE("waits of ranges that are still moving go on running [state_update]") {
+    key_map map;
+    assign(map, {0, 99, "a", 1, true, 1, 500});
+    apply(map, {false, {{200, 299, "b", 2, false, 1, 0}}}, milliseconds(200));
+    CHECK(segment_of(map, 0).wait_ms == 300);
+}
+
+TEST_CASE("a registry and its difference to another one give that one [state_update]") {
+    registry_state before;
+    before.revision = 5;
+    before.evacuated_domains = {"north-a"};
+    before.targets["a"] = entry_of("a", 1);
+    before.targets["b"] = entry_of("b", 1);
+    auto after = before;
+    after.revision = 9;
+    after.targets["a"] = entry_of("a", 2);
+    after.targets["c"] = entry_of("c", 1);
+    after.targets.erase("b");
+    const auto update = difference(before, after);
+    CHECK(update.entries.size() == 2);
+    CHECK(update.removed.size() == 1);
+    const auto next = applied(before, update);
+    CHECK(next.targets == after.targets);
+    CHECK(next.revision == 9);
+    CHECK(next.evacuated_domains.contains("north-a"));
+    CHECK(applied(before, whole_update(after)).targets == after.targets);
+}
+
+TEST_CASE("a history gives the states that routers may still have [state_update]") {
+    state_history<int> history;
+    history.add(10);
+    const auto first = history.number();
+    history.add(11);
+    REQUIRE(history.find(first) != nullptr);
+    CHECK(*history.find(first) == 10);
+    CHECK(*history.last() == 11);
+    history.restart();
+    CHECK(history.find(first) == nullptr);
+    CHECK(history.number() > first + 1);
+}
+
+TEST_CASE("a reply keeps what it tells and what it leaves out [peer_messages]") {
+    sync_reply reply;
+    reply.epoch = 7;
+    reply.number = 3;
+    reply.rates = std::map<std::string, double>{};
+    reply.maps["status"] = {false, {{5, 9, "a", 4, true, 2, 30}}};
+    reply.registry = registry_update{false, 8, {entry_of("a", 1)}, {"b"}};
+    const auto got = decode_sync_reply(encode(reply));
+    REQUIRE(got);
+    CHECK(got->number == 3);
+    CHECK_FALSE(got->places);
+    REQUIRE(got->rates);
+    CHECK(got->rates->empty());
+    CHECK(got->maps.at("status").segments == reply.maps.at("status").segments);
+    REQUIRE(got->registry);
+    CHECK(got->registry->entries == reply.registry->entries);
+    CHECK(got->registry->removed == reply.registry->removed);
+}
