Let four requests wait at a target, whatever its number of slots

Cause: the bound on all routers' requests at a target was 1.5 per slot and one: 4 for two slots, 7 for four. The way of the next request to a free slot takes as long for either, so that the slots of the second site were idle more often.

--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -10,9 +10,9 @@
 
 // Share of a target's connections that routers use together; the rest is for probes and orders.
 constexpr double connection_share = 0.9;
-// Requests at a target, of all routers: the slots run, and some wait so that no slot is ever idle.
-constexpr double requests_per_slot = 1.5;
-constexpr double requests_beyond_slots = 1;
+// Requests that wait at a target, of all routers, so that no slot is idle until the next one comes.
+// The way there takes as long for two slots as for four.
+constexpr std::uint32_t queued_at_target = 4;
 // Failures in a row after which a target without keys is avoided, and for how long.
 constexpr std::uint32_t failures_to_avoid = 2;
 constexpr milliseconds avoid_time{1000};
@@ -64,8 +64,7 @@
 
 // Whether the target has a queue as long as a router should cause.
 bool is_full(const target_state& target, boot_time now) {
-    const double most = target.entry.slots * requests_per_slot + requests_beyond_slots;
-    return requests_at(target, now) >= most;
+    return requests_at(target, now) >= target.entry.slots + queued_at_target;
 }
 
 // Router's own share of the requests that a cold target bears in one second.
@@ -246,8 +245,7 @@
 std::uint32_t window_of(const routing_state& state, const target_state& target,
                         const service& kind) {
     const auto routers = std::max(state.routers, 1U);
-    const auto by_slots =
-        static_cast<std::uint32_t>(std::ceil(target.entry.slots * detail::requests_per_slot));
+    const auto by_slots = target.entry.slots + detail::queued_at_target;
     if (kind.most_connections == 0) {
         return by_slots;
     }
