Wait longer for the renewal of the leader's lease, and let several run

Cause: the call that keeps the lease was given up after 350 ms. Ruled out: the store's bound on calls (no 429), a lost lease (same epoch). Change: a renewal may take until the lease that it gives has ended; the next one does not wait for it. The store stand-in can delay its answers.

--- a/src/gateway/leader_election.cpp
+++ b/src/gateway/leader_election.cpp
@@ -163,15 +163,15 @@
 }
 
 void leader_election::keep_lease(boot_time now) {
-    if (keep_running_ || now < next_keep_) {
+    if (now < next_keep_) {
         return;
     }
-    keep_running_ = true;
     next_keep_ = now + detail::lease_keep_time;
+    // Several renewals may run: a slow store answers each of them late, and a renewal is worth its
+    // answer as long as the lease that it gives.
     core_.platform.store.keep_lease(
-        lease_, detail::call_in(detail::lease_keep_time),
+        lease_, detail::call_in(lease_time() - detail::lease_margin),
         life_.guard([this, now, lease = lease_](std::error_code error, std::uint64_t) {
-            keep_running_ = false;
             if (!fleet_.leading || lease != lease_) {
                 return;
             }
--- a/src/gateway/leader_election.hpp
+++ b/src/gateway/leader_election.hpp
@@ -51,7 +51,6 @@
     std::uint64_t lease_ = 0;
     boot_time lease_until_;
     boot_time next_keep_;
-    bool keep_running_ = false;
     lifetime life_;
 };
 
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -148,6 +148,7 @@
     const std::string settings = folder_ + "/" + host + ".yaml";
     std::vector<std::string> words{program, "--settings", settings};
     std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
     for (auto& word : words) {
         arguments.push_back(word.data());
     }
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -136,6 +136,20 @@
     CHECK(fleet.history.violations.empty());
 }
 
+// Found on a standard day: renewals of the leader's lease were given up after 350 ms, so that the
+// leader stopped renewing the keys of all targets.
+TEST_CASE("keys stay served while the store takes 400 ms for an answer [fleet]") {
+    fleet_fixture fleet;
+    start_three(fleet);
+    fleet.store.answer_delay = milliseconds(400);
+    for (int second = 0; second < 8; ++second) {
+        fleet.run_for(std::chrono::seconds(1));
+        CHECK(fleet.ask("h1", "/status/x", 0).status == 200);
+        CHECK(fleet.ask("h2", "/status/x", last_key).status == 200);
+    }
+    CHECK(fleet.history.violations.empty());
+}
+
 TEST_CASE("a configuration comes into force though the history was dropped [fleet]") {
     fleet_fixture fleet;
     start_three(fleet);
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -67,7 +67,14 @@
         context_, address,
         [this, host](const gateway::message_head& head, const std::string& body,
                      const gateway::small_server::respond& respond) {
-            serve(host, head, body, respond);
+            serve(host, head, body, [this, respond](const small_answer& what) {
+                if (answer_delay.count() == 0) {
+                    respond(what);
+                } else {
+                    gateway::run_after(context_, answer_delay, life_,
+                                       [respond, what] { respond(what); });
+                }
+            });
         });
 }
 
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -34,8 +34,9 @@
     /// Forgets all changes; watches from before are told so.
     void drop_history();
 
-    std::size_t page_items = 500;          ///< Most items of one page.
-    std::uint32_t lose_write_answers = 0;  ///< So many of the next writes are done, not answered.
+    gateway::milliseconds answer_delay{0};  ///< Calls are carried out at once, answered later.
+    std::size_t page_items = 500;           ///< Most items of one page.
+    std::uint32_t lose_write_answers = 0;   ///< So many of the next writes are done, not answered.
 
 private:
     struct stored_item {
