Call a request not run only if none of its sends may have run

Cause: the verdict of the last send stood for the whole request. An idempotent request whose first send was lost and whose repeat was refused was answered 503 with 'not-run', although the first one may have run. Change: the exchange keeps what its earlier sends amount to; such a request gets 502 and 'may-have-run'. Requests that may run once are sent again only after a refusal, so nothing changes for them. Test: 'a repeat that was refused does not make the first send not run', which failed before.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -152,9 +152,7 @@
         open_link(*choice.target);
     } else if (choice.kind == choice_kind::none) {
         stop_waiting();
-        refuse(verdict_ == traffic_verdict::not_run ? detail::status_unavailable
-                                                    : detail::status_bad_gateway,
-               "no-target");
+        give_up("no-target");
     } else {
         wait_or_refuse(choice);
     }
@@ -446,7 +444,7 @@
     const bool success =
         answer_.status >= detail::status_ok && answer_.status < detail::status_multiple_choices;
     if (not_run && !streaming_) {
-        verdict_ = traffic_verdict::not_run;
+        verdict_ = earlier_;
         take_refusal();
         return;
     }
@@ -499,11 +497,11 @@
     const bool keyed = is_keyed();
     if (keyed && !misdirected && !refused_with_room) {
         // Only the owner can run it, and the owner is full.
-        refuse(detail::status_unavailable, "owner-full", estimate_wait());
+        give_up("owner-full", estimate_wait());
         return;
     }
     if (!may_repeat(true)) {
-        refuse(detail::status_unavailable, "refused-by-target");
+        give_up("refused-by-target");
         return;
     }
     if (keyed) {
@@ -536,9 +534,10 @@
         sink_.abort();
         return;
     }
-    if (!reached && attempts_ == 0) {
-        verdict_ = traffic_verdict::not_run;
+    if (reached) {
+        earlier_ = traffic_verdict::may_have_run;
     }
+    verdict_ = earlier_;
     const bool repeatable =
         !reached || (route_->kind == request_kind::idempotent && attempts_ < route_->most_targets);
     if (repeatable && may_repeat(reached)) {
@@ -551,11 +550,7 @@
         dispatch();
         return;
     }
-    if (verdict_ == traffic_verdict::not_run) {
-        refuse(detail::status_unavailable, "target-unreachable");
-    } else {
-        refuse(detail::status_bad_gateway, "target-lost");
-    }
+    give_up(reached ? "target-lost" : "target-unreachable");
 }
 
 void exchange::expire() {
@@ -622,6 +617,12 @@
     sink_.whole(std::move(text));
 }
 
+void exchange::give_up(std::string_view reason, const wait_estimate& estimate) {
+    refuse(verdict_ == traffic_verdict::not_run ? detail::status_unavailable
+                                                : detail::status_bad_gateway,
+           reason, estimate);
+}
+
 void exchange::refuse(unsigned status, std::string_view reason, const wait_estimate& estimate) {
     message_head head;
     head.status = status;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -81,6 +81,8 @@
     [[nodiscard]] bool may_repeat(bool reached_target);
 
     void answer_from_target();
+    /// Refuses as not run only if none of the sends may have run.
+    void give_up(std::string_view reason, const wait_estimate& estimate = {});
     /// Answers in the router's own name.
     void refuse(unsigned status, std::string_view reason, const wait_estimate& estimate = {});
     void finish(std::string_view outcome, unsigned status);
@@ -98,6 +100,7 @@
     std::string service_;
     std::optional<std::uint32_t> key_;
     traffic_verdict verdict_ = traffic_verdict::not_run;
+    traffic_verdict earlier_ = traffic_verdict::not_run;  ///< Of the sends before the present one.
 
     std::string body_;           ///< Kept from the start, so that it can be sent again.
     std::size_t body_sent_ = 0;  ///< Of `body_`, on the current link.
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -215,6 +215,23 @@
     CHECK(path.target.received.size() == 1);
 }
 
+// The first send may have run; that the second one did not says nothing about the first.
+TEST_CASE("a repeat that was refused does not make the first send not run [path]") {
+    path_fixture path(request_kind::idempotent);
+    target_entry second = path.core.state.registry.targets.at("t1");
+    second.id = "t2";
+    path.core.state.registry.targets.emplace("t2", second);
+    update_targets(path.core.state, boot_clock::now());
+    const std::string refusal =
+        "HTTP/1.1 503 Full\r\nRequest-Id: $ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    path.target.script = {"CLOSE", refusal, refusal};
+    path.get("r1");
+    const auto answer = path.receive("\r\n\r\n");
+    CHECK(path.target.received.size() >= 2);
+    CHECK(answer.find("502") != std::string::npos);
+    CHECK(answer.find("may-have-run") != std::string::npos);
+}
+
 TEST_CASE("a success without the target's signature is not passed on [path]") {
     path_fixture path(request_kind::non_idempotent);
     path.target.script = {"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nContent-Length: 5\r\n\r\nwrong"};
