Let renewals of grants overlap, and give each more time

Change: a renewal may take 800 ms; until one is answered the next is sent every 300 ms, over at most 6 connections to a target instead of 3. Test: 'a renewal is sent again while the first one is still on its way'.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -55,7 +55,7 @@
           log_(STDOUT_FILENO),
           core_(context_, std::move(settings), log_),
           calls_(context_),
-          grants_(context_, 3),
+          grants_(context_, 6),
           releases_(context_),
           control_(core_, calls_),
           sweep_(context_),
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -18,10 +18,10 @@
 constexpr double clock_margin = 1.02;
 // A grant counts from its arrival; this is the longest time on the way of one that arrives.
 constexpr milliseconds transit_time{300};
-// Targets answer grants at once, within a round trip between regions; when answers are lost, short
-// tries leave time for several before a hold ends.
-constexpr milliseconds grant_call_time{300};
-constexpr milliseconds renewal_retry_time{50};
+// A target answers a grant at once, but a full link between regions delays it by hundreds of ms.
+constexpr milliseconds grant_call_time{800};
+// An unanswered renewal is sent again meanwhile: answers may be lost, and a hold is short.
+constexpr milliseconds renewal_retry_time{300};
 constexpr milliseconds release_call_time{1500};
 constexpr milliseconds store_call_time{800};
 constexpr milliseconds retry_time{200};
@@ -626,18 +626,18 @@
                                    entry->second.started_unix_ms != segment.owner_run;
             auto& next = state.next_renewals[segment.first];
             if (!has_ended && now >= next) {
-                next = now + detail::renewal_time;
+                next = now + detail::renewal_retry_time;
                 grants.push_back({name, segment});
             }
         }
     }
     for (const auto& grant : grants) {
-        send_grant(grant.keys, "", now, [this, grant](std::error_code error) {
+        send_grant(grant.keys, "", now, [this, grant, now](std::error_code error) {
             if (error == errc::target_refused) {
                 refence(grant.service, grant.keys);
-            } else if (error) {
-                services_[grant.service].next_renewals[grant.keys.first] =
-                    core_.now() + detail::renewal_retry_time;
+            } else if (!error) {
+                auto& next = services_[grant.service].next_renewals[grant.keys.first];
+                next = std::max(next, now + detail::renewal_time);
             }
         });
     }
--- a/tests/gateway/key_decider_test.cpp
+++ b/tests/gateway/key_decider_test.cpp
@@ -151,6 +151,21 @@
     CHECK(fleet.owner_of(0) == "b");
 }
 
+// Found by two incidents: grants across a full link took longer than one try was allowed to.
+TEST_CASE("a renewal is sent again while the first one is still on its way [decider]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.record(owned_by("a", 7));
+    fleet.lead();
+    int sent = 0;
+    fleet.core.platform.orders.grant = [&](const std::string&, const key_segment&, milliseconds,
+                                           const std::string&, call_deadline,
+                                           const key_orders::done_handler&) { ++sent; };
+    fleet.pass(std::chrono::milliseconds(1000));
+    CHECK(sent >= 3);
+    CHECK(sent <= 5);
+}
+
 TEST_CASE("holds of an earlier leader are waited for as long as they may last [decider]") {
     decider_fixture fleet;
     fleet.add_target("b");
