Pause before asking again for a registry that is older than our own

Cause: after its start a router has often read a newer registry than its leader. Change: the next call comes after the usual pause of a retry.

--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -109,6 +109,12 @@
     if (!fleet_.leading) {
         take(*reply);
     }
+    if (followed_registry_ == 0) {
+        // This router has read a newer registry than the leader; asking again at once would only
+        // get the same answer.
+        next_call_ = core_.now() + detail::sync_retry;
+        return;
+    }
     next_call_ = {};
     call_leader();
 }
