--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -44,8 +44,7 @@
                  {[this] { state_changed(); },
                   [this] { registry_.set_evacuated(operators_.evacuated()); }}),
       election_(core, fleet_,
-                {[this] { client_.hurry(); }, [this] { begin_term(); },
-                 [this](std::string_view) { end_term(); },
+                {[this] { client_.hurry(); }, [this] { begin_term(); }, [this] { end_term(); },
                  [this](std::error_code error) {
                      decider_.set_store_trouble(static_cast<bool>(error));
                  }}),
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -13,6 +13,7 @@
 #include "caller_session.hpp"
 #include "fleet_control.hpp"
 #include "mimosavalve/gateway/gateway_metrics.hpp"
+#include "peer_paths.hpp"
 #include "router_core.hpp"
 #include "small_server.hpp"
 
@@ -135,9 +136,9 @@
                 was_ready_ = is_ready;
             }
             respond({is_ready ? ok : unavailable, "text/plain", is_ready ? "ready\n" : "", {}});
-        } else if (path == "/sync") {
+        } else if (path == peer_paths::sync) {
             control_.serve_sync(body, std::move(respond));
-        } else if (path == "/leader") {
+        } else if (path == peer_paths::leader) {
             control_.serve_notice(body, respond);
         } else if (path == "/metrics") {
             respond({ok, "text/plain", metrics_text(), {}});
--- a/src/gateway/leader_election.cpp
+++ b/src/gateway/leader_election.cpp
@@ -159,7 +159,7 @@
     }
     fleet_.leading = false;
     core_.log.write_always("leader_ended", {{"why", why}});
-    handlers_.ended(why);
+    handlers_.ended();
 }
 
 void leader_election::keep_lease(boot_time now) {
--- a/src/gateway/leader_election.hpp
+++ b/src/gateway/leader_election.hpp
@@ -14,7 +14,7 @@
     struct callbacks {
         std::function<void()> known;  ///< Another leader is known, or none any more.
         std::function<void()> began;  ///< This router leads now.
-        std::function<void(std::string_view why)> ended;      ///< It leads no longer.
+        std::function<void()> ended;  ///< It leads no longer.
         std::function<void(std::error_code)> lease_answered;  ///< By the store, to a renewal.
     };
 
--- a/src/gateway/leader_right.cpp
+++ b/src/gateway/leader_right.cpp
@@ -39,7 +39,7 @@
 
 void leader_right::tick(boot_time now, boot_time lease_until) {
     if (!loaded_) {
-        load(now);
+        load();
     } else if (!inherited_end_) {
         take_over(now);
         notify(now);
@@ -53,7 +53,7 @@
     return fleet_.leading && fleet_.stopping && confirmed_;
 }
 
-void leader_right::load(boot_time /*now*/) {
+void leader_right::load() {
     if (call_running_) {
         return;
     }
@@ -128,14 +128,18 @@
     store_batch batch;
     batch.conditions = {{core_.platform.keys.own + "leader", fleet_.leader.epoch}};
     batch.writes = {{key(), encode(current), 0}};
-    core_.platform.store.write(batch, detail::call_in(detail::store_call_time),
-                               term_.guard([this](std::error_code error, std::uint64_t) {
-                                   call_running_ = false;
-                                   if (!error) {
-                                       recorded_ = std::move(*pending_);
-                                       pending_.reset();
-                                   }
-                               }));
+    core_.platform.store.write(
+        batch, detail::call_in(detail::store_call_time),
+        term_.guard([this](std::error_code error, std::uint64_t) {
+            call_running_ = false;
+            if (error) {
+                // In doubt: both records count until the next write.
+                core_.log.write("record_failed", {{"key", key()}, {"error", error.message()}});
+                return;
+            }
+            recorded_ = std::move(*pending_);
+            pending_.reset();
+        }));
 }
 
 // Either record may be the one that a successor finds.
--- a/src/gateway/leader_right.hpp
+++ b/src/gateway/leader_right.hpp
@@ -4,6 +4,7 @@
 
 #include "fleet_state.hpp"
 #include "lifetime.hpp"
+#include "mimosavalve/gateway/call_client.hpp"
 #include "mimosavalve/gateway/leader_term.hpp"
 
 namespace mimosavalve::gateway {
@@ -35,7 +36,7 @@
     [[nodiscard]] bool may_hold_long() const { return may_hold_long_; }
 
 private:
-    void load(boot_time now);
+    void load();
     void take_over(boot_time now);
     void notify(boot_time now);
     void record(boot_time now, boot_time lease_until);
