Reset the connection of a call that is given up

A failure domain was cut off for six seconds; the leader gave up its grants to targets there and closed their connections in an orderly way, so that the kernel went on sending. 0.3 s after the cut had healed the grants arrived, with fences below those of the owners that had got the keys meanwhile. Ruled out: the frozen router (it did not lead), the clock step (holds use the boot clock). Change: calls without an answer, and requests to targets that are given up before their answer, end with a reset; the kernel drops what it holds. Test: 'a call that is given up resets its connection'; not run on the former code, where the read would have seen an orderly end.

--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -192,6 +192,9 @@
     }
     auto ended = std::move(found->second);
     running_.erase(found);
+    if (error && ended->connection) {
+        ended->connection->reset();
+    }
     if (!error && ended->answer.head.keep_alive && ended->input.empty()) {
         auto& idle = idle_[ended->to];
         if (idle.size() < detail::most_idle_per_endpoint) {
--- a/src/gateway/stream.cpp
+++ b/src/gateway/stream.cpp
@@ -184,6 +184,12 @@
     socket_.close(ignored);
 }
 
+void stream::reset() {
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+}
+
 connector::connector(boost::asio::io_context& context, const tcp::endpoint& to,
                      std::chrono::steady_clock::time_point deadline, handler done)
     : socket_(context), timer_(context, deadline), done_(std::move(done)) {
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -143,6 +143,10 @@
     in_use_ = false;
     reusable_ = reusable_ && answered_ && connection_->queued() == 0 && connection_->is_open();
     callbacks_ = {};
+    if (!answered_) {
+        connection_->reset();
+        return;
+    }
     if (!reusable_) {
         connection_->close();
         return;
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -290,6 +290,30 @@
     CHECK(path.core.idle_links["t1"].empty());
 }
 
+// Found by a day of our own: a grant that had been given up was still delivered when a cut healed,
+// and gave keys back to a target that had lost them.
+TEST_CASE("a call that is given up resets its connection [path]") {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+    call_client calls(context);
+    std::error_code failed;
+    calls.send(acceptor.local_endpoint(), {"GET", "/7", "", "", {}, {}},
+               std::chrono::steady_clock::now() + milliseconds(50),
+               [&](std::error_code error, const call_answer&) { failed = error; });
+    auto accepted = acceptor.accept();
+    accepted.non_blocking(true);
+    boost::system::error_code ended;
+    std::array<char, 1024> bytes{};
+    for (int round = 0; round < 400 && !(ended && ended != boost::asio::error::would_block);
+         ++round) {
+        context.run_for(milliseconds(5));
+        context.restart();
+        accepted.read_some(boost::asio::buffer(bytes), ended);
+    }
+    CHECK(failed == std::errc::timed_out);
+    CHECK(ended == boost::asio::error::connection_reset);
+}
+
 TEST_CASE("a router that stops refuses new requests as not run and closes [path]") {
     path_fixture path(request_kind::non_idempotent);
     path.core.stopping = true;
