--- a/include/mimosavalve/gateway/stream.hpp
+++ b/include/mimosavalve/gateway/stream.hpp
@@ -53,8 +53,9 @@
     /// Sends the end of the stream once the queue is empty; reading goes on.
     void finish_writing();
     void close();
-    /// Closes with a reset, so that the kernel drops what it has not delivered yet. After an orderly
-    /// close it would go on trying, and the other side could get a call long after it was given up.
+    /// Closes with a reset, so that the kernel drops what it has not delivered yet. After an
+    /// orderly close it would go on trying, and the other side could get a call long after it was
+    /// given up.
     void reset();
     [[nodiscard]] bool is_open() const { return socket_.is_open(); }
 
