Compute a target's capacity once; drop functions without callers

The requests that a target runs in a second were worked out in the decider and in the lending alike: one capacity_of beside work_ms_of. The decider had its own copy of the control side's call timing. total_demand, call_client::forget, call_client::running and key_decider::is_active have no callers. Behaviour is unchanged.

--- a/include/mimosavalve/gateway/call_client.hpp
+++ b/include/mimosavalve/gateway/call_client.hpp
@@ -48,11 +48,6 @@
 
     void send(const tcp::endpoint& to, call what, call_deadline deadline, handler done);
 
-    /// Closes the idle connections to an endpoint.
-    void forget(const tcp::endpoint& to);
-
-    [[nodiscard]] std::size_t running() const;
-
 private:
     struct exchange;
     void start(exchange& running, bool fresh_only);
--- a/include/mimosavalve/gateway/place_plan.hpp
+++ b/include/mimosavalve/gateway/place_plan.hpp
@@ -23,7 +23,6 @@
                  std::uint32_t requests, boot_time now);
 double demand_of(const demand_rates& rates, const std::string& place, const std::string& router,
                  boot_time now);
-double total_demand(const demand_rates& rates, const std::string& place, boot_time now);
 /// Demand for a service from requests with these home regions; empty: not bound.
 std::string demand_place(const std::string& service, const std::vector<std::string>& homes);
 
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -74,6 +74,8 @@
 
 /// Mean time of a target's work: its own, else that of the targets of its service.
 double work_ms_of(const routing_state& state, const target_state& target);
+/// Requests per second that a target runs when its slots are never idle.
+double capacity_of(const routing_state& state, const target_state& target);
 /// A request ended without any answer; `connected`: it had a connection. Full targets may reset
 /// connections, so only failed connects tell that a target is gone.
 void note_failure(target_state& target, bool connected, boot_time now);
--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -59,14 +59,6 @@
     : context_(context), most_connections_(most_connections) {}
 call_client::~call_client() = default;
 
-std::size_t call_client::running() const {
-    return running_.size();
-}
-
-void call_client::forget(const tcp::endpoint& to) {
-    idle_.erase(to);
-}
-
 void call_client::send(const tcp::endpoint& to, call what, call_deadline deadline, handler done) {
     auto added = std::make_unique<exchange>(context_);
     added->number = next_number_++;
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "control_timing.hpp"
 #include "mimosavalve/core/error.hpp"
 #include "mimosavalve/gateway/peer_messages.hpp"
 #include "store_listing.hpp"
@@ -23,7 +24,6 @@
 // An unanswered renewal is sent again meanwhile: answers may be lost, and a hold is short.
 constexpr milliseconds renewal_retry_time{300};
 constexpr milliseconds release_call_time{1500};
-constexpr milliseconds store_call_time{800};
 constexpr milliseconds retry_time{200};
 // A target that answered none of this many grants in a row, and no request, for this time, gets no
 // keys and loses those that it has. Single answers are lost now and then, also of several ranges at
@@ -46,10 +46,6 @@
 constexpr milliseconds handover_time{250};
 constexpr milliseconds longest_wait{60000};
 
-call_deadline in(milliseconds time) {
-    return std::chrono::steady_clock::now() + time;
-}
-
 milliseconds with_margin(milliseconds hold) {
     return milliseconds(
                static_cast<std::int64_t>(static_cast<double>(hold.count()) * clock_margin)) +
@@ -122,7 +118,7 @@
     loading_ = true;
     const auto prefix = record_key("");
     list_all(
-        core_.platform.store, prefix, detail::in(detail::store_call_time),
+        core_.platform.store, prefix, detail::call_in(detail::store_call_time),
         term_.guard([this, prefix](std::error_code error, const store_items& items) {
             loading_ = false;
             if (error) {
@@ -178,9 +174,7 @@
         if (is_lost(id, now)) {
             continue;
         }
-        constexpr double ms_per_s = 1000;
-        const key_candidate candidate{id, entry.started_unix_ms,
-                                      entry.slots * ms_per_s / work_ms_of(core_.state, *target)};
+        const key_candidate candidate{id, entry.started_unix_ms, capacity_of(core_.state, *target)};
         // An owner that turned cold keeps its keys: moving them makes more targets slow.
         const auto map = core_.state.keys.find(name);
         const bool owns =
@@ -394,7 +388,7 @@
     move.next_try = now + detail::retry_time;
     // Carries the new fence, so that a late renewal with the old one is refused.
     core_.platform.orders.release(
-        from.address, move.keys, detail::in(detail::release_call_time),
+        from.address, move.keys, detail::call_in(detail::release_call_time),
         term_.guard([this, service = move.service, fence = move.keys.fence](
                         std::error_code error, const std::string& handover) {
             const auto found = services_.find(service);
@@ -445,7 +439,7 @@
     batch.conditions = {{right_.key, right_.epoch}, {record_key(name), state.revision}};
     batch.writes = {{record_key(name), encode(next), 0}};
     core_.platform.store.write(
-        batch, detail::in(detail::store_call_time),
+        batch, detail::call_in(detail::store_call_time),
         term_.guard([this, name, next](std::error_code error, std::uint64_t revision) {
             finish_record(name, next, error, revision);
         }));
@@ -480,7 +474,7 @@
 
 void key_decider::confirm_record(const std::string& name, const key_map& written) {
     core_.platform.store.read(
-        record_key(name), detail::in(detail::store_call_time),
+        record_key(name), detail::call_in(detail::store_call_time),
         term_.guard([this, name, written](std::error_code error, const store_item& item,
                                           std::uint64_t /*revision*/) {
             auto& state = services_[name];
@@ -525,7 +519,7 @@
         std::min(detail::grant_call_time,
                  std::chrono::duration_cast<milliseconds>(right_.valid_until - now));
     core_.platform.orders.grant(
-        to.address, keys, hold, handover, detail::in(call_time),
+        to.address, keys, hold, handover, detail::call_in(call_time),
         term_.guard([this, id = keys.owner, end, number, done = std::move(done)](
                         std::error_code error, const std::string&) {
             auto& target = holder_of(id);
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -38,7 +38,6 @@
     /// release does not make the target refuse that.
     void set_inherited_end(boot_time end) { inherited_end_ = end; }
     void end();
-    [[nodiscard]] bool is_active() const { return active_; }
 
     /// The store does not answer, so that nothing can be recorded: no move begins.
     void set_store_trouble(bool on) { store_trouble_ = on; }
--- a/src/gateway/lending.cpp
+++ b/src/gateway/lending.cpp
@@ -11,12 +11,6 @@
     boot_time now;
 };
 
-// Requests per second.
-double capacity_of(const routing_state& state, const target_state& target) {
-    constexpr double ms_per_s = 1000;
-    return target.entry.slots * ms_per_s / work_ms_of(state, target);
-}
-
 void add_rates(lending_plan& plan, const lending& input, const std::string& id,
                const target_state& target) {
     std::vector<borrowing_router> borrowing;
@@ -76,7 +70,7 @@
             auto& in =
                 unkeyed[{target->entry.service,
                          std::string(region_of(state.regions, target->entry.failure_domain))}];
-            in.capacity += detail::capacity_of(state, *target);
+            in.capacity += capacity_of(state, *target);
             in.slots += target->entry.slots;
             in.targets.push_back({id, 0});
         }
--- a/src/gateway/place_plan.cpp
+++ b/src/gateway/place_plan.cpp
@@ -49,17 +49,6 @@
     return found == known->second.end() ? 0 : detail::rate_at(found->second, now);
 }
 
-double total_demand(const demand_rates& rates, const std::string& place, boot_time now) {
-    double total = 0;
-    const auto known = rates.by_place.find(place);
-    if (known != rates.by_place.end()) {
-        for (const auto& [router, rate] : known->second) {
-            total += detail::rate_at(rate, now);
-        }
-    }
-    return total;
-}
-
 std::string demand_place(const std::string& service, const std::vector<std::string>& homes) {
     auto place = service;
     for (const auto& region : homes) {
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -204,6 +204,11 @@
     return known > 0 ? sum / known : detail::unknown_work_ms;
 }
 
+double capacity_of(const routing_state& state, const target_state& target) {
+    constexpr double ms_per_s = 1000;
+    return target.entry.slots * ms_per_s / work_ms_of(state, target);
+}
+
 void note_failure(target_state& target, bool connected, boot_time now) {
     target.refused_connects = connected ? 0 : target.refused_connects + 1;
     if (target.refused_connects >= detail::failures_to_avoid) {
