Let targets that are about equal take turns

Cause: with one request at a time, choose_target took the first of several equal targets, and after that whichever was measured a millisecond faster. A target that is never chosen is never measured again. Ruled out: the paged listing (both targets were in the registry from the first second on).

Change: among targets that are as near as the fastest one and within a tenth of its time, the one that was sent nothing for longest is picked. Own failure domain and region still go first.

The new test fails without the change (10 and 0 requests instead of 5 and 5).

--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -23,6 +23,7 @@
 struct target_state {
     target_entry entry;
     std::uint32_t running = 0;      ///< Requests of this router at the target.
+    boot_time sent_at;              ///< When this router last sent it a request.
     std::uint32_t connections = 0;  ///< Open ones of this router, idle ones too.
     target_load load;               ///< As last reported,
     std::uint32_t load_own = 0;     ///< with so many of this router's requests still there.
@@ -67,6 +68,8 @@
 /// removed ones are returned, since their connections may still be in use.
 std::vector<std::unique_ptr<target_state>> update_targets(routing_state& state, boot_time now);
 
+/// Counts a request that is on its way to the target from now on.
+void note_send(target_state& target, boot_time now);
 /// Notes the load that came with an answer.
 void note_load(target_state& target, const target_load& load, boot_time now);
 /// `queued`: the request may have waited at the target, so its time is not that of the work.
@@ -101,7 +104,7 @@
 };
 
 /// Where a request goes now. Keyed services: the owner. Others: the target with the least expected
-/// wait, preferring the own region and failure domain.
+/// wait, preferring the own region and failure domain; targets that are about equal take turns.
 target_choice choose_target(routing_state& state, const choice_request& request, boot_time now);
 
 /// Requests that this router may have at the target at a time.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -245,7 +245,7 @@
     target_id_ = target.entry.id;
     target_run_ = target.entry.started_unix_ms;
     target_address_ = target.entry.address;
-    ++target.running;
+    note_send(target, boot_clock::now());
     auto& idle = core_.idle_links[target_id_];
     while (!idle.empty()) {
         auto link = std::move(idle.back());
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
+#include <vector>
 
 namespace mimosavalve::gateway {
 
@@ -33,6 +33,10 @@
 constexpr double unknown_work_ms = 100;
 constexpr milliseconds one_second{1000};
 
+// Measured times of equal targets differ by about this part; a target that is avoided for less
+// would never be measured again while the load is light.
+constexpr double equal_part = 0.1;
+
 // Requests of everybody at the target, as far as is known.
 double requests_at(const target_state& target, boot_time now) {
     const auto own = static_cast<double>(target.running);
@@ -43,23 +47,53 @@
     return std::max(own, reported - static_cast<double>(target.load_own) + own);
 }
 
-// Expected time until the answer, in ms.
-double expected_time(const routing_state& state, const target_state& target, const route& on,
-                     boot_time now) {
+// Extra time for the way to the target and back, in ms.
+double way_cost(const routing_state& state, const target_state& target, const route& on) {
+    if (target.entry.failure_domain == state.own_domain) {
+        return 0;
+    }
+    const bool same_region =
+        region_of(state.regions, target.entry.failure_domain) == state.own_region;
+    if (on.kind != request_kind::upload) {
+        return same_region ? domain_cost_ms : region_cost_ms;
+    }
+    // The link between regions is narrow: one large body delays everything else on it.
+    return same_region ? domain_cost_ms + upload_domain_cost_ms
+                       : region_cost_ms + upload_region_cost_ms;
+}
+
+// Expected time at the target until the answer, in ms.
+double time_at(const routing_state& state, const target_state& target, boot_time now) {
     const double slots = std::max(target.entry.slots, 1U);
     const double queue = std::max(requests_at(target, now) + 1 - slots, 0.0) / slots;
     const double slowness =
         now - target.load_at < load_report_life ? std::max(target.load.slowness, 0.1) : 1;
-    double time = (queue + 1) * work_ms_of(state, target) * slowness;
-    if (target.entry.failure_domain != state.own_domain) {
-        const bool same_region =
-            region_of(state.regions, target.entry.failure_domain) == state.own_region;
-        time += same_region ? domain_cost_ms : region_cost_ms;
-        // The link between regions is narrow: one large body delays everything else on it.
-        time += !same_region && on.kind == request_kind::upload ? upload_region_cost_ms : 0;
-        time += same_region && on.kind == request_kind::upload ? upload_domain_cost_ms : 0;
+    return (queue + 1) * work_ms_of(state, target) * slowness;
+}
+
+struct candidate {
+    target_state* target = nullptr;
+    double way_ms = 0;
+    double total_ms = 0;
+};
+
+// The fastest one, or one that is about as fast, as near, and was sent nothing for longer.
+target_state* pick(std::span<const candidate> from) {
+    const auto fastest = std::min_element(
+        from.begin(), from.end(),
+        [](const candidate& one, const candidate& other) { return one.total_ms < other.total_ms; });
+    if (fastest == from.end()) {
+        return nullptr;
+    }
+    auto* picked = fastest->target;
+    for (const auto& each : from) {
+        if (each.way_ms == fastest->way_ms &&
+            each.total_ms <= fastest->total_ms * (1 + equal_part) &&
+            each.target->sent_at < picked->sent_at) {
+            picked = each.target;
+        }
     }
-    return time;
+    return picked;
 }
 
 // Whether the target has a queue as long as a router should cause.
@@ -166,6 +200,11 @@
     return removed;
 }
 
+void note_send(target_state& target, boot_time now) {
+    ++target.running;
+    target.sent_at = now;
+}
+
 void note_load(target_state& target, const target_load& load, boot_time now) {
     target.load = load;
     // The answered request is no longer at the target, but still counted here.
@@ -269,7 +308,7 @@
         return detail::choose_owner(state, request, kind->second, now);
     }
     target_choice best;
-    double best_time = std::numeric_limits<double>::max();
+    std::vector<detail::candidate> free;
     target_state* cold = nullptr;
     for (auto& [id, target] : state.targets) {
         if (target->entry.service != request.service || !may_send(state, *target, now) ||
@@ -279,18 +318,18 @@
         }
         if (target->running >= detail::places_at(state, *target, kind->second) ||
             detail::is_full(*target, now) || now < target->avoid_until) {
-            best.kind = best.target == nullptr ? choice_kind::wait_for_room : best.kind;
+            best.kind = choice_kind::wait_for_room;
             continue;
         }
         if (is_cold(*target, now)) {
             cold = cold == nullptr || target->running < cold->running ? target.get() : cold;
             continue;
         }
-        const auto time = detail::expected_time(state, *target, *request.on, now);
-        if (time < best_time) {
-            best_time = time;
-            best = {choice_kind::target, target.get()};
-        }
+        const auto way = detail::way_cost(state, *target, *request.on);
+        free.push_back({target.get(), way, way + detail::time_at(state, *target, now)});
+    }
+    if (auto* picked = detail::pick(free); picked != nullptr) {
+        best = {choice_kind::target, picked};
     }
     // Cold targets help out when the warm ones are busy, within what they bear.
     const bool busy = best.kind != choice_kind::target ||
--- a/tests/gateway/routing_test.cpp
+++ b/tests/gateway/routing_test.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <map>
+
 #include "mimosavalve/gateway/http_message.hpp"
 #include "mimosavalve/gateway/route_config.hpp"
 #include "mimosavalve/gateway/target_registry.hpp"
@@ -159,6 +161,46 @@
     CHECK(choose_target(state, request, start).kind == choice_kind::wait_for_room);
 }
 
+// Found in CI: a router that sent one request at a time used the first of two equal targets only.
+TEST_CASE("equal targets take turns under light load [targets]") {
+    auto state = make_state();
+    state.registry.targets["t2"].failure_domain = "a1";
+    update_targets(state, start);
+    const auto on = state.config.routes[1];
+    const choice_request request{&on, "orders", std::nullopt, {}};
+    std::map<std::string, int> sends;
+    for (int count = 0; count < 10; ++count) {
+        const auto now = start + count * milliseconds(100);
+        auto* target = choose_target(state, request, now).target;
+        REQUIRE(target != nullptr);
+        ++sends[target->entry.id];
+        note_send(*target, now);
+        --target->running;
+        // Measured times of equal targets differ a little.
+        target->work_ms = target->entry.id == "t1" ? 100 : 105;
+    }
+    CHECK(sends["t1"] == 5);
+    CHECK(sends["t2"] == 5);
+}
+
+TEST_CASE("a clearly slower target gets nothing under light load [targets]") {
+    auto state = make_state();
+    state.registry.targets["t2"].failure_domain = "a1";
+    update_targets(state, start);
+    state.targets["t1"]->work_ms = 100;
+    state.targets["t2"]->work_ms = 200;
+    const auto on = state.config.routes[1];
+    const choice_request request{&on, "orders", std::nullopt, {}};
+    for (int count = 0; count < 10; ++count) {
+        const auto now = start + count * milliseconds(100);
+        auto* target = choose_target(state, request, now).target;
+        REQUIRE(target != nullptr);
+        CHECK(target->entry.id == "t1");
+        note_send(*target, now);
+        --target->running;
+    }
+}
+
 TEST_CASE("uploads stay in their own region while it has targets [targets]") {
     auto state = make_state();
     auto on = state.config.routes[1];
