Count what happens to a request only against the run of the target that had it

Only the release of the place checked the run. Change: one look-up, current_target, which checks the run. The new test fails without it (failures 1 instead of 0).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -379,16 +379,19 @@
            (!link_ || link_->queued() < detail::body_queue_bytes);
 }
 
+target_state* exchange::current_target() const {
+    const auto found = core_.state.targets.find(target_id_);
+    return found != core_.state.targets.end() && found->second->entry.started_unix_ms == target_run_
+               ? found->second.get()
+               : nullptr;
+}
+
 void exchange::leave_target() {
     opening_.reset();
     if (target_id_.empty()) {
         return;
     }
-    const auto found = core_.state.targets.find(target_id_);
-    auto* target =
-        found != core_.state.targets.end() && found->second->entry.started_unix_ms == target_run_
-            ? found->second.get()
-            : nullptr;
+    auto* target = current_target();
     if (target != nullptr) {
         --target->running;
     }
@@ -415,11 +418,10 @@
 
 void exchange::take_answer_head(const message_head& head) {
     answer_ = head;
-    const auto found = core_.state.targets.find(target_id_);
-    if (found != core_.state.targets.end()) {
+    if (auto* target = current_target(); target != nullptr) {
         const auto load = core_.platform.decode_load(field_of(head, core_.platform.headers.load));
         if (load) {
-            note_load(*found->second, *load, boot_clock::now());
+            note_load(*target, *load, boot_clock::now());
         }
     }
 }
@@ -453,16 +455,14 @@
         return;
     }
     verdict_ = traffic_verdict::ran;
-    const auto found = core_.state.targets.find(target_id_);
-    if (found != core_.state.targets.end()) {
-        const auto& target = *found->second;
+    if (auto* target = current_target(); target != nullptr) {
         // Times from another region hold the way there, too.
         // Failures are often quick and say nothing about the work.
         const bool queued =
-            !success || target.load.waiting > 0 || target.load.slots == 0 ||
-            region_of(core_.state.regions, target.entry.failure_domain) != core_.state.own_region;
-        note_success(*found->second,
-                     std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_), queued);
+            !success || target->load.waiting > 0 || target->load.slots == 0 ||
+            region_of(core_.state.regions, target->entry.failure_domain) != core_.state.own_region;
+        note_success(*target, std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_),
+                     queued);
     }
     answer_from_target();
 }
@@ -518,9 +518,8 @@
 void exchange::take_loss(std::error_code error) {
     const auto from = target_id_;
     const bool reached = link_ != nullptr && link_->has_sent();
-    const auto found = core_.state.targets.find(target_id_);
-    if (found != core_.state.targets.end()) {
-        note_failure(*found->second, reached, boot_clock::now());
+    if (auto* target = current_target(); target != nullptr) {
+        note_failure(*target, reached, boot_clock::now());
     }
     leave_target();
     count(core_.metrics, reached ? "target_connection_lost" : "target_unreachable");
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -77,6 +77,8 @@
     void take_answer_end();
     void take_loss(std::error_code error);
     void take_refusal();
+    /// The target that has the request; null when it is gone or has started anew.
+    [[nodiscard]] target_state* current_target() const;
     void leave_target();
     [[nodiscard]] bool may_repeat(bool reached_target);
 
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -25,6 +25,8 @@
         return "127.0.0.1:" + std::to_string(listener_.address().port());
     }
 
+    void drop_connections() { connections_.clear(); }
+
     std::vector<std::string> script;
     std::vector<std::string> received;  ///< One text for each request, as far as it was read.
     int connections = 0;
@@ -290,6 +292,24 @@
     CHECK(path.core.idle_links["t1"].empty());
 }
 
+// A target may start again under its id; what happens to requests of its former run says nothing
+// about the new one.
+TEST_CASE("a lost answer of a target's former run does not count against the new run [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {""};
+    path.post("r1");
+    path.context.run_for(milliseconds(30));
+    path.context.restart();
+    REQUIRE(path.target.received.size() == 1);
+    path.core.state.registry.targets["t1"].started_unix_ms = 2;
+    const auto removed = update_targets(path.core.state, boot_clock::now());
+    REQUIRE(removed.size() == 1);
+    path.target.drop_connections();
+    CHECK(path.receive("\r\n\r\n").find("502") != std::string::npos);
+    CHECK(path.core.state.targets["t1"]->failures == 0);
+    CHECK(path.core.state.targets["t1"]->running == 0);
+}
+
 // Found by a day of our own: a grant that had been given up was still delivered when a cut healed,
 // and gave keys back to a target that had lost them.
 TEST_CASE("a call that is given up resets its connection [path]") {
