Hold back requests that crash their targets, in all routers

Cause: nothing on the platform's path kept a request that ends each target that runs it from being sent on for ever; the users' rules allow three crashes. The quarantine of the product's own router existed, but decided for one process and after two losses.

Change: the quarantine is used by both daemons now (in mv_core). Routers report to the leader which request lost which run of a target, and which runs refuse connections; the leader confirms losses by these and by the registry, and tells all routers the suspects (common to two losses) and, after three, the requests to refuse. A suspect that any target answers is absolved: a request for a busy key is at work at each owner that ends. A new leader goes on with what it was told. While any request is held back, requests with a body are sent on once its first KB has arrived. Ruled out: holding back after two losses (two owners of a busy key that crash have its look-ups in common); counting losses without a sign that the target has ended (answers get lost, too).

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -3,12 +3,16 @@
 find_package(Boost 1.74 REQUIRED)
 find_package(yaml-cpp REQUIRED)
 find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
 set(MV_STRICT_WARNINGS -Wall -Wextra -Wpedantic -Wshadow)
 
 # Small parts that every program of the project shares.
 add_library(mv_core STATIC src/core/error.cpp src/core/types.cpp src/core/verdict.cpp
-                           src/observe/decision_log.cpp src/observe/histogram.cpp)
+                           src/observe/decision_log.cpp src/observe/histogram.cpp
+                           src/ownership/slot.cpp src/traffic/quarantine.cpp)
+target_link_libraries(mv_core PRIVATE PkgConfig::XXHASH)
 target_include_directories(mv_core PUBLIC include)
 target_compile_options(mv_core PRIVATE ${MV_STRICT_WARNINGS})
 
--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "mimosavalve/gateway/crash_watch.hpp"
 #include "mimosavalve/gateway/key_load.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
 #include "mimosavalve/gateway/state_update.hpp"
@@ -40,6 +41,7 @@
     };
     /// Targets that gave good answers since then, with those that did not queue.
     std::map<std::string, work_report> work;
+    crash_report crashes;  ///< The times of losses travel as ages.
 };
 
 /// Leader to router: whatever the router does not have yet. What the last reply told is left out.
@@ -63,6 +65,7 @@
     /// Requests per second, by target near its capacity.
     std::optional<std::map<std::string, double>> rates;
     std::map<std::string, double> work_ms;  ///< Mean work times that have changed, by target.
+    std::optional<crash_news> crashes;
 };
 
 std::string encode(const sync_request& message);
--- a/include/mimosavalve/traffic/quarantine.hpp
+++ b/include/mimosavalve/traffic/quarantine.hpp
@@ -10,6 +10,9 @@
 
 namespace mimosavalve::traffic {
 
+/// Bytes of a body that its fingerprint covers.
+inline constexpr std::size_t fingerprint_body_bytes = 1024;
+
 /// Hash of route, account, method, path and the first KB of the body: repeats of one request have
 /// the same one.
 std::uint64_t fingerprint_of(const request_head& head, std::string_view body_prefix);
@@ -28,7 +31,7 @@
 };
 
 /// Finds requests that crash targets. A caller that repeats such a request would take down one
-/// target after the other, so it is held back after two losses that have only it in common.
+/// target after the other, so it is held back after some losses that have only it in common.
 struct quarantine {
     std::vector<target_loss> losses;  ///< Of the last 10 minutes, at most 32.
     std::vector<held_back> held;
@@ -42,8 +45,19 @@
 /// Notes that the target of a recent loss could not be reached or has another instance.
 void confirm_loss(quarantine& state, std::string_view target, steady_time now);
 
-/// Fingerprints that are held back from now on for 10 minutes; to be called some times a second.
-std::vector<std::uint64_t> find_crashing(quarantine& state, steady_time now);
+/// The request was answered, so it crashes nothing: its losses no longer count.
+void absolve(quarantine& state, std::uint64_t fingerprint);
+
+/// Fingerprints that two confirmed losses have in common, and nothing else.
+std::vector<std::uint64_t> find_suspects(const quarantine& state, steady_time now);
+
+/// Fingerprints that are held back from now on for 10 minutes, after `losses` confirmed ones (at
+/// least 2); to be called some times a second.
+std::vector<std::uint64_t> find_crashing(quarantine& state, steady_time now,
+                                         std::size_t losses = 2);
+
+/// Holds a request back for 10 minutes from now on, as somebody else has found.
+void hold_back(quarantine& state, std::uint64_t fingerprint, steady_time now);
 
 bool is_held_back(const quarantine& state, std::uint64_t fingerprint, steady_time now);
 
--- /dev/null
+++ b/src/gateway/crash_watch.cpp
@@ -0,0 +1,84 @@
+#include "mimosavalve/gateway/crash_watch.hpp"
+
+#include <algorithm>
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// Losses that a router keeps until its next report; a crash loses some dozens at most.
+constexpr std::size_t most_losses = 256;
+// A request may crash three targets before it is refused ("BUDGET" in the users' rules).
+constexpr std::size_t losses_to_hold = 3;
+
+// Reports of one crash by several routers arrive within this time; a slow sync call takes 0.9 s.
+constexpr milliseconds report_time{2000};
+
+// The quarantine is shared with the router daemon, whose clock does not count suspended time.
+steady_time steady_of(boot_time time) {
+    return steady_time(std::chrono::duration_cast<steady_time::duration>(time.time_since_epoch()));
+}
+
+}  // namespace detail
+
+std::string run_name(std::string_view target_id, std::uint64_t started_unix_ms) {
+    return std::string(target_id) + "@" + std::to_string(started_unix_ms);
+}
+
+void note_lost(crash_report& report, std::string run, std::uint64_t fingerprint, boot_time now) {
+    if (report.losses.size() < detail::most_losses) {
+        report.losses.push_back({std::move(run), fingerprint, now});
+    }
+}
+
+crash_watch continue_watch(const crash_news& news, boot_time now) {
+    crash_watch watch;
+    for (const auto fingerprint : news.held) {
+        traffic::hold_back(watch.quarantine, fingerprint, detail::steady_of(now));
+    }
+    return watch;
+}
+
+void add_report(crash_watch& watch, const crash_report& report, boot_time now) {
+    for (const auto& loss : report.losses) {
+        traffic::record_loss(watch.quarantine, loss.run, loss.fingerprint,
+                             detail::steady_of(loss.at));
+    }
+    for (const auto& run : report.gone) {
+        watch.gone[run] = now;
+    }
+    for (const auto fingerprint : report.answered) {
+        traffic::absolve(watch.quarantine, fingerprint);
+    }
+}
+
+crash_news find_crashes(
+    crash_watch& watch,
+    const std::map<std::string, std::unique_ptr<target_state>, std::less<>>& targets,
+    boot_time now) {
+    auto& quarantine = watch.quarantine;
+    std::erase_if(watch.gone,
+                  [&](const auto& gone) { return now - gone.second > detail::report_time; });
+    const auto at = detail::steady_of(now);
+    for (const auto& loss : std::vector(quarantine.losses)) {
+        const auto found = targets.find(loss.target.substr(0, loss.target.rfind('@')));
+        if (!loss.confirmed &&
+            (watch.gone.contains(loss.target) || found == targets.end() ||
+             run_name(found->first, found->second->entry.started_unix_ms) != loss.target)) {
+            traffic::confirm_loss(quarantine, loss.target, at);
+        }
+    }
+    traffic::find_crashing(quarantine, at, detail::losses_to_hold);
+    crash_news news;
+    for (const auto fingerprint : traffic::find_suspects(quarantine, at)) {
+        news.suspects.insert(fingerprint);
+    }
+    for (const auto& held : quarantine.held) {
+        if (traffic::is_held_back(quarantine, held.fingerprint, at)) {
+            news.held.insert(held.fingerprint);
+        }
+    }
+    return news;
+}
+
+}  // namespace mimosavalve::gateway
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -135,9 +135,34 @@
         }
         count_key(core_.key_loads[service_], *key_);
     }
+    check_and_dispatch();
+}
+
+void exchange::check_and_dispatch() {
+    const auto& held = core_.known_crashes.held;
+    awaits_check_ = !held.empty() && !fingerprint();
+    if (awaits_check_) {
+        return;
+    }
+    if (!held.empty() && held.contains(*fingerprint())) {
+        refuse(detail::status_unavailable, "crashes-targets");
+        return;
+    }
     dispatch();
 }
 
+std::optional<std::uint64_t> exchange::fingerprint() {
+    if (!fingerprint_ && (body_complete_ || body_.size() >= traffic::fingerprint_body_bytes)) {
+        traffic::request_head head;
+        head.method = head_.method;
+        head.route = route_->name;
+        head.account = field_of(head_, "host");
+        head.id = head_.target;
+        fingerprint_ = traffic::fingerprint_of(head, body_);
+    }
+    return fingerprint_;
+}
+
 bool exchange::is_keyed() const {
     const auto kind = core_.state.config.services.find(service_);
     return key_ && kind != core_.state.config.services.end() && kind->second.keyed;
@@ -347,6 +372,7 @@
     body_sent_ = body_.size();
     if (body_.size() > detail::replay_bytes) {
         body_replayable_ = false;
+        fingerprint();  // From the beginning, which is dropped now.
         body_.clear();
         body_sent_ = 0;
     }
@@ -357,6 +383,10 @@
         return;
     }
     body_.append(data);
+    if (awaits_check_) {
+        check_and_dispatch();
+        return;
+    }
     pump_body();
 }
 
@@ -365,6 +395,10 @@
         return;
     }
     body_complete_ = true;
+    if (awaits_check_) {
+        check_and_dispatch();
+        return;
+    }
     if (head_.chunked) {
         pump_body();
     }
@@ -455,6 +489,10 @@
         return;
     }
     verdict_ = traffic_verdict::ran;
+    const auto& suspects = core_.known_crashes.suspects;
+    if (success && !suspects.empty() && fingerprint() && suspects.contains(*fingerprint())) {
+        core_.crashes.answered.insert(*fingerprint());
+    }
     if (auto* target = current_target(); target != nullptr) {
         // Times from another region hold the way there, too.
         // Failures are often quick and say nothing about the work.
@@ -521,6 +559,12 @@
     if (auto* target = current_target(); target != nullptr) {
         note_failure(*target, reached, boot_clock::now());
     }
+    auto run = run_name(from, target_run_);
+    if (!reached) {
+        core_.crashes.gone.insert(std::move(run));
+    } else if (const auto print = fingerprint()) {
+        note_lost(core_.crashes, std::move(run), *print, boot_clock::now());
+    }
     leave_target();
     count(core_.metrics, reached ? "target_connection_lost" : "target_unreachable");
     core_.log.write("target_lost", {{"request", id_},
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -61,6 +61,11 @@
 private:
     /// Whether only the owner of the request's key can run it.
     [[nodiscard]] bool is_keyed() const;
+    /// Refuses a request that crashes targets, else dispatches it. Waits for the part of the body
+    /// that tells, while any such request is known.
+    void check_and_dispatch();
+    /// Same for all repeats of a request; nothing while too little of the body has arrived.
+    std::optional<std::uint64_t> fingerprint();
     void dispatch();
     /// Lets the request wait if it may still be answered in time, else answers it at once.
     void wait_or_refuse(const target_choice& choice);
@@ -109,6 +114,8 @@
     bool body_complete_ = false;
     bool body_end_sent_ = false;  ///< The last chunk was sent on the current link.
     bool body_replayable_ = true;
+    bool awaits_check_ = false;  ///< Not dispatched before more of the body has arrived.
+    std::optional<std::uint64_t> fingerprint_;
 
     std::vector<std::string> tried_;  ///< Targets that had the request.
     std::uint32_t attempts_ = 0;      ///< Sends that reached a target.
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -168,6 +168,9 @@
             found->second->work_ms = work_ms;
         }
     }
+    if (news.crashes) {
+        core_.known_crashes = *news.crashes;
+    }
     for (const auto& [service, update] : news.maps) {
         auto& learnt = core_.state.keys_at[service];
         apply(core_.state.keys[service], update,
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -61,6 +61,26 @@
     return out;
 }
 
+json crashes_to_json(const crash_report& report, boot_time now) {
+    json losses = json::array();
+    for (const auto& loss : report.losses) {
+        losses.push_back({loss.run, loss.fingerprint,
+                          std::max<std::int64_t>(-milliseconds_until(loss.at, now), 0)});
+    }
+    return {std::move(losses), report.gone, report.answered};
+}
+
+crash_report crashes_from_json(const json& body, boot_time now) {
+    crash_report report;
+    for (const auto& loss : body.at(0)) {
+        report.losses.push_back(
+            {loss.at(0), loss.at(1), now - milliseconds(loss.at(2).get<std::int64_t>())});
+    }
+    report.gone = body.at(1).get<std::set<std::string>>();
+    report.answered = body.at(2).get<std::set<std::uint64_t>>();
+    return report;
+}
+
 }  // namespace detail
 
 std::string encode(const sync_request& message) {
@@ -77,21 +97,26 @@
     for (const auto& [id, report] : message.work) {
         work[id] = {report.count, report.sum_ms};
     }
-    return detail::to_bytes({{"host", message.host},
-                             {"address", message.address},
-                             {"domain", message.failure_domain},
-                             {"demand", message.demand},
-                             {"work", std::move(work)},
-                             {"run", message.run},
-                             {"epoch", message.epoch},
-                             {"store_lost", message.store_lost},
-                             {"knows_long", message.knows_long_holds},
-                             {"long_age", message.long_holds_age_ms},
-                             {"config", message.config_version},
-                             {"reply", message.reply_number},
-                             {"registry", message.registry_number},
-                             {"maps", message.map_numbers},
-                             {"loads", std::move(loads)}});
+    detail::json body = {{"host", message.host},
+                         {"address", message.address},
+                         {"domain", message.failure_domain},
+                         {"demand", message.demand},
+                         {"work", std::move(work)},
+                         {"run", message.run},
+                         {"epoch", message.epoch},
+                         {"store_lost", message.store_lost},
+                         {"knows_long", message.knows_long_holds},
+                         {"long_age", message.long_holds_age_ms},
+                         {"config", message.config_version},
+                         {"reply", message.reply_number},
+                         {"registry", message.registry_number},
+                         {"maps", message.map_numbers},
+                         {"loads", std::move(loads)}};
+    const auto& crashes = message.crashes;
+    if (!crashes.losses.empty() || !crashes.gone.empty() || !crashes.answered.empty()) {
+        body["crashes"] = detail::crashes_to_json(crashes, boot_clock::now());
+    }
+    return detail::to_bytes(body);
 }
 
 std::optional<sync_request> decode_sync_request(std::string_view bytes) {
@@ -114,6 +139,9 @@
         for (const auto& [id, value] : body.at("work").items()) {
             out.work[id] = {value.at(0), value.at(1)};
         }
+        if (body.contains("crashes")) {
+            out.crashes = detail::crashes_from_json(body.at("crashes"), boot_clock::now());
+        }
         for (const auto& [service, value] : body.at("loads").items()) {
             key_load load;
             load.keys_per_counter = std::max(value.at(0).get<std::uint32_t>(), 1U);
@@ -150,6 +178,9 @@
     if (!message.work_ms.empty()) {
         body["work_ms"] = message.work_ms;
     }
+    if (message.crashes) {
+        body["crashes"] = {message.crashes->suspects, message.crashes->held};
+    }
     if (!message.config_text.empty()) {
         body["config_text"] = message.config_text;
     }
@@ -189,6 +220,11 @@
         if (body.contains("work_ms")) {
             out.work_ms = body.at("work_ms").get<std::map<std::string, double>>();
         }
+        if (body.contains("crashes")) {
+            const auto& crashes = body.at("crashes");
+            out.crashes = {crashes.at(0).get<std::set<std::uint64_t>>(),
+                           crashes.at(1).get<std::set<std::uint64_t>>()};
+        }
         out.config_text = body.value("config_text", "");
         if (body.contains("registry")) {
             out.registry = detail::registry_from_json(body.at("registry"));
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "mimosavalve/gateway/crash_watch.hpp"
 #include "mimosavalve/gateway/gateway_metrics.hpp"
 #include "mimosavalve/gateway/gateway_settings.hpp"
 #include "mimosavalve/gateway/key_load.hpp"
@@ -41,6 +42,8 @@
     std::map<std::string, repeat_budget> repeats;  ///< By service.
     std::map<std::string, key_load> key_loads;     ///< By keyed service; since the last report.
     std::map<std::string, std::uint32_t> demand;   ///< Requests by service; since the last report.
+    crash_report crashes;                          ///< Since the last report.
+    crash_news known_crashes;                      ///< As told by the leader.
     std::map<std::string, std::vector<std::unique_ptr<target_link>>> idle_links;  ///< By target id.
     std::map<std::string, double> split_credit;  ///< By route and service, for weighted turns.
     bool stopping = false;                       ///< Answers end their connections.
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -19,6 +19,7 @@
 void move_reports(router_core& core, sync_request& out) {
     out.key_loads = std::exchange(core.key_loads, {});
     out.demand = std::exchange(core.demand, {});
+    out.crashes = std::exchange(core.crashes, {});
     for (auto& [id, target] : core.state.targets) {
         if (std::exchange(target->answered, false)) {
             out.work[id] = {std::exchange(target->work_count, 0),
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -50,6 +50,7 @@
 
 void sync_server::begin() {
     followers_.clear();
+    crash_watch_ = continue_watch(core_.known_crashes, core_.now());
     registries_.restart();
     registries_.add(core_.state.registry);
     for (auto& [service, maps] : maps_) {
@@ -71,6 +72,7 @@
         move_reports(core_, own);
         take_reports(core_.settings.host, own, now);
         lend(now);
+        find_crashes(now);
     }
     for (auto& waiting : waiting_) {
         if (now >= waiting.due) {
@@ -141,6 +143,7 @@
         // Our last reply did not arrive: nothing that it told is known.
         from.places.reset();
         from.rates.reset();
+        from.crashes.reset();
         from.work_ms.clear();
     }
     from.address = request.address;
@@ -174,6 +177,7 @@
     for (const auto& [service, requests] : request.demand) {
         note_demand(demand_, service, host, requests, now);
     }
+    add_report(crash_watch_, request.crashes, now);
     for (const auto& [id, report] : request.work) {
         const auto found = core_.state.targets.find(id);
         if (found == core_.state.targets.end()) {
@@ -205,6 +209,22 @@
     take_rates(core_.state, lent_.rates[core_.settings.host]);
 }
 
+void sync_server::find_crashes(boot_time now) {
+    auto found = gateway::find_crashes(crash_watch_, core_.state.targets, now);
+    for (const auto fingerprint : found.held) {
+        if (!core_.known_crashes.held.contains(fingerprint)) {
+            core_.log.write_always(
+                "request_held_back",
+                {{"fingerprint", std::to_string(fingerprint)},
+                 {"losses_known", std::int64_t(crash_watch_.quarantine.losses.size())}});
+        }
+    }
+    if (found != core_.known_crashes) {
+        core_.known_crashes = std::move(found);
+        note_change();
+    }
+}
+
 void sync_server::add_maps(sync_reply& reply, const sync_request& request, boot_time now) const {
     for (const auto& [service, maps] : maps_) {
         reply.map_numbers[service] = maps.number();
@@ -297,6 +317,10 @@
     reply.number = ++asking.reply_number;
     add_loans(reply, request.host, asking);
     add_work(reply, asking, now);
+    if (asking.crashes.value_or(crash_news()) != core_.known_crashes) {
+        reply.crashes = core_.known_crashes;
+        asking.crashes = core_.known_crashes;
+    }
     core_.state.routers = reply.routers;
     core_.state.rank = 0;
     const auto respond = std::exchange(waiting.respond, nullptr);
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -51,6 +51,7 @@
         std::optional<std::map<std::string, double>> rates;
         std::map<std::string, double> work_ms;
         boot_time told_work;  ///< When work times were last compared.
+        std::optional<crash_news> crashes;
     };
     struct pending_reply {
         sync_request request;
@@ -62,6 +63,7 @@
     [[nodiscard]] bool is_behind(const sync_request& request) const;
     void take_reports(const std::string& host, sync_request& request, boot_time now);
     void lend(boot_time now);
+    void find_crashes(boot_time now);
     void reply_to(pending_reply& waiting);
     void add_maps(sync_reply& reply, const sync_request& request, boot_time now) const;
     void add_registry(sync_reply& reply, const sync_request& request) const;
@@ -78,6 +80,7 @@
     std::map<std::string, state_history<key_map>> maps_;  ///< By service.
     demand_rates demand_;
     lending_plan lent_;
+    crash_watch crash_watch_;
     boot_time next_lending_;
     lifetime life_;
 };
--- a/src/traffic/quarantine.cpp
+++ b/src/traffic/quarantine.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <optional>
+#include <set>
 
 #include "mimosavalve/ownership/slot.hpp"
 
@@ -10,7 +12,6 @@
 
 namespace detail {
 
-constexpr std::size_t max_prefix = 1024;
 constexpr std::size_t max_losses = 32;
 constexpr std::size_t max_fingerprints = 64;
 // All connections of a crashed process are reset within this time.
@@ -54,10 +55,29 @@
     return loss.confirmed && now - loss.at >= loss_window;
 }
 
+// Confirmed losses by the one fingerprint that two of them have in common.
+std::map<std::uint64_t, std::set<std::size_t>> losses_by_common(const quarantine& state,
+                                                                steady_time now) {
+    std::map<std::uint64_t, std::set<std::size_t>> out;
+    for (std::size_t second = 1; second < state.losses.size(); ++second) {
+        for (std::size_t first = 0; first < second; ++first) {
+            const auto& earlier = state.losses[first];
+            const auto& later = state.losses[second];
+            if (!counts(earlier, now) || !counts(later, now)) {
+                continue;
+            }
+            if (const auto common = only_common(earlier, later)) {
+                out[*common].insert({first, second});
+            }
+        }
+    }
+    return out;
+}
+
 }  // namespace detail
 
 std::uint64_t fingerprint_of(const request_head& head, std::string_view body_prefix) {
-    auto hash = ownership::hash_of(body_prefix.substr(0, detail::max_prefix));
+    auto hash = ownership::hash_of(body_prefix.substr(0, fingerprint_body_bytes));
     for (const auto part : {head.route, head.account, head.method, head.id}) {
         hash = ownership::hash_of(part, hash);
     }
@@ -88,25 +108,35 @@
     }
 }
 
-std::vector<std::uint64_t> find_crashing(quarantine& state, steady_time now) {
+void absolve(quarantine& state, std::uint64_t fingerprint) {
+    for (auto& loss : state.losses) {
+        std::erase(loss.fingerprints, fingerprint);
+    }
+}
+
+std::vector<std::uint64_t> find_suspects(const quarantine& state, steady_time now) {
     std::vector<std::uint64_t> found;
-    for (std::size_t second = 1; second < state.losses.size(); ++second) {
-        for (std::size_t first = 0; first < second; ++first) {
-            const auto& earlier = state.losses[first];
-            const auto& later = state.losses[second];
-            if (!detail::counts(earlier, now) || !detail::counts(later, now)) {
-                continue;
-            }
-            const auto common = detail::only_common(earlier, later);
-            if (common && !is_held_back(state, *common, now)) {
-                state.held.push_back({*common, now + detail::hold_time});
-                found.push_back(*common);
-            }
+    for (const auto& [fingerprint, losses] : detail::losses_by_common(state, now)) {
+        found.push_back(fingerprint);
+    }
+    return found;
+}
+
+std::vector<std::uint64_t> find_crashing(quarantine& state, steady_time now, std::size_t losses) {
+    std::vector<std::uint64_t> found;
+    for (const auto& [fingerprint, shared] : detail::losses_by_common(state, now)) {
+        if (shared.size() >= losses && !is_held_back(state, fingerprint, now)) {
+            hold_back(state, fingerprint, now);
+            found.push_back(fingerprint);
         }
     }
     return found;
 }
 
+void hold_back(quarantine& state, std::uint64_t fingerprint, steady_time now) {
+    state.held.push_back({fingerprint, now + detail::hold_time});
+}
+
 bool is_held_back(const quarantine& state, std::uint64_t fingerprint, steady_time now) {
     return std::any_of(state.held.begin(), state.held.end(), [&](const held_back& entry) {
         return entry.fingerprint == fingerprint && now < entry.until;
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -310,6 +310,34 @@
     CHECK(path.core.state.targets["t1"]->running == 0);
 }
 
+TEST_CASE("a request that is held back reaches no target, and others do [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    mimosavalve::traffic::request_head head;
+    head.method = "POST";
+    head.route = "orders";
+    head.account = "desk.example";
+    head.id = "/7";
+    path.core.known_crashes.held = {mimosavalve::traffic::fingerprint_of(head, "body")};
+    path.target.script = {good_answer};
+    const std::string start = "POST /7 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 4\r\n";
+    path.send(start + "Request-Id: r1\r\n\r\nbo");
+    path.context.run_for(milliseconds(30));
+    path.context.restart();
+    CHECK(path.target.received.empty());  // Undecided until the rest of the body has come.
+    path.send("dy");
+    const auto refusal = path.receive("\r\n\r\n");
+    CHECK(refusal.find("503") != std::string::npos);
+    CHECK(refusal.find("not-run") != std::string::npos);
+    CHECK(path.target.received.empty());
+    path.send(start + "Request-Id: r2\r\n\r\nhe");
+    path.context.run_for(milliseconds(30));
+    path.context.restart();
+    path.send("re");
+    CHECK(path.receive("hello").find("200") != std::string::npos);
+    REQUIRE(path.target.received.size() == 1);
+    CHECK(path.target.received[0].find("\r\n\r\nhere") != std::string::npos);
+}
+
 // Found by a day of our own: a grant that had been given up was still delivered when a cut healed,
 // and gave keys back to a target that had lost them.
 TEST_CASE("a call that is given up resets its connection [path]") {
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -1,6 +1,7 @@
 // Real router processes with stand-ins for store and targets: the control side over sockets.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <csignal>
 
 #include "fleet_fixture.hpp"
@@ -212,6 +213,38 @@
     CHECK(fleet.history.violations.empty());
 }
 
+// Without a common view each router would let the request take down targets of its own.
+TEST_CASE("a request that crashes its targets is refused by all routers after three [fleet]") {
+    fleet_fixture fleet;
+    for (const auto* id : {"o3", "o4", "o5", "o6", "o7", "o8"}) {
+        fleet.add_target(id, "orders", false);
+    }
+    start_three(fleet);
+    for (auto& [id, target] : fleet.targets) {
+        target->crash_path = "/orders/crash";
+    }
+    const auto crashed = [&] {
+        return std::count_if(fleet.targets.begin(), fleet.targets.end(),
+                             [](const auto& target) { return target.second->crashed; });
+    };
+    for (int round = 0; round < 4; ++round) {
+        for (const auto* host : {"h1", "h2", "h3"}) {
+            fleet.ask(host, "/orders/crash");
+            // Other requests notice that the target is gone.
+            for (int count = 0; count < 8; ++count) {
+                fleet.ask("h1", "/orders/x");
+            }
+            fleet.run_for(milliseconds(500));
+        }
+    }
+    CHECK(crashed() == 3);
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        CHECK(fleet.ask(host, "/orders/crash").status == 503);
+        CHECK(fleet.ask(host, "/orders/x").status == 200);
+        CHECK(fleet.ask(host, "/status/x", 0).status == 200);
+    }
+}
+
 TEST_CASE("a planned stop cuts no request in flight [fleet]") {
     fleet_fixture fleet;
     start_three(fleet);
--- a/tests/platform/target_standin.cpp
+++ b/tests/platform/target_standin.cpp
@@ -183,6 +183,11 @@
     }
     ++history_.runs[id];
     ++runs_;
+    if (!crash_path.empty() && gateway::path_of(head) == crash_path) {
+        crashed = true;
+        gateway::run_after(context_, milliseconds(0), life_, [this] { server_.reset(); });
+        return;
+    }
     ++running_;
     gateway::run_after(context_, what_.work, life_, [this, head, respond] {
         --running_;
--- a/tests/platform/target_standin.hpp
+++ b/tests/platform/target_standin.hpp
@@ -48,7 +48,9 @@
     [[nodiscard]] std::uint32_t runs() const { return runs_; }
 
     bool leaving = false;
-    bool silent = false;  ///< Answers nothing, as a host without power.
+    bool silent = false;     ///< Answers nothing, as a host without power.
+    std::string crash_path;  ///< A request with this path ends the target; empty: none does.
+    bool crashed = false;
     gateway::milliseconds grant_delay{
         0};  ///< Grants get no answer and take effect this much later.
 
--- a/tests/traffic/policies_test.cpp
+++ b/tests/traffic/policies_test.cpp
@@ -220,6 +220,26 @@
     CHECK(find_crashing(state, start + 3s).empty());
 }
 
+// A request for a busy key is at work at each of its owners, so two of them may crash with it.
+TEST_CASE("a request that was answered meanwhile is no longer suspected [quarantine]") {
+    quarantine state;
+    const auto lose = [&](const char* target, steady_time at) {
+        record_loss(state, target, 7, at);
+        confirm_loss(state, target, at);
+    };
+    lose("t-1", start);
+    lose("t-2", start + 2s);
+    CHECK(find_suspects(state, start + 3s) == std::vector<std::uint64_t>{7});
+    CHECK(find_crashing(state, start + 3s, 3).empty());
+    absolve(state, 7);
+    CHECK(find_suspects(state, start + 3s).empty());
+    lose("t-3", start + 4s);
+    CHECK(find_crashing(state, start + 5s, 3).empty());
+    lose("t-4", start + 6s);
+    lose("t-5", start + 8s);
+    CHECK(find_crashing(state, start + 9s, 3) == std::vector<std::uint64_t>{7});
+}
+
 TEST_CASE("the fingerprint covers route, account, method, path and body [quarantine]") {
     request_head head;
     head.method = "POST";
