Confirm the loss of a target only if the leader itself has known it

Cause: after the power loss of all hosts the new leader's registry lacked targets that other routers knew. "Not in the registry" counted as ended, and these targets reset hundreds of connections beyond their bound at that time, so three losses of one look-up were confirmed. Change: a run counts as ended only if the leader knew it within the last 10 s and no longer does, or if it refused a connection. The new test fails without this.

--- a/include/mimosavalve/gateway/crash_watch.hpp
+++ b/include/mimosavalve/gateway/crash_watch.hpp
@@ -44,6 +44,9 @@
 struct crash_watch {
     traffic::quarantine quarantine;
     std::map<std::string, boot_time> gone;  ///< Runs of targets, with the time of the report.
+    /// Runs of targets that the leader knew itself, and when last: after a start of all hosts its
+    /// registry may lack targets that others know already.
+    std::map<std::string, boot_time> seen;
 };
 
 /// A new leader goes on from what the former one has told.
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -14,6 +14,9 @@
 // Reports of one crash by several routers arrive within this time; a slow sync call takes 0.9 s.
 constexpr milliseconds report_time{2000};
 
+// Longer than a loss can be confirmed.
+constexpr milliseconds seen_time{10000};
+
 // The quarantine is shared with the router daemon, whose clock does not count suspended time.
 steady_time steady_of(boot_time time) {
     return steady_time(std::chrono::duration_cast<steady_time::duration>(time.time_since_epoch()));
@@ -60,14 +63,22 @@
     std::erase_if(watch.gone,
                   [&](const auto& gone) { return now - gone.second > detail::report_time; });
     const auto at = detail::steady_of(now);
+    std::set<std::string> running;
+    for (const auto& [id, target] : targets) {
+        running.insert(run_name(id, target->entry.started_unix_ms));
+    }
     for (const auto& loss : std::vector(quarantine.losses)) {
-        const auto found = targets.find(loss.target.substr(0, loss.target.rfind('@')));
-        if (!loss.confirmed &&
-            (watch.gone.contains(loss.target) || found == targets.end() ||
-             run_name(found->first, found->second->entry.started_unix_ms) != loss.target)) {
+        const bool ended = watch.seen.contains(loss.target) && !running.contains(loss.target);
+        if (!loss.confirmed && (ended || watch.gone.contains(loss.target))) {
             traffic::confirm_loss(quarantine, loss.target, at);
         }
     }
+    // A run that has ended stays known while a loss of it may be reported.
+    for (auto& run : running) {
+        watch.seen[run] = now;
+    }
+    std::erase_if(watch.seen,
+                  [&](const auto& seen) { return now - seen.second > detail::seen_time; });
     traffic::find_crashing(quarantine, at, detail::losses_to_hold);
     crash_news news;
     for (const auto fingerprint : traffic::find_suspects(quarantine, at)) {
--- a/tests/gateway/crash_watch_test.cpp
+++ b/tests/gateway/crash_watch_test.cpp
@@ -21,6 +21,7 @@
             target->entry.started_unix_ms = 1;
             targets.emplace(id, std::move(target));
         }
+        find_crashes(watch, targets, start);
     }
     void lose(const std::string& id, std::uint64_t fingerprint, boot_time at) {
         crash_report report;
@@ -72,6 +73,20 @@
           std::set<std::uint64_t>{7});
 }
 
+// Found on a standard day: after a power loss of all hosts the new leader did not know all targets
+// yet, while these reset connections beyond their bound.
+TEST_CASE("losses of a target that the leader does not know hold nothing back [crash_watch]") {
+    watched_fleet fleet;
+    fleet.watch = {};
+    fleet.targets.clear();
+    for (const auto* id : {"t1", "t2", "t3"}) {
+        crash_report report;
+        note_lost(report, run_name(id, 1), 7, start);
+        add_report(fleet.watch, report, start);
+    }
+    CHECK(find_crashes(fleet.watch, fleet.targets, start + seconds(1)) == crash_news{});
+}
+
 // The router that is refused a connection may report before those that lost a request.
 TEST_CASE(
     "a run that is known to have ended confirms losses that are reported later [crash_watch]") {
