Leave room for the connections of former processes after a start

Cause: a host that loses power closes no connection, so targets count those of its former process until they close them as idle (10 s here), and the new processes use the same share of the bound again. Besides, a new leader told the first routers that asked that they were two or three, so that each took half or a third of all connections, of cold targets' allowance and of the budget for repeats.

Change: a router uses half of its share of a target's connections in the first 10 s of its process; in the first 2 s of its term a leader assumes at least 16 routers. Tests for both fail without the change.

--- a/include/mimosavalve/gateway/lending.hpp
+++ b/include/mimosavalve/gateway/lending.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -13,6 +14,13 @@
     std::map<std::string, std::map<std::string, double>> rates;  ///< Requests/s, by host, target.
 };
 
+/// Assumed number of routers while it is not known: that of the users' fleets with all spare hosts.
+inline constexpr std::uint32_t assumed_routers = 16;
+
+/// Routers that divide limits which hold for their sum. A leader hears of all routers within about
+/// two seconds; until then each one that it does not count would be given too large a share.
+std::uint32_t sharing_routers(std::uint32_t heard_of, milliseconds leading_for);
+
 /// Divides the places of targets without keys, and the rates of owners near their capacity, among
 /// the routers. `routers`: failure domain by host. See `lend_places` and `lend_rates` for the loads
 /// that this answers.
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -59,6 +59,8 @@
     platform_bounds bounds;
     std::uint32_t routers = 1;  ///< Routers that share limits which hold for their sum.
     std::uint32_t rank = 0;     ///< Of this router among them, from 0.
+    /// Connections of processes that ran on our hosts before may be open at the targets until then.
+    boot_time former_connections_until;
     /// Requests that this router may have at each target without keys, lent by the leader. Empty:
     /// nothing was lent yet.
     std::map<std::string, std::uint32_t, std::less<>> places;
@@ -108,8 +110,8 @@
 target_choice choose_target(routing_state& state, const choice_request& request, boot_time now);
 
 /// Requests that this router may have at the target at a time.
-std::uint32_t window_of(const routing_state& state, const target_state& target,
-                        const service& kind);
+std::uint32_t window_of(const routing_state& state, const target_state& target, const service& kind,
+                        boot_time now);
 
 bool is_cold(const target_state& target, boot_time now);
 
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -13,8 +13,9 @@
 constexpr milliseconds control_tick{50};
 // A router without news of its leader reads the record of owners this often.
 constexpr milliseconds records_time{1500};
-// Until the leader tells the number of routers, as many as a fleet of today's size has.
-constexpr std::uint32_t assumed_routers = 16;
+// Targets close connections whose host has lost power once these were idle for so long: 10 s at
+// both users' services.
+constexpr milliseconds former_connection_life{10000};
 
 std::uint64_t random_run() {
     std::random_device device;
@@ -52,11 +53,12 @@
           core, fleet_, calls, [this](boot_time now) { return server_.evidence(now); },
           [this](boot_time now) { return server_.followers(now); }) {
     fleet_.run = detail::random_run();
-    core_.state.routers = detail::assumed_routers;
-    core_.state.rank = detail::assumed_routers - 1;
+    core_.state.routers = assumed_routers;
+    core_.state.rank = assumed_routers - 1;
 }
 
 void fleet_control::start() {
+    core_.state.former_connections_until = core_.now() + detail::former_connection_life;
     operators_.start();
     election_.start();
     run_every(core_.context, detail::control_tick, life_, [this] { tick(); });
--- a/src/gateway/lending.cpp
+++ b/src/gateway/lending.cpp
@@ -1,5 +1,7 @@
 #include "mimosavalve/gateway/lending.hpp"
 
+#include <algorithm>
+
 namespace mimosavalve::gateway {
 
 namespace detail {
@@ -52,8 +54,15 @@
     }
 }
 
+// Two sync calls that a slow way has delayed, at most 0.9 s each, and a pause between them.
+constexpr milliseconds hearing_time{2000};
+
 }  // namespace detail
 
+std::uint32_t sharing_routers(std::uint32_t heard_of, milliseconds leading_for) {
+    return leading_for < detail::hearing_time ? std::max(heard_of, assumed_routers) : heard_of;
+}
+
 lending_plan plan_lending(const routing_state& state, const demand_rates& demand,
                           const std::map<std::string, std::string>& routers, boot_time now) {
     lending_plan plan;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -50,6 +50,7 @@
 
 void sync_server::begin() {
     followers_.clear();
+    began_ = core_.now();
     crash_watch_ = continue_watch(core_.known_crashes, core_.now());
     registries_.restart();
     registries_.add(core_.state.registry);
@@ -299,7 +300,8 @@
     });
     sync_reply reply;
     reply.epoch = fleet_.leader.epoch;
-    reply.routers = static_cast<std::uint32_t>(followers_.size()) + 1;
+    reply.routers = sharing_routers(static_cast<std::uint32_t>(followers_.size()) + 1,
+                                    milliseconds(-milliseconds_until(began_, now)));
     reply.rank = static_cast<std::uint32_t>(
         std::distance(followers_.begin(), followers_.find(request.host)) + 1);
     reply.store_age_ms = static_cast<std::uint64_t>(
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -73,6 +73,7 @@
     router_core& core_;
     fleet_state& fleet_;
     sources from_;
+    boot_time began_;                            ///< When this router became the leader.
     std::map<std::string, follower> followers_;  ///< By host.
     std::vector<pending_reply> waiting_;
     bool answer_posted_ = false;
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -10,6 +10,8 @@
 
 // Share of a target's connections that routers use together; the rest is for probes and orders.
 constexpr double connection_share = 0.9;
+// The same while those of former processes may still be open.
+constexpr double restarted_connection_share = connection_share / 2;
 // Requests that wait at a target, of all routers, so that no slot is idle until the next one comes.
 // The way there takes as long for two slots as for four.
 constexpr std::uint32_t queued_at_target = 4;
@@ -124,9 +126,9 @@
 }
 
 // Requests that this router may have at a target without keys.
-std::uint32_t places_at(const routing_state& state, const target_state& target,
-                        const service& kind) {
-    const auto window = window_of(state, target, kind);
+std::uint32_t places_at(const routing_state& state, const target_state& target, const service& kind,
+                        boot_time now) {
+    const auto window = window_of(state, target, kind, now);
     if (state.places.empty()) {
         return std::min(window, places_before_lending);
     }
@@ -159,7 +161,7 @@
         return {choice_kind::wait_for_owner, nullptr,
                 std::chrono::duration_cast<milliseconds>(target.unreachable_until - now)};
     }
-    if (target.running >= window_of(state, target, kind) || is_full(target, now) ||
+    if (target.running >= window_of(state, target, kind, now) || is_full(target, now) ||
         !take_token(target, now)) {
         return {choice_kind::wait_for_room, &target};
     }
@@ -287,15 +289,17 @@
            !state.registry.evacuated_domains.contains(target.entry.failure_domain);
 }
 
-std::uint32_t window_of(const routing_state& state, const target_state& target,
-                        const service& kind) {
+std::uint32_t window_of(const routing_state& state, const target_state& target, const service& kind,
+                        boot_time now) {
     const auto routers = std::max(state.routers, 1U);
     const auto by_slots = target.entry.slots + detail::queued_at_target;
     if (kind.most_connections == 0) {
         return by_slots;
     }
-    const auto by_connections = static_cast<std::uint32_t>(
-        std::max(kind.most_connections * detail::connection_share / routers, 1.0));
+    const auto share = now < state.former_connections_until ? detail::restarted_connection_share
+                                                            : detail::connection_share;
+    const auto by_connections =
+        static_cast<std::uint32_t>(std::max(kind.most_connections * share / routers, 1.0));
     return std::min(by_slots, by_connections);
 }
 
@@ -316,7 +320,7 @@
             std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end()) {
             continue;
         }
-        if (target->running >= detail::places_at(state, *target, kind->second) ||
+        if (target->running >= detail::places_at(state, *target, kind->second, now) ||
             detail::is_full(*target, now) || now < target->avoid_until) {
             best.kind = choice_kind::wait_for_room;
             continue;
--- a/tests/gateway/routing_test.cpp
+++ b/tests/gateway/routing_test.cpp
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "mimosavalve/gateway/http_message.hpp"
+#include "mimosavalve/gateway/lending.hpp"
 #include "mimosavalve/gateway/route_config.hpp"
 #include "mimosavalve/gateway/target_registry.hpp"
 #include "mimosavalve/gateway/target_table.hpp"
@@ -201,6 +202,31 @@
     }
 }
 
+// Found on a standard day: after a power loss of all hosts, targets reset some 1,900 connections,
+// since those of the former processes still counted for their bound.
+TEST_CASE("connections of former processes leave room for those of the new ones [targets]") {
+    auto state = make_state();
+    auto& kind = state.config.services["orders"];
+    kind.most_connections = 130;
+    state.routers = 12;
+    const auto& target = *state.targets["t1"];
+    const auto before = window_of(state, target, kind, start) * state.routers;
+    state.former_connections_until = start + seconds(10);
+    const auto after = window_of(state, target, kind, start + seconds(9)) * state.routers;
+    CHECK(after * 2 <= kind.most_connections);
+    CHECK(after < before);
+    CHECK(window_of(state, target, kind, start + seconds(10)) * state.routers == before);
+    // Fewer than one connection for each router is none.
+    kind.most_connections = 10;
+    CHECK(window_of(state, target, kind, start) == 1);
+}
+
+TEST_CASE("a new leader does not divide limits among too few routers [lending]") {
+    CHECK(sharing_routers(2, milliseconds(100)) == assumed_routers);
+    CHECK(sharing_routers(90, milliseconds(100)) == 90);
+    CHECK(sharing_routers(2, seconds(2)) == 2);
+}
+
 TEST_CASE("uploads stay in their own region while it has targets [targets]") {
     auto state = make_state();
     auto on = state.config.routes[1];
