Play random histories of the decider against a model of store and targets

Added: decider_model_test, with rapidcheck: targets that are silent, lose answers, take grants 2 s late (their time running at once), start again under their id, leave, vanish from the registry but serve; lost answers of the store, a lost store, changes of the leader, shifting load. Checked every 50 ms: no key has two holders; and once the faults are over, all keys are held within 15 s.

Found beside: three property tests in tests/gateway called rc::check without CHECK, so that they could not fail.

--- a/tests/gateway/decider_fixture.hpp
+++ b/tests/gateway/decider_fixture.hpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <boost/asio/io_context.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -163,10 +164,18 @@
     std::vector<metadata_store::items_handler> held_lists;
     std::vector<received_order> orders;
     std::map<std::string, bool> silent;  ///< Targets that answer nothing.
+    /// Plays the targets in their stead, and answers each order itself, now or later.
+    std::function<void(const received_order&)> on_order;
     key_decider decider;
 
+    void later(std::function<void()> answer) { answers_.push_back(std::move(answer)); }
+
 private:
     void take(received_order order) {
+        if (on_order) {
+            on_order(order);
+            return;
+        }
         orders.push_back(order);
         const bool answers = !silent[order.address];
         later([order, answers] {
@@ -174,7 +183,6 @@
                        answers && !order.grant ? "handover-" + order.address : "");
         });
     }
-    void later(std::function<void()> answer) { answers_.push_back(std::move(answer)); }
     // Answers never come inside the call that asked for them.
     void deliver() {
         // Bounded, since a call that fails may be repeated at once.
--- /dev/null
+++ b/tests/gateway/decider_model_test.cpp
@@ -0,0 +1,284 @@
+// Random histories of one key_decider, its store, and targets that lose, delay and forget.
+// RC_PARAMS "max_success=10000 seed=N" plays more of them.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+#include "decider_fixture.hpp"
+
+using namespace mimosavalve;
+using namespace mimosavalve::gateway;
+using gateway::testing::decider_fixture;
+using gateway::testing::received_order;
+
+namespace {
+
+// A target's clock may run this much slower than ours.
+constexpr double slowest_clock = 1.02;
+// A call without an answer is given up after this time.
+constexpr milliseconds call_time{300};
+
+enum class target_mode {
+    usual,
+    silent,      ///< Takes no order.
+    no_answers,  ///< Orders take effect, but their answers are lost.
+    late,        ///< Grants get no answer and take effect 2 s later; their time still runs at once.
+};
+
+struct target_hold {
+    key_segment keys;
+    boot_time end;
+};
+
+struct model_target {
+    target_mode mode = target_mode::usual;
+    std::uint64_t run = 1;
+    std::vector<target_hold> holds;
+};
+
+class model {
+public:
+    model() {
+        fleet.on_order = [this](const received_order& order) { take(order); };
+        for (const auto* id : {"a", "b", "c", "d"}) {
+            targets[id];
+            fleet.add_target(id);
+        }
+        fleet.lead();
+    }
+
+    void pass(milliseconds time) {
+        for (const auto end = fleet.now + time; fleet.now < end;) {
+            for (std::size_t at = 0; at < delayed_.size(); ++at) {
+                if (delayed_[at].first <= fleet.now) {
+                    const auto step = std::move(delayed_[at].second);
+                    delayed_.erase(delayed_.begin() + static_cast<std::ptrdiff_t>(at--));
+                    step();
+                }
+            }
+            fleet.pass(key_decider::tick_time);
+            check();
+        }
+    }
+    /// Starts again under its id: it knows no fence and holds nothing.
+    void restart(const std::string& id) {
+        auto& target = targets.at(id);
+        ++target.run;
+        target.holds.clear();
+    }
+    void show(const std::string& id) { fleet.add_target(id, targets.at(id).run); }
+    /// Another router leads: the former one gives no further order, but those on their way may
+    /// still take effect.
+    void change_leader() {
+        fleet.decider.end();
+        ++epoch_;
+        fleet.stored["own/leader"] = {"own/leader", "", epoch_, epoch_, 0};
+        fleet.lead(epoch_);
+        fleet.decider.set_inherited_end(fleet.now +
+                                        key_decider::hold_bounds(fleet.core.settings.bounds).calm);
+    }
+    void load(std::uint32_t first, std::uint32_t requests) {
+        key_load counts;
+        for (std::uint32_t key = first; key < first + 50; ++key) {
+            counts.counts[key] = requests;
+        }
+        fleet.decider.add_loads({{"status", counts}});
+    }
+
+    decider_fixture fleet;
+    std::map<std::string, model_target> targets;
+    std::vector<std::string> violations;
+
+private:
+    void take(const received_order& order) {
+        if (order.address.empty()) {
+            // A new leader may not know the address of an owner on record.
+            order.done(make_error_code(errc::target_unreachable), "");
+            return;
+        }
+        auto& target = targets.at(order.address);
+        const auto mode = target.mode;
+        const auto arrived = fleet.now;
+        if (mode == target_mode::silent) {
+            give_up(order);
+            return;
+        }
+        if (mode == target_mode::late && order.grant) {
+            delayed_.emplace_back(fleet.now + std::chrono::seconds(2),
+                                  [this, order, arrived] { grant(order, arrived); });
+            give_up(order);
+            return;
+        }
+        const bool accepted = order.grant ? grant(order, arrived) : release(order);
+        if (mode == target_mode::no_answers) {
+            give_up(order);
+            return;
+        }
+        fleet.later([order, accepted] {
+            order.done(accepted ? std::error_code() : make_error_code(errc::target_refused),
+                       order.grant ? "" : "handover");
+        });
+    }
+    void give_up(const received_order& order) {
+        delayed_.emplace_back(fleet.now + call_time, [order] {
+            order.done(std::make_error_code(std::errc::timed_out), "");
+        });
+    }
+    bool grant(const received_order& order, boot_time arrived) {
+        auto& target = targets.at(order.address);
+        const bool higher_seen =
+            std::any_of(target.holds.begin(), target.holds.end(), [&](const auto& held) {
+                return overlap(held.keys, order.keys) && held.keys.fence > order.keys.fence;
+            });
+        if (higher_seen) {
+            return false;
+        }
+        const auto hold = std::chrono::duration_cast<milliseconds>(order.hold * slowest_clock);
+        std::erase_if(target.holds, [&](const auto& held) {
+            return held.keys.first >= order.keys.first && held.keys.last <= order.keys.last;
+        });
+        if (arrived + hold > fleet.now) {
+            target.holds.push_back({order.keys, arrived + hold});
+        }
+        return true;
+    }
+    bool release(const received_order& order) {
+        auto& target = targets.at(order.address);
+        std::vector<target_hold> rest;
+        for (const auto& held : target.holds) {
+            if (!overlap(held.keys, order.keys)) {
+                rest.push_back(held);
+                continue;
+            }
+            if (held.keys.first < order.keys.first) {
+                rest.push_back(held);
+                rest.back().keys.last = order.keys.first - 1;
+            }
+            if (held.keys.last > order.keys.last) {
+                rest.push_back(held);
+                rest.back().keys.first = order.keys.last + 1;
+            }
+        }
+        target.holds = std::move(rest);
+        return true;
+    }
+    static bool overlap(const key_segment& one, const key_segment& other) {
+        return one.first <= other.last && other.first <= one.last;
+    }
+    /// No key has two holders.
+    void check() {
+        for (auto& [id, target] : targets) {
+            std::erase_if(target.holds, [&](const auto& held) { return held.end <= fleet.now; });
+        }
+        for (const auto& [id, target] : targets) {
+            for (const auto& held : target.holds) {
+                for (const auto& [other_id, other] : targets) {
+                    if (other_id <= id) {
+                        continue;
+                    }
+                    for (const auto& other_held : other.holds) {
+                        if (overlap(held.keys, other_held.keys)) {
+                            violations.push_back(
+                                "key " +
+                                std::to_string(std::max(held.keys.first, other_held.keys.first)) +
+                                " is held by " + id + " and " + other_id);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    std::vector<std::pair<boot_time, std::function<void()>>> delayed_;
+    std::uint64_t epoch_ = 5;
+};
+
+void play_step(model& played) {
+    const auto id = *rc::gen::element<std::string>("a", "b", "c", "d");
+    switch (*rc::gen::inRange(0, 12)) {
+        case 0:
+        case 1:
+            played.targets.at(id).mode =
+                *rc::gen::element(target_mode::usual, target_mode::silent, target_mode::no_answers,
+                                  target_mode::late);
+            break;
+        case 2:
+            played.targets.at(id).mode = target_mode::usual;
+            break;
+        case 3:
+            played.fleet.remove_target(id);  // Its entry is gone, but it still serves.
+            break;
+        case 4:
+            played.show(id);
+            break;
+        case 5:
+            played.restart(id);
+            played.show(id);
+            break;
+        case 6:
+            if (played.fleet.core.state.registry.targets.contains(id)) {
+                played.fleet.core.state.registry.targets[id].leaving = true;
+                update_targets(played.fleet.core.state, played.fleet.now);
+            }
+            break;
+        case 7:
+            played.change_leader();
+            break;
+        case 8:
+            played.fleet.lose_write_answers = 1;
+            break;
+        case 9: {
+            const bool lost = !played.fleet.drop_writes;
+            played.fleet.drop_writes = lost;
+            played.fleet.decider.set_store_trouble(lost);
+            break;
+        }
+        default:
+            played.load(*rc::gen::inRange(0U, key_count - 50), *rc::gen::inRange(1U, 40U));
+    }
+    played.pass(milliseconds(*rc::gen::inRange(50, 1500)));
+}
+
+}  // namespace
+
+TEST_CASE("no key has two holders in random histories of faults [decider][model]") {
+    CHECK(rc::check([] {
+        model played;
+        played.pass(std::chrono::seconds(1));
+        const auto steps = *rc::gen::inRange(5, 25);
+        for (int step = 0; step < steps; ++step) {
+            play_step(played);
+            if (!played.violations.empty()) {
+                RC_FAIL(played.violations.front());
+            }
+        }
+    }));
+}
+
+TEST_CASE("all keys have an owner again once the faults of a history are over [decider][model]") {
+    CHECK(rc::check([] {
+        model played;
+        played.pass(std::chrono::seconds(1));
+        const auto steps = *rc::gen::inRange(5, 15);
+        for (int step = 0; step < steps; ++step) {
+            play_step(played);
+        }
+        played.fleet.drop_writes = false;
+        played.fleet.decider.set_store_trouble(false);
+        for (auto& [id, target] : played.targets) {
+            target.mode = target_mode::usual;
+            played.restart(id);
+            played.show(id);
+        }
+        played.pass(std::chrono::seconds(15));
+        RC_ASSERT(played.violations.empty());
+        std::size_t held = 0;
+        for (const auto& [id, target] : played.targets) {
+            for (const auto& hold : target.holds) {
+                held += hold.keys.last - hold.keys.first + 1;
+            }
+        }
+        RC_ASSERT(held >= key_count);
+    }));
+}
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -46,7 +46,7 @@
 }  // namespace
 
 TEST_CASE("assigning ranges in any order keeps the map complete [key_map]") {
-    rc::check([] {
+    CHECK(rc::check([] {
         key_map map;
         const auto changes = *rc::gen::container<std::vector<std::pair<int, int>>>(
             rc::gen::pair(rc::gen::inRange(0, 65536), rc::gen::inRange(0, 65536)));
@@ -63,7 +63,7 @@
         for (const std::uint32_t key : {0U, 1U, 1000U, 32768U, 65534U, 65535U}) {
             RC_ASSERT(segment_of(map, key).owner == expected[key]);
         }
-    });
+    }));
 }
 
 TEST_CASE("the first owners get equal parts of the keys [key_plan]") {
--- a/tests/gateway/leader_term_test.cpp
+++ b/tests/gateway/leader_term_test.cpp
@@ -58,7 +58,7 @@
 TEST_CASE(
     "a leader without the store and its successor cannot both have more than half "
     "[leader_term]") {
-    rc::check([] {
+    CHECK(rc::check([] {
         router_runs recorded;
         const auto size = *rc::gen::inRange(1, 12);
         evidence_by_host old_leader;
@@ -76,7 +76,7 @@
         }
         RC_ASSERT(
             !(right_without_store(recorded, old_leader) && has_taken_over(recorded, new_leader)));
-    });
+    }));
 }
 
 TEST_CASE("long holds need more than half of the recorded runs to know of them [leader_term]") {
--- a/tests/gateway/state_update_test.cpp
+++ b/tests/gateway/state_update_test.cpp
@@ -36,7 +36,7 @@
 }  // namespace
 
 TEST_CASE("a map and its difference to another one give that one [state_update]") {
-    rc::check([] {
+    CHECK(rc::check([] {
         const auto before = random_map();
         const auto after = random_map();
         auto map = before;
@@ -49,7 +49,7 @@
             RC_ASSERT(got.fence == expected.fence);
             RC_ASSERT(got.moving == expected.moving);
         }
-    });
+    }));
 }
 
 TEST_CASE("the difference of two maps has only the ranges that changed [state_update]") {
