--- a/apps/mvctl/main.cpp
+++ b/apps/mvctl/main.cpp
@@ -5,7 +5,7 @@
 #include <iostream>
 #include <string>
 
-#include "mimosavalve/command/http_exchange.hpp"
+#include "mimosavalve/adapters/http_operator.hpp"
 #include "mimosavalve/command/operator_client.hpp"
 #include "mimosavalve/config/names.hpp"
 
@@ -64,7 +64,7 @@
 }
 
 int run_one(const command::client_settings& settings, const std::string& text) {
-    const auto result = command::run_command(settings, text, command::http_exchange);
+    const auto result = command::run_command(settings, text, mimosavalve::adapters::send_command);
     const bool results_only =
         settings.format == command::output_format::json || result.how == command::outcome::done;
     (results_only ? std::cout : std::cerr) << result.output << std::flush;
--- a/src/adapters/http_exchange.cpp
+++ b/src/adapters/http_exchange.cpp
@@ -17,8 +17,6 @@
 
 namespace {
 
-// Room for the longest value of the store and for host lists of the two-year size.
-constexpr std::uint64_t answer_limit_bytes = 8UL * 1024UL * 1024UL;
 constexpr std::uint32_t header_limit_bytes = 16U * 1024U;
 // Connections that are idle for longer may have gone silent unnoticed.
 constexpr std::chrono::seconds longest_idle{2};
@@ -64,7 +62,8 @@
 }
 
 std::error_code exchange(http_connection& connection, http_request& request, steady_time deadline,
-                         http_response& response, const asio::yield_context& yield) {
+                         http_response& response, const asio::yield_context& yield,
+                         std::uint64_t most_bytes) {
     error_code error;
     connection.keep_alive = false;
     request.prepare_payload();
@@ -75,7 +74,7 @@
     }
     http::response_parser<http::string_body> parser;
     parser.header_limit(header_limit_bytes);
-    parser.body_limit(answer_limit_bytes);
+    parser.body_limit(most_bytes);
     http::async_read_header(connection.stream, connection.buffer, parser, yield[error]);
     if (error) {
         return error_of(error);
--- a/src/adapters/http_exchange.hpp
+++ b/src/adapters/http_exchange.hpp
@@ -28,12 +28,16 @@
 std::error_code connect(http_connection& connection, const boost::asio::ip::tcp::endpoint& endpoint,
                         steady_time deadline, const boost::asio::yield_context& yield);
 
-/// Sends a request and reads its whole answer. `errc::malformed_message` for an answer that is no
-/// HTTP, whose end is not marked, or that echoes another `Request-Id`; `errc::deadline_exceeded`;
-/// `errc::target_unreachable` when the connection breaks. After any error the connection has to be
-/// closed, since a late answer could still arrive on it.
+/// Room for the longest value of the store and for host lists of the two-year size.
+inline constexpr std::uint64_t answer_limit_bytes = 8UL * 1024UL * 1024UL;
+
+/// Sends a request and reads its whole answer, of at most `most_bytes`. `errc::malformed_message`
+/// for an answer that is no HTTP, whose end is not marked, or that echoes another `Request-Id`;
+/// `errc::deadline_exceeded`; `errc::target_unreachable` when the connection breaks. After any
+/// error the connection has to be closed, since a late answer could still arrive on it.
 std::error_code exchange(http_connection& connection, http_request& request, steady_time deadline,
-                         http_response& response, const boost::asio::yield_context& yield);
+                         http_response& response, const boost::asio::yield_context& yield,
+                         std::uint64_t most_bytes = answer_limit_bytes);
 
 /// Whether an idle connection is fresh, still open and has no unexpected input.
 bool is_reusable(http_connection& connection, steady_time now);
--- a/tests/operators/mvctl_test.cpp
+++ b/tests/operators/mvctl_test.cpp
@@ -10,7 +10,7 @@
 #include <functional>
 #include <thread>
 
-#include "mimosavalve/command/http_exchange.hpp"
+#include "mimosavalve/adapters/http_operator.hpp"
 
 namespace cmd = mimosavalve::command;
 namespace asio = boost::asio;
@@ -189,6 +189,7 @@
     asio::io_context context;
     asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address_v4("127.0.0.1"), 0});
     const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-    const auto answer = cmd::http_exchange(address, "status", cmd::output_format::table, 50ms);
+    const auto answer =
+        mimosavalve::adapters::send_command(address, "status", cmd::output_format::table, 50ms);
     CHECK(answer.status == cmd::exchange_status::no_answer);
 }
