Use the one endpoint parser for operators' commands; give repeated steps names

No change of behaviour, except that an operator's address that is none gives "not sent" instead of an exception; mvctl refuses it before.

- send_command had a parser of endpoints of its own beside adapters::parse_endpoint.
- sync_server told crashes inside reply_to, and everything else in a function of its own.
- exchange asked for the fingerprint again where it is already known.
- Tests: settle, make_target_unreachable and hold_next_grant replace the same lines in several cases; all assertions are as before.

--- a/include/mimosavalve/adapters/http_operator.hpp
+++ b/include/mimosavalve/adapters/http_operator.hpp
@@ -8,7 +8,6 @@
 namespace mimosavalve::adapters {
 
 /// Sends a command by HTTP `POST /command` on a connection of its own and waits for the answer.
-/// `router` must be an endpoint.
 command::exchange send_command(const std::string& router, const std::string& text,
                                command::output_format format, std::chrono::milliseconds timeout);
 
--- a/src/adapters/http_operator.cpp
+++ b/src/adapters/http_operator.cpp
@@ -14,12 +14,6 @@
 // `show routers` of the largest fleet is below this.
 constexpr std::uint64_t largest_command_answer = std::uint64_t{64} << 20U;
 
-boost::asio::ip::tcp::endpoint endpoint_of(const std::string& router) {
-    const auto colon = router.rfind(':');
-    return {boost::asio::ip::make_address_v4(router.substr(0, colon)),
-            static_cast<std::uint16_t>(std::stoul(router.substr(colon + 1)))};
-}
-
 http_request command_request(const std::string& router, const std::string& text,
                              command::output_format format) {
     namespace http = boost::beast::http;
@@ -44,11 +38,11 @@
             response.body()};
 }
 
-command::exchange run_command(boost::asio::io_context& context, const std::string& router,
-                              http_request& request, steady_time deadline,
-                              const boost::asio::yield_context& yield) {
+command::exchange run_command(boost::asio::io_context& context,
+                              const boost::asio::ip::tcp::endpoint& router, http_request& request,
+                              steady_time deadline, const boost::asio::yield_context& yield) {
     http_connection connection(context);
-    if (const auto error = connect(connection, endpoint_of(router), deadline, yield)) {
+    if (const auto error = connect(connection, router, deadline, yield)) {
         return {exchange_status::not_sent, outcome::may_have_run, error.message()};
     }
     http_response response;
@@ -63,12 +57,17 @@
 
 command::exchange send_command(const std::string& router, const std::string& text,
                                command::output_format format, std::chrono::milliseconds timeout) {
+    const auto endpoint = parse_endpoint(router);
+    if (!endpoint) {
+        return {command::exchange_status::not_sent, command::outcome::may_have_run,
+                "'" + router + "' is not an address and port"};
+    }
     boost::asio::io_context context;
     auto request = detail::command_request(router, text, format);
     const auto deadline = std::chrono::steady_clock::now() + timeout;
     command::exchange out;
     boost::asio::spawn(context, [&](const boost::asio::yield_context& yield) {
-        out = detail::run_command(context, router, request, deadline, yield);
+        out = detail::run_command(context, *endpoint, request, deadline, yield);
     });
     context.run();
     return out;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -144,7 +144,7 @@
     if (awaits_check_) {
         return;
     }
-    if (!held.empty() && held.contains(*fingerprint())) {
+    if (fingerprint_ && held.contains(*fingerprint_)) {
         refuse(detail::status_unavailable, "crashes-targets");
         return;
     }
@@ -494,8 +494,8 @@
     }
     verdict_ = traffic_verdict::ran;
     const auto& suspects = core_.known_crashes.suspects;
-    if (success && !suspects.empty() && fingerprint() && suspects.contains(*fingerprint())) {
-        core_.crashes.answered.insert(*fingerprint());
+    if (success && !suspects.empty() && fingerprint() && suspects.contains(*fingerprint_)) {
+        core_.crashes.answered.insert(*fingerprint_);
     }
     if (auto* target = current_target(); target != nullptr) {
         // Times from another region hold the way there, too.
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -292,6 +292,13 @@
                   [&](const auto& told) { return !core_.state.targets.contains(told.first); });
 }
 
+void sync_server::add_crashes(sync_reply& reply, follower& asking) const {
+    if (asking.crashes.value_or(crash_news()) != core_.known_crashes) {
+        reply.crashes = core_.known_crashes;
+        asking.crashes = core_.known_crashes;
+    }
+}
+
 void sync_server::reply_to(pending_reply& waiting) {
     const auto now = core_.now();
     const auto& request = waiting.request;
@@ -319,10 +326,7 @@
     reply.number = ++asking.reply_number;
     add_loans(reply, request.host, asking);
     add_work(reply, asking, now);
-    if (asking.crashes.value_or(crash_news()) != core_.known_crashes) {
-        reply.crashes = core_.known_crashes;
-        asking.crashes = core_.known_crashes;
-    }
+    add_crashes(reply, asking);
     core_.state.routers = reply.routers;
     core_.state.rank = 0;
     const auto respond = std::exchange(waiting.respond, nullptr);
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -69,6 +69,7 @@
     void add_registry(sync_reply& reply, const sync_request& request) const;
     void add_loans(sync_reply& reply, const std::string& host, follower& asking) const;
     void add_work(sync_reply& reply, follower& asking, boot_time now) const;
+    void add_crashes(sync_reply& reply, follower& asking) const;
 
     router_core& core_;
     fleet_state& fleet_;
--- a/tests/gateway/decider_fixture.hpp
+++ b/tests/gateway/decider_fixture.hpp
@@ -135,6 +135,17 @@
             deliver();
         }
     }
+    /// Lets the grants of the next step wait on their way; answers the last of them.
+    key_orders::done_handler hold_next_grant() {
+        key_orders::done_handler held;
+        const auto usual = core.platform.orders.grant;
+        core.platform.orders.grant = [&](const std::string&, const key_segment&, milliseconds,
+                                         const std::string&, call_deadline,
+                                         key_orders::done_handler done) { held = std::move(done); };
+        pass(key_decider::tick_time);
+        core.platform.orders.grant = usual;
+        return held;
+    }
     [[nodiscard]] std::string owner_of(std::uint32_t key) const {
         return segment_of(core.state.keys.at("status"), key).owner;
     }
--- a/tests/gateway/key_decider_test.cpp
+++ b/tests/gateway/key_decider_test.cpp
@@ -324,14 +324,8 @@
     fleet.add_target("b");
     fleet.record(owned_by("a", 7));
     fleet.lead();
-    key_orders::done_handler late;
-    const auto grant = fleet.core.platform.orders.grant;
-    fleet.core.platform.orders.grant =
-        [&](const std::string&, const key_segment&, milliseconds, const std::string&, call_deadline,
-            key_orders::done_handler done) { late = std::move(done); };
-    fleet.pass(key_decider::tick_time);
+    const auto late = fleet.hold_next_grant();
     REQUIRE(late);
-    fleet.core.platform.orders.grant = grant;
     key_load load;
     load.counts[1000] = 400;
     load.counts[2000] = 400;
@@ -356,14 +350,8 @@
     fleet.add_target("b");
     fleet.record(owned_by("a", 7));
     fleet.lead();
-    key_orders::done_handler late;
-    const auto grant = fleet.core.platform.orders.grant;
-    fleet.core.platform.orders.grant =
-        [&](const std::string&, const key_segment&, milliseconds, const std::string&, call_deadline,
-            key_orders::done_handler done) { late = std::move(done); };
-    fleet.pass(key_decider::tick_time);
+    const auto late = fleet.hold_next_grant();
     REQUIRE(late);
-    fleet.core.platform.orders.grant = grant;
     fleet.core.state.registry.targets["a"].leaving = true;
     update_targets(fleet.core.state, fleet.now);
     fleet.pass(std::chrono::milliseconds(200));
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -147,6 +147,16 @@
         }
         return text;
     }
+    /// Runs for as long as requests and answers take between processes of one host.
+    void settle() {
+        context.run_for(milliseconds(30));
+        context.restart();
+    }
+    /// Nobody listens there.
+    void make_target_unreachable() {
+        core.state.targets["t1"]->entry.address = "127.0.0.1:1";
+        core.state.registry.targets["t1"].address = "127.0.0.1:1";
+    }
     void expire_all() {
         while (!core.deadlines.empty()) {
             auto* request = core.deadlines.begin()->second;
@@ -213,8 +223,7 @@
         "Connection: close\r\n\r\nhel",
         good_answer};
     path.get("r1");
-    path.context.run_for(milliseconds(30));
-    path.context.restart();
+    path.settle();
     CHECK(path.target.received.size() == 1);
 }
 
@@ -260,8 +269,7 @@
     path_fixture path(request_kind::non_idempotent);
     path.target.script = {""};
     path.post("r1");
-    path.context.run_for(milliseconds(30));
-    path.context.restart();
+    path.settle();
     REQUIRE(path.target.received.size() == 1);
     path.expire_all();
     const auto answer = path.receive("\r\n\r\n");
@@ -271,8 +279,7 @@
 
 TEST_CASE("a request that could not be sent at all is refused as not run [path]") {
     path_fixture path(request_kind::non_idempotent);
-    path.core.state.targets["t1"]->entry.address = "127.0.0.1:1";
-    path.core.state.registry.targets["t1"].address = "127.0.0.1:1";
+    path.make_target_unreachable();
     path.post("r1");
     const auto answer = path.receive("\r\n\r\n");
     CHECK(answer.find("503") != std::string::npos);
@@ -281,8 +288,7 @@
 
 TEST_CASE("only a refused connection tells that a target has ended [path]") {
     path_fixture path(request_kind::non_idempotent);
-    path.core.state.targets["t1"]->entry.address = "127.0.0.1:1";
-    path.core.state.registry.targets["t1"].address = "127.0.0.1:1";
+    path.make_target_unreachable();
     path.post("r1");
     path.receive("\r\n\r\n");
     CHECK(path.core.crashes.gone == std::set<std::string>{run_name("t1", 0)});
@@ -313,12 +319,11 @@
     path_fixture path(request_kind::idempotent);
     path.target.script = {""};
     path.get("r1");
-    path.context.run_for(milliseconds(30));
-    path.context.restart();
+    path.settle();
     REQUIRE(path.target.received.size() == 1);
     CHECK(path.core.state.targets["t1"]->running == 1);
     path.caller.close();
-    path.context.run_for(milliseconds(30));
+    path.settle();
     CHECK(path.core.state.targets["t1"]->running == 0);
     CHECK(path.core.idle_links["t1"].empty());
 }
@@ -329,8 +334,7 @@
     path_fixture path(request_kind::non_idempotent);
     path.target.script = {""};
     path.post("r1");
-    path.context.run_for(milliseconds(30));
-    path.context.restart();
+    path.settle();
     REQUIRE(path.target.received.size() == 1);
     path.core.state.registry.targets["t1"].started_unix_ms = 2;
     const auto removed = update_targets(path.core.state, boot_clock::now());
@@ -352,8 +356,7 @@
     path.target.script = {good_answer};
     const std::string start = "POST /7 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 4\r\n";
     path.send(start + "Request-Id: r1\r\n\r\nbo");
-    path.context.run_for(milliseconds(30));
-    path.context.restart();
+    path.settle();
     CHECK(path.target.received.empty());  // Undecided until the rest of the body has come.
     path.send("dy");
     const auto refusal = path.receive("\r\n\r\n");
@@ -361,8 +364,7 @@
     CHECK(refusal.find("not-run") != std::string::npos);
     CHECK(path.target.received.empty());
     path.send(start + "Request-Id: r2\r\n\r\nhe");
-    path.context.run_for(milliseconds(30));
-    path.context.restart();
+    path.settle();
     path.send("re");
     CHECK(path.receive("hello").find("200") != std::string::npos);
     REQUIRE(path.target.received.size() == 1);
