--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -51,6 +51,8 @@
     operator_config config;
     route_index routes;
     registry_state registry;
+    /// `registry` contains all changes that the store acknowledged before this time.
+    boot_time registry_known_at;
     std::map<std::string, key_map, std::less<>> keys;  ///< Key maps by service.
     /// Times at which `keys` were received.
     std::map<std::string, boot_time, std::less<>> keys_received_at;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -54,6 +54,10 @@
            });
 }
 
+std::int64_t ms_between(exchange::steady::time_point from, exchange::steady::time_point to) {
+    return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_multiple_choices = 300;
 constexpr unsigned status_bad_request = 400;
@@ -275,6 +279,7 @@
 }
 
 void exchange::open_link(target_state& target) {
+    chosen_at_ = steady::now();
     target_id_ = target.entry.id;
     target_instance_ = target.entry.started_unix_ms;
     target_address_ = target.entry.address;
@@ -344,6 +349,7 @@
     body_sent_ = 0;
     body_end_sent_ = false;
     sent_at_ = steady::now();
+    registry_age_ = milliseconds(-milliseconds_until(core_.state.registry_known_at, core_.now()));
     tried_targets_.push_back(target_id_);
     ++attempts_;
     verdict_ = traffic_verdict::may_have_run;
@@ -723,15 +729,19 @@
         deadline_position_.reset();
     }
     count(core_.metrics, "requests_finished");
-    core_.log.write("request", {{"request", id_},
-                                {"route", route_ ? std::string_view(route_->name) : "none"},
-                                {"config", static_cast<std::int64_t>(core_.state.config.version)},
-                                {"target", target},
-                                {"outcome", outcome},
-                                {"status", std::int64_t{status}},
-                                {"verdict", to_string(verdict_)},
-                                {"sends", std::int64_t{attempts_}},
-                                {"age_ms", age_ms()}});
+    core_.log.write("request",
+                    {{"request", id_},
+                     {"route", route_ ? std::string_view(route_->name) : "none"},
+                     {"config", static_cast<std::int64_t>(core_.state.config.version)},
+                     {"target", target},
+                     {"outcome", outcome},
+                     {"status", std::int64_t{status}},
+                     {"verdict", to_string(verdict_)},
+                     {"sends", std::int64_t{attempts_}},
+                     {"age_ms", age_ms()},
+                     {"sent_ms", attempts_ > 0 ? detail::ms_between(arrived_, sent_at_) : -1},
+                     {"connect_ms", attempts_ > 0 ? detail::ms_between(chosen_at_, sent_at_) : -1},
+                     {"registry_age_ms", std::int64_t{registry_age_.count()}}});
 }
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -131,7 +131,10 @@
     std::string target_address_;
     std::unique_ptr<connector> connector_;
     std::unique_ptr<target_link> link_;
+    steady::time_point chosen_at_;  ///< When the target of the current send was chosen.
     steady::time_point sent_at_;
+    /// Age of the registry at the last send, from the start of its read.
+    milliseconds registry_age_{0};
 
     message_head answer_;
     std::string answer_body_;
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -12,6 +12,8 @@
 // For a router that reads the registry itself, since its leader does not answer, and after a failed
 // read.
 constexpr milliseconds slow_read_interval{800};
+// Duration from which a read of the registry is logged.
+constexpr milliseconds slow_read_time{300};
 
 }  // namespace detail
 
@@ -27,14 +29,23 @@
     next_read_ = now + (fleet_.leading ? detail::leader_read_interval : detail::slow_read_interval);
     list_all(core_.platform.store, core_.platform.keys.targets,
              detail::deadline_in(detail::store_call_time),
-             life_.guard([this](std::error_code error, const store_items& items) {
+             life_.guard([this, now](std::error_code error, const store_items& items) {
                  call_in_flight_ = false;
-                 on_reading(error, items);
+                 on_reading(now, error, items);
              }));
 }
 
-void registry_reader::on_reading(std::error_code error, const store_items& items) {
+void registry_reader::on_reading(boot_time began_at, std::error_code error,
+                                 const store_items& items) {
     const auto now = core_.now();
+    count(core_.metrics, error ? "registry_reads_failed" : "registry_reads");
+    if (error || now - began_at > detail::slow_read_time) {
+        core_.log.write_always("registry_read",
+                               {{"error", std::string_view(error ? error.message() : "")},
+                                {"took_ms", -milliseconds_until(began_at, now)},
+                                {"items", static_cast<std::int64_t>(items.items.size())},
+                                {"revision", static_cast<std::int64_t>(items.revision)}});
+    }
     if (error || !fleet_.store_responsive) {
         record_registry_outage(outage_, now);
     }
@@ -44,6 +55,7 @@
         return;
     }
     fleet_.registry_read_at = now;
+    core_.state.registry_known_at = std::max(core_.state.registry_known_at, began_at);
     registry_snapshot reading;
     reading.revision = items.revision;
     reading.evacuated_domains = core_.state.registry.evacuated_domains;
--- a/src/gateway/registry_reader.hpp
+++ b/src/gateway/registry_reader.hpp
@@ -24,7 +24,8 @@
     void set_evacuated(const std::set<std::string>& domains);
 
 private:
-    void on_reading(std::error_code error, const store_items& items);
+    /// `began_at`: when the read was sent.
+    void on_reading(boot_time began_at, std::error_code error, const store_items& items);
 
     router_core& core_;
     fleet_state& fleet_;
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -84,14 +84,15 @@
     count(core_.metrics, "sync_bytes_sent", body.size());
     calls_.send(*to, {"POST", peer_paths::sync, peer_paths::body_type, std::move(body), {}, {}},
                 detail::deadline_in(detail::sync_timeout),
-                life_.guard([this, epoch = fleet_.leader.epoch](std::error_code error,
-                                                                const call_answer& answer) {
+                life_.guard([this, epoch = fleet_.leader.epoch, sent_at = core_.now()](
+                                std::error_code error, const call_answer& answer) {
                     call_in_flight_ = false;
-                    on_answer(epoch, error, answer);
+                    on_answer(epoch, sent_at, error, answer);
                 }));
 }
 
-void sync_client::on_answer(std::uint64_t epoch, std::error_code error, const call_answer& answer) {
+void sync_client::on_answer(std::uint64_t epoch, boot_time sent_at, std::error_code error,
+                            const call_answer& answer) {
     constexpr unsigned ok = 200;
     count(core_.metrics, "sync_bytes_received", answer.body.size());
     const auto reply =
@@ -109,7 +110,7 @@
     }
     failures_ = 0;
     if (!fleet_.leading) {
-        apply(*reply);
+        apply(*reply, sent_at);
     }
     if (followed_registry_ == 0) {
         // `replied` has discarded the registry of the reply, since this router has read a newer
@@ -122,7 +123,11 @@
     call_leader();
 }
 
-void sync_client::apply(const sync_reply& reply) {
+void sync_client::apply(const sync_reply& reply, boot_time sent_at) {
+    // The leader read the store at most `store_age_ms` before it replied, and replied after the
+    // call was sent.
+    core_.state.registry_known_at =
+        std::max(core_.state.registry_known_at, sent_at - milliseconds(reply.store_age_ms));
     if (milliseconds(reply.store_age_ms) < detail::leader_silence) {
         up_to_date_at_ = core_.now();
         fleet_.registry_read_at = up_to_date_at_;
--- a/src/gateway/sync_client.hpp
+++ b/src/gateway/sync_client.hpp
@@ -34,8 +34,10 @@
 
 private:
     void call_leader();
-    void on_answer(std::uint64_t epoch, std::error_code error, const call_answer& answer);
-    void apply(const sync_reply& reply);
+    /// `sent_at`: when the call was sent.
+    void on_answer(std::uint64_t epoch, boot_time sent_at, std::error_code error,
+                   const call_answer& answer);
+    void apply(const sync_reply& reply, boot_time sent_at);
     [[nodiscard]] sync_request make_request();
 
     router_core& core_;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -21,6 +21,7 @@
 // are sent.
 constexpr milliseconds evaluation_interval{200};
 constexpr milliseconds work_interval{1000};
+constexpr milliseconds load_line_interval{1000};
 // Relative change of a rate or work time below which it is not sent again.
 constexpr double min_relative_change = 0.05;
 // Weight of one answer in a target's mean work time.
@@ -77,6 +78,10 @@
         allocate_quotas(now);
         find_crashes(now);
     }
+    if (now >= next_load_line_) {
+        next_load_line_ = now + detail::load_line_interval;
+        log_load();
+    }
     for (auto& waiting : pending_replies_) {
         if (now >= waiting.due) {
             reply_to(waiting);
@@ -231,6 +236,19 @@
     }
 }
 
+void sync_server::log_load() {
+    core_.log.write_always(
+        "leader_load",
+        {{"followers", static_cast<std::int64_t>(followers_.size())},
+         {"replies", totals_.replies},
+         {"bytes", totals_.bytes},
+         {"whole_registries", totals_.whole_registries},
+         {"registry_age_ms", -milliseconds_until(core_.state.registry_known_at, core_.now())}});
+    count(core_.metrics, "whole_registries_sent",
+          static_cast<std::uint64_t>(totals_.whole_registries));
+    totals_ = {};
+}
+
 void sync_server::add_maps(sync_reply& reply, const sync_request& request, boot_time now) const {
     for (const auto& [service, maps] : maps_) {
         reply.map_numbers[service] = maps.number();
@@ -254,12 +272,13 @@
     }
 }
 
-void sync_server::add_registry(sync_reply& reply, const sync_request& request) const {
+void sync_server::add_registry(sync_reply& reply, const sync_request& request) {
     reply.registry_number = registries_.number();
     if (request.registry_number == registries_.number() || registries_.last() == nullptr) {
         return;
     }
     const auto* before = registries_.find(request.registry_number);
+    totals_.whole_registries += before == nullptr ? 1 : 0;
     reply.registry = before == nullptr ? whole_update(*registries_.last())
                                        : difference(*before, *registries_.last());
 }
@@ -338,7 +357,10 @@
     core_.state.router_count = reply.routers;
     core_.state.router_rank = 0;
     const auto respond = std::exchange(waiting.respond, nullptr);
-    respond({200, peer_paths::body_type, encode(reply), {}});
+    auto body = encode(reply);
+    ++totals_.replies;
+    totals_.bytes += static_cast<std::int64_t>(body.size());
+    respond({200, peer_paths::body_type, std::move(body), {}});
 }
 
 void sync_server::on_state_change() {
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -66,9 +66,11 @@
     void record_reports(const std::string& host, sync_request& request, boot_time now);
     void allocate_quotas(boot_time now);
     void find_crashes(boot_time now);
+    /// Logs the work done for followers since the last call.
+    void log_load();
     void reply_to(pending_reply& waiting);
     void add_maps(sync_reply& reply, const sync_request& request, boot_time now) const;
-    void add_registry(sync_reply& reply, const sync_request& request) const;
+    void add_registry(sync_reply& reply, const sync_request& request);
     void add_quotas(sync_reply& reply, const std::string& host, follower& caller) const;
     void add_work(sync_reply& reply, follower& caller, boot_time now) const;
     void add_crashes(sync_reply& reply, follower& caller) const;
@@ -86,6 +88,13 @@
     quota_plan quotas_;
     crash_watch crash_watch_;
     boot_time next_evaluation_;
+    struct reply_totals {
+        std::int64_t replies = 0;
+        std::int64_t bytes = 0;
+        std::int64_t whole_registries = 0;
+    };
+    reply_totals totals_;  ///< Since the last `log_load`.
+    boot_time next_load_line_;
     lifetime life_;
 };
 
