Give each page of a listing the time of a call, not the whole listing

What callers saw: requests at targets that had left, since the leader no longer read the registry.

Cause: list_all took one deadline, and its callers passed the time of one call (store_call_time, 0.8 s). A listing that needs longer never ended, whatever the store did. The more targets, the surer.

Fix: list_all takes the maximum duration of a page. A silent store is still noticed after 0.8 s. Concerns all listings (targets, keys, operators' items, the leader's item).

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -193,7 +193,7 @@
     }
     next_records_ = now + detail::records_interval;
     const auto prefix = core_.platform.keys.fleet + "keys/";
-    list_all(core_.platform.store, prefix, detail::deadline_in(detail::store_call_time),
+    list_all(core_.platform.store, prefix, detail::store_call_time,
              life_.guard([this, prefix](std::error_code error, const store_items& items) {
                  record_store_call(core_, fleet_, !error, "list keys");
                  if (error || fleet_.leading) {
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -123,7 +123,7 @@
 void key_decider::load_records() {
     loading_ = true;
     const auto prefix = record_key("");
-    list_all(core_.platform.store, prefix, detail::deadline_in(detail::store_call_time),
+    list_all(core_.platform.store, prefix, detail::store_call_time,
              term_life_.guard([this, prefix](std::error_code error, const store_items& items) {
                  loading_ = false;
                  if (error) {
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -27,8 +27,7 @@
     }
     call_in_flight_ = true;
     next_read_ = now + (fleet_.leading ? detail::leader_read_interval : detail::slow_read_interval);
-    list_all(core_.platform.store, core_.platform.keys.targets,
-             detail::deadline_in(detail::store_call_time),
+    list_all(core_.platform.store, core_.platform.keys.targets, detail::store_call_time,
              life_.guard([this, now](std::error_code error, const store_items& items) {
                  call_in_flight_ = false;
                  on_reading(now, error, items);
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -25,7 +25,7 @@
 }
 
 void store_follower::list() {
-    list_all(core_.platform.store, prefix_, detail::deadline_in(detail::store_call_time),
+    list_all(core_.platform.store, prefix_, detail::store_call_time,
              life_.guard([this](std::error_code error, const store_items& items) {
                  record_store_call(core_, fleet_, !error, "list " + name_);
                  if (error) {
@@ -64,7 +64,7 @@
 }
 
 void store_follower::check() {
-    list_all(core_.platform.store, prefix_, detail::deadline_in(detail::store_call_time),
+    list_all(core_.platform.store, prefix_, detail::store_call_time,
              life_.guard([this](std::error_code error, const store_items& items) {
                  record_store_call(core_, fleet_, !error, "check " + name_);
                  if (!error && items.revision >= revision_) {
--- a/src/gateway/store_listing.cpp
+++ b/src/gateway/store_listing.cpp
@@ -3,6 +3,7 @@
 #include <iterator>
 #include <memory>
 
+#include "control_timing.hpp"
 #include "mimosavalve/core/error.hpp"
 
 namespace mimosavalve::gateway {
@@ -12,7 +13,7 @@
 struct listing {
     const metadata_store* store = nullptr;
     std::string prefix;
-    call_deadline deadline;
+    milliseconds page_timeout;
     metadata_store::items_handler done;
     store_items items;
 };
@@ -23,7 +24,7 @@
     const auto after = running->items.items.empty() ? "" : running->items.items.back().key;
     const auto& store = *running->store;
     const auto prefix = running->prefix;
-    const auto deadline = running->deadline;
+    const auto deadline = deadline_in(running->page_timeout);
     // Shared pointer, since handlers of calls must be copyable.
     auto kept = std::make_shared<std::unique_ptr<listing>>(std::move(running));
     store.list(prefix, after, deadline, [kept](std::error_code error, store_items page) {
@@ -53,10 +54,10 @@
 
 }  // namespace detail
 
-void list_all(const metadata_store& store, const std::string& prefix, call_deadline deadline,
+void list_all(const metadata_store& store, const std::string& prefix, milliseconds page_timeout,
               metadata_store::items_handler done) {
     detail::request_page(std::make_unique<detail::listing>(
-        detail::listing{&store, prefix, deadline, std::move(done), {}}));
+        detail::listing{&store, prefix, page_timeout, std::move(done), {}}));
 }
 
 }  // namespace mimosavalve::gateway
--- /dev/null
+++ b/tests/gateway/registry_test.cpp
@@ -0,0 +1,90 @@
+#include <doctest/doctest.h>
+
+#include "gateway/internal_server.hpp"
+#include "registry_fixture.hpp"
+
+using namespace mimosavalve::gateway;
+using namespace mimosavalve::gateway::testing;
+
+namespace {
+
+/// Router that reads the registry as the leader does.
+struct leader_fixture : registry_fixture {
+    leader_fixture() : reader(core, fleet, [this] { ++changes; }) {
+        fleet.leading = true;
+        run_every(context, milliseconds(50), life, [this] { reader.read_when_due(core.now()); });
+    }
+
+    fleet_state fleet;
+    int changes = 0;
+    registry_reader reader;
+    lifetime life;
+};
+
+/// Router that follows a scripted leader.
+struct follower_fixture : registry_fixture {
+    follower_fixture()
+        : leader(context, {boost::asio::ip::address_v4::loopback(), 0},
+                 [this](const message_head&, const std::string& body,
+                        internal_server::respond respond) {
+                     const auto request = decode_sync_request(body);
+                     REQUIRE(request);
+                     requests.push_back(*request);
+                     auto reply = answer(*request);
+                     reply.epoch = request->epoch;
+                     reply.number = requests.size();
+                     run_after(context, reply_time, life,
+                               [respond = std::move(respond), text = encode(reply)] {
+                                   respond({200, "", text, {}});
+                               });
+                 }) {
+        core.settings.host = "follower";
+        const auto address = "127.0.0.1:" + std::to_string(leader.address().port());
+        store.put("own/leader", encode(leader_identity{"leader", address, 1, 0}));
+    }
+
+    [[nodiscard]] static registry_update whole_registry(std::uint64_t revision) {
+        registry_state registry;
+        registry.revision = revision;
+        target_entry entry;
+        entry.id = "t1";
+        entry.service = "orders";
+        entry.address = "127.0.0.1:1";
+        entry.started_unix_ms = 1;
+        registry.targets.emplace("t1", entry);
+        return whole_update(registry);
+    }
+
+    std::function<sync_reply(const sync_request&)> answer;
+    milliseconds reply_time{1};
+    std::vector<sync_request> requests;
+    internal_server leader;
+    call_client calls{context};
+    lifetime life;
+};
+
+}  // namespace
+
+TEST_CASE("the registry is read although its pages together take longer than one call [registry]") {
+    leader_fixture router;
+    for (int number = 2; number <= 8; ++number) {
+        router.store.put("targets/t" + std::to_string(number), "ready");
+    }
+    router.store.page_items = 1;
+    router.store.page_time = milliseconds(150);
+    CHECK(router.run_until([&] { return router.is_used("t8"); }, milliseconds(4000)));
+}
+
+TEST_CASE(
+    "a target that left the registry during an outage of the store is kept for a while "
+    "[registry]") {
+    leader_fixture router;
+    REQUIRE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+    router.store.lost_registry_calls = 3;
+    REQUIRE(router.run_until([&] { return router.store.lost_registry_calls == 0; },
+                             milliseconds(6000)));
+    router.store.put("targets/t1", "");
+    router.run_for(milliseconds(1500));
+    CHECK(router.is_used("t1"));
+    CHECK(router.run_until([&] { return !router.is_used("t1"); }, milliseconds(5000)));
+}
