Read the changes of the registry instead of all of it

The work grew with the number of targets and delayed the news itself.

Fix: after a first listing, a read is one call to the store's watch from the registry's revision. It returns at a change, or without one after 0.3 s, so that the age of what is known stays measurable; a watch that is silent for longer would prove nothing. Lost history (410), an outage's grace period and every 3 s at the leader still take a listing.

--- a/include/mimosavalve/gateway/target_registry.hpp
+++ b/include/mimosavalve/gateway/target_registry.hpp
@@ -39,7 +39,6 @@
     std::uint64_t revision = 0;
     std::vector<target_entry> targets;
     std::set<std::string> evacuated_domains;
-    std::uint32_t ignored_entries = 0;  ///< Number of unreadable or incomplete entries.
 };
 
 /// Grace period after an outage of the store, when live targets may not have written their entries
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -1,17 +1,23 @@
 #include "registry_reader.hpp"
 
 #include "control_timing.hpp"
+#include "mimosavalve/core/error.hpp"
 #include "store_listing.hpp"
 
 namespace mimosavalve::gateway {
 
 namespace detail {
 
-// All routers must receive that a target is leaving within 2.5 s (leave time of the platform).
-constexpr milliseconds leader_read_interval{300};
-// For a router that reads the registry itself, since its leader does not answer, and after a failed
-// read.
-constexpr milliseconds slow_read_interval{800};
+// Time for which the store may wait for a change before it answers. A router knows only from an
+// answer that nothing has changed.
+constexpr milliseconds max_wait_for_changes{300};
+constexpr milliseconds wait_timeout = max_wait_for_changes + store_call_time;
+// Minimum interval between reads of the leader, and of a router that reads the registry itself.
+constexpr milliseconds leader_read_interval{50};
+constexpr milliseconds own_read_interval{200};
+constexpr milliseconds failed_read_interval{800};
+// Interval between the leader's listings, which find changes that were not reported.
+constexpr milliseconds listing_interval{3000};
 // Duration from which a read of the registry is logged.
 constexpr milliseconds slow_read_time{300};
 
@@ -25,54 +31,108 @@
     if (call_in_flight_ || now < next_read_) {
         return;
     }
+    const auto& registry = core_.state.registry;
+    const bool lists =
+        must_list_ || registry.revision == 0 || (fleet_.leading && now >= next_listing_);
+    const auto kind = lists ? read_kind::listing : read_kind::changes;
     call_in_flight_ = true;
-    next_read_ = now + (fleet_.leading ? detail::leader_read_interval : detail::slow_read_interval);
-    list_all(core_.platform.store, core_.platform.keys.targets, detail::store_call_time,
-             life_.guard([this, now](std::error_code error, const store_items& items) {
-                 call_in_flight_ = false;
-                 on_reading(now, error, items);
-             }));
+    next_read_ = now + (fleet_.leading ? detail::leader_read_interval : detail::own_read_interval);
+    auto done = life_.guard([this, kind, now](std::error_code error, const store_items& items) {
+        call_in_flight_ = false;
+        on_reading(kind, now, error, items);
+    });
+    if (lists) {
+        list_all(core_.platform.store, core_.platform.keys.targets, detail::store_call_time,
+                 std::move(done));
+    } else {
+        core_.platform.store.watch(core_.platform.keys.targets, registry.revision,
+                                   detail::max_wait_for_changes,
+                                   detail::deadline_in(detail::wait_timeout), std::move(done));
+    }
 }
 
-void registry_reader::on_reading(boot_time began_at, std::error_code error,
+void registry_reader::on_reading(read_kind kind, boot_time began_at, std::error_code error,
                                  const store_items& items) {
     const auto now = core_.now();
+    const auto expected_time = kind == read_kind::listing
+                                   ? detail::slow_read_time
+                                   : detail::slow_read_time + detail::max_wait_for_changes;
     count(core_.metrics, error ? "registry_reads_failed" : "registry_reads");
-    if (error || now - began_at > detail::slow_read_time) {
+    if (error || now - began_at > expected_time) {
         core_.log.write_always("registry_read",
-                               {{"error", std::string_view(error ? error.message() : "")},
+                               {{"kind", kind == read_kind::listing ? "listing" : "changes"},
+                                {"error", std::string_view(error ? error.message() : "")},
                                 {"took_ms", -milliseconds_until(began_at, now)},
                                 {"items", static_cast<std::int64_t>(items.items.size())},
                                 {"revision", static_cast<std::int64_t>(items.revision)}});
     }
+    if (error == errc::history_lost) {
+        must_list_ = true;
+        next_read_ = now;
+        return;
+    }
     if (error || !fleet_.store_responsive) {
         record_registry_outage(outage_, now);
+        must_list_ = true;
     }
-    record_store_call(core_, fleet_, !error, "list targets");
+    record_store_call(core_, fleet_, !error, "read targets");
     if (error) {
-        next_read_ = now + detail::slow_read_interval;
+        next_read_ = now + detail::failed_read_interval;
         return;
     }
-    fleet_.registry_read_at = now;
     core_.state.registry_known_at = std::max(core_.state.registry_known_at, began_at);
+    fleet_.registry_read_at = now;
+    if (kind == read_kind::listing) {
+        apply_listing(items, now);
+    } else if (items.revision >= core_.state.registry.revision) {
+        apply_changes(items);
+    }
+}
+
+std::optional<target_entry> registry_reader::decode(const store_item& item) {
+    const auto id = std::string_view(item.key).substr(core_.platform.keys.targets.size());
+    auto entry = core_.platform.decode_target(id, item.value);
+    if (!entry) {
+        count(core_.metrics, "registry_entries_ignored");
+    }
+    return entry;
+}
+
+void registry_reader::apply_listing(const store_items& items, boot_time now) {
     registry_snapshot reading;
     reading.revision = items.revision;
     reading.evacuated_domains = core_.state.registry.evacuated_domains;
     for (const auto& item : items.items) {
-        const auto id = std::string_view(item.key).substr(core_.platform.keys.targets.size());
-        auto entry = core_.platform.decode_target(id, item.value);
-        if (entry) {
+        if (auto entry = decode(item)) {
             reading.targets.push_back(std::move(*entry));
-        } else {
-            ++reading.ignored_entries;
         }
     }
-    if (reading.ignored_entries > 0) {
-        count(core_.metrics, "registry_entries_ignored", reading.ignored_entries);
-    }
+    next_listing_ = now + detail::listing_interval;
+    // Until the end of the grace period, only a listing shows which targets are missing.
+    must_list_ = now < outage_.keep_missing_until;
     apply(merge_snapshot(core_.state.registry, reading, outage_, now));
 }
 
+void registry_reader::apply_changes(const store_items& items) {
+    if (items.items.empty()) {
+        core_.state.registry.revision = items.revision;
+        return;
+    }
+    auto next = core_.state.registry;
+    next.revision = items.revision;
+    for (const auto& item : items.items) {
+        const bool is_deleted = item.revision == 0;
+        auto entry = is_deleted ? std::nullopt : decode(item);
+        if (entry) {
+            auto id = entry->id;
+            next.targets.insert_or_assign(std::move(id), std::move(*entry));
+        } else {
+            next.targets.erase(item.key.substr(core_.platform.keys.targets.size()));
+        }
+    }
+    apply(next);
+}
+
 void registry_reader::apply(const registry_state& next) {
     const auto& previous = core_.state.registry;
     const bool changed = differs_for_routing(previous, next);
--- a/src/gateway/registry_reader.hpp
+++ b/src/gateway/registry_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 
 #include "fleet_state.hpp"
 #include "lifetime.hpp"
@@ -8,7 +9,8 @@
 namespace mimosavalve::gateway {
 
 /// Keeps the table of targets up to date: reads the registry from the store on request, or applies
-/// the one received from the leader.
+/// the one received from the leader. After a first listing, a read is one call that returns the
+/// changes since the last read.
 class registry_reader {
 public:
     /// `changed` is called after a change that routing depends on.
@@ -16,16 +18,22 @@
 
     /// Reads the registry if the read interval has passed and no read is in flight.
     void read_when_due(boot_time now);
-    /// Makes the next call of `read_when_due` read the registry at once.
-    void make_due() { next_read_ = {}; }
+    /// Makes the next call of `read_when_due` list all targets at once.
+    void make_due() { next_read_ = next_listing_ = {}; }
 
     /// Replaces the registry and updates the table of targets.
     void apply(const registry_state& next);
     void set_evacuated(const std::set<std::string>& domains);
 
 private:
+    enum class read_kind { listing, changes };
+
     /// `began_at`: when the read was sent.
-    void on_reading(boot_time began_at, std::error_code error, const store_items& items);
+    void on_reading(read_kind kind, boot_time began_at, std::error_code error,
+                    const store_items& items);
+    void apply_listing(const store_items& items, boot_time now);
+    void apply_changes(const store_items& items);
+    [[nodiscard]] std::optional<target_entry> decode(const store_item& item);
 
     router_core& core_;
     fleet_state& fleet_;
@@ -33,6 +41,8 @@
     registry_outage outage_;
     bool call_in_flight_ = false;
     boot_time next_read_;
+    bool must_list_ = false;  ///< The next read lists all targets.
+    boot_time next_listing_;  ///< From then on, all targets are listed again.
     lifetime life_;
 };
 
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -75,6 +75,19 @@
     CHECK(router.run_until([&] { return router.is_used("t8"); }, milliseconds(4000)));
 }
 
+TEST_CASE("a change of one target does not take a listing of all targets [registry]") {
+    leader_fixture router;
+    for (int number = 2; number <= 8; ++number) {
+        router.store.put("targets/t" + std::to_string(number), "ready");
+    }
+    router.store.page_items = 1;
+    REQUIRE(router.run_until([&] { return router.is_used("t8"); }, milliseconds(2000)));
+    const auto calls_before = router.store.registry_calls;
+    router.store.put("targets/t1", "leaving");
+    CHECK(router.run_until([&] { return !router.is_used("t1"); }, milliseconds(2000)));
+    CHECK(router.store.registry_calls - calls_before <= 2);
+}
+
 TEST_CASE(
     "a target that left the registry during an outage of the store is kept for a while "
     "[registry]") {
