--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -243,12 +243,29 @@
          {"replies", totals_.replies},
          {"bytes", totals_.bytes},
          {"whole_registries", totals_.whole_registries},
+         {"registry_entries", totals_.registry_entries},
+         {"key_segments", totals_.key_segments},
+         {"quotas", totals_.quotas},
+         {"work_times", totals_.work_times},
          {"registry_age_ms", -milliseconds_until(core_.state.registry_known_at, core_.now())}});
     count(core_.metrics, "whole_registries_sent",
           static_cast<std::uint64_t>(totals_.whole_registries));
     totals_ = {};
 }
 
+void sync_server::add_totals(const sync_reply& reply) {
+    const auto size_of = [](const auto& items) { return static_cast<std::int64_t>(items.size()); };
+    if (reply.registry) {
+        totals_.registry_entries += size_of(reply.registry->entries);
+    }
+    for (const auto& [service, update] : reply.maps) {
+        totals_.key_segments += size_of(update.segments);
+    }
+    totals_.quotas += reply.concurrency_quotas ? size_of(*reply.concurrency_quotas) : 0;
+    totals_.quotas += reply.rate_quotas ? size_of(*reply.rate_quotas) : 0;
+    totals_.work_times += size_of(reply.work_ms);
+}
+
 void sync_server::add_maps(sync_reply& reply, const sync_request& request, boot_time now) const {
     for (const auto& [service, maps] : maps_) {
         reply.map_numbers[service] = maps.number();
@@ -358,6 +375,7 @@
     core_.state.router_rank = 0;
     const auto respond = std::exchange(waiting.respond, nullptr);
     auto body = encode(reply);
+    add_totals(reply);
     ++totals_.replies;
     totals_.bytes += static_cast<std::int64_t>(body.size());
     respond({200, peer_paths::body_type, std::move(body), {}});
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -69,6 +69,7 @@
     /// Logs the work done for followers since the last call.
     void log_load();
     void reply_to(pending_reply& waiting);
+    void add_totals(const sync_reply& reply);
     void add_maps(sync_reply& reply, const sync_request& request, boot_time now) const;
     void add_registry(sync_reply& reply, const sync_request& request);
     void add_quotas(sync_reply& reply, const std::string& host, follower& caller) const;
@@ -92,6 +93,10 @@
         std::int64_t replies = 0;
         std::int64_t bytes = 0;
         std::int64_t whole_registries = 0;
+        std::int64_t registry_entries = 0;
+        std::int64_t key_segments = 0;
+        std::int64_t quotas = 0;  ///< Concurrency and rate quotas.
+        std::int64_t work_times = 0;
     };
     reply_totals totals_;  ///< Since the last `log_load`.
     boot_time next_load_line_;
