Count the age of the registry from the read, also through the leader

What callers saw: requests sent to targets that had said long before that they leave.

Cause: a follower took a reply of its leader as fresh from its arrival. The leader's registry could be 0.9 s old when it was sent, the reply 0.9 s in transit, and the follower read the store only 0.9 s after that: 2.7 s, with one failed read (0.8 s, and a pause of 0.8 s) 4.3 s, of the 2.5 to 3 s in which a leaving target may get requests. The leader counted from the end of its read. A stopping router neither followed nor read.

Fix: routing_state::registry_known_at is a lower bound: all changes that the store acknowledged before it are known. The leader counts from the start of its read; the follower from the start of its call, plus the time that the leader held it (new: held_ms), minus the age that the leader states. From a third of the leave time on, a router reads the store itself, stopping or not, and repeats a failed read after 0.2 s, later up to 1.2 s.

--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -53,10 +53,12 @@
 /// last reply are left out.
 struct sync_reply {
     std::uint64_t epoch = 0;
-    std::uint64_t number = 0;        ///< Increases with each reply to the same router.
-    std::uint32_t routers = 1;       ///< Number of routers that share fleet-wide limits.
-    std::uint32_t rank = 0;          ///< Position of the calling router among the fleet's routers.
-    std::uint64_t store_age_ms = 0;  ///< Time since the leader last read the store successfully.
+    std::uint64_t number = 0;   ///< Increases with each reply to the same router.
+    std::uint32_t routers = 1;  ///< Number of routers that share fleet-wide limits.
+    std::uint32_t rank = 0;     ///< Position of the calling router among the fleet's routers.
+    /// Time since the leader sent the last read of the registry that succeeded.
+    std::uint64_t store_age_ms = 0;
+    std::uint64_t held_ms = 0;  ///< Time between the arrival of the call and this reply.
     std::uint64_t config_version = 0;
     std::string config_text;  ///< Empty when the router has this version.
     bool long_holds = false;  ///< Whether the leader will grant holds of the maximum time.
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -13,6 +13,9 @@
 constexpr milliseconds control_tick{50};
 // Interval at which a router that gets no replies from its leader reads the recorded owners.
 constexpr milliseconds records_interval{1500};
+// A router whose registry is older than this fraction of the leave time reads it itself, so that
+// one read may fail before a target that is leaving must get no more requests.
+constexpr int reads_within_leave_time = 3;
 // Targets close connections of a host that has lost power after this idle time: 10 s for both
 // users' services.
 constexpr milliseconds former_connection_timeout{10000};
@@ -79,7 +82,7 @@
     } else {
         client_.tick(now);
     }
-    if (fleet_.leading || (!client_.is_up_to_date(now) && !fleet_.stopping)) {
+    if (must_read_registry(now)) {
         client_.discard_registry();
         registry_.read_when_due(now);
     }
@@ -88,6 +91,12 @@
     }
 }
 
+bool fleet_control::must_read_registry(boot_time now) const {
+    const auto age = now - core_.state.registry_known_at;
+    return fleet_.leading ||
+           age >= core_.settings.bounds.leave_time / detail::reads_within_leave_time;
+}
+
 void fleet_control::lead(boot_time now) {
     lease_.tick(now, election_.lease_until());
     if (lease_.inherited_end() && !inherited_end_applied_) {
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -33,6 +33,8 @@
 
 private:
     void tick();
+    /// Whether this router has to read the registry itself.
+    [[nodiscard]] bool must_read_registry(boot_time now) const;
     void lead(boot_time now);
     void begin_term();
     void end_term();
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -166,6 +166,7 @@
                          {"routers", message.routers},
                          {"rank", message.rank},
                          {"store_age_ms", message.store_age_ms},
+                         {"held_ms", message.held_ms},
                          {"config", message.config_version},
                          {"long_holds", message.long_holds},
                          {"operators", message.operators_revision},
@@ -208,6 +209,7 @@
         out.routers = body.at("routers");
         out.rank = body.at("rank");
         out.store_age_ms = body.at("store_age_ms");
+        out.held_ms = body.value("held_ms", std::uint64_t{0});
         out.config_version = body.at("config");
         out.long_holds = body.at("long_holds");
         out.operators_revision = body.at("operators");
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -10,12 +10,11 @@
 
 // Time for which the store may wait for a change before it answers. A router knows only from an
 // answer that nothing has changed.
-constexpr milliseconds max_wait_for_changes{300};
+constexpr milliseconds max_wait_for_changes{200};
 constexpr milliseconds wait_timeout = max_wait_for_changes + store_call_time;
 // Minimum interval between reads of the leader, and of a router that reads the registry itself.
 constexpr milliseconds leader_read_interval{50};
 constexpr milliseconds own_read_interval{200};
-constexpr milliseconds failed_read_interval{800};
 // Interval between the leader's listings, which find changes that were not reported.
 constexpr milliseconds listing_interval{3000};
 // Duration from which a read of the registry is logged.
@@ -77,11 +76,12 @@
     }
     record_store_call(core_, fleet_, !error, "read targets");
     if (error) {
-        next_read_ = now + detail::failed_read_interval;
+        pause_ = detail::next_pause(pause_);
+        next_read_ = now + pause_;
         return;
     }
+    pause_ = {};
     core_.state.registry_known_at = std::max(core_.state.registry_known_at, began_at);
-    fleet_.registry_read_at = now;
     if (kind == read_kind::listing) {
         apply_listing(items, now);
     } else if (items.revision >= core_.state.registry.revision) {
--- a/src/gateway/registry_reader.hpp
+++ b/src/gateway/registry_reader.hpp
@@ -41,6 +41,7 @@
     registry_outage outage_;
     bool call_in_flight_ = false;
     boot_time next_read_;
+    milliseconds pause_{0};   ///< Last pause after a failed read.
     bool must_list_ = false;  ///< The next read lists all targets.
     boot_time next_listing_;  ///< From then on, all targets are listed again.
     lifetime life_;
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -7,8 +7,8 @@
 
 namespace detail {
 
-// Time without a reply of the leader after which a router reads the store itself.
-constexpr milliseconds leader_silence{900};
+// Age of the leader's state from which a router reads the owners of keys itself.
+constexpr milliseconds max_state_age{900};
 constexpr milliseconds sync_timeout{900};
 constexpr milliseconds sync_retry_delay{150};
 // Consecutive failed calls after which `leader_silent` is logged; single calls are lost
@@ -40,7 +40,7 @@
 }
 
 bool sync_client::is_up_to_date(boot_time now) const {
-    return now - up_to_date_at_ < detail::leader_silence;
+    return now - known_at_ < detail::max_state_age;
 }
 
 sync_request sync_client::make_request() {
@@ -124,14 +124,11 @@
 }
 
 void sync_client::apply(const sync_reply& reply, boot_time sent_at) {
-    // The leader read the store at most `store_age_ms` before it replied, and replied after the
-    // call was sent.
-    core_.state.registry_known_at =
-        std::max(core_.state.registry_known_at, sent_at - milliseconds(reply.store_age_ms));
-    if (milliseconds(reply.store_age_ms) < detail::leader_silence) {
-        up_to_date_at_ = core_.now();
-        fleet_.registry_read_at = up_to_date_at_;
-    }
+    // The reply may have been long in transit, so its age is counted from the call: the leader sent
+    // it no earlier than `held_ms` after that.
+    known_at_ = std::max(known_at_,
+                         sent_at + milliseconds(reply.held_ms) - milliseconds(reply.store_age_ms));
+    core_.state.registry_known_at = std::max(core_.state.registry_known_at, known_at_);
     followed_epoch_ = reply.epoch;
     followed_reply_ = reply.number;
     followed_registry_ = reply.registry_number;
--- a/src/gateway/sync_client.hpp
+++ b/src/gateway/sync_client.hpp
@@ -29,7 +29,7 @@
     void discard_maps() { followed_maps_.clear(); }
     void discard_registry() { followed_registry_ = 0; }
 
-    /// Whether the leader has replied recently, with state that it had read recently.
+    /// Whether the state that the leader sent contains all recent changes.
     [[nodiscard]] bool is_up_to_date(boot_time now) const;
 
 private:
@@ -46,7 +46,7 @@
     callbacks handlers_;
     bool call_in_flight_ = false;
     boot_time next_call_;
-    boot_time up_to_date_at_;
+    boot_time known_at_;          ///< The leader's state contains all changes before this time.
     std::uint32_t failures_ = 0;  ///< Number of consecutive failed calls.
     // Numbers assigned by the leader of this epoch.
     std::uint64_t followed_epoch_ = 0;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -126,7 +126,8 @@
     const auto now = core_.now();
     record_caller(*request, now);
     record_reports(request->host, *request, now);
-    pending_reply waiting{std::move(*request), std::move(respond), now + detail::max_reply_delay};
+    pending_reply waiting{std::move(*request), std::move(respond), now,
+                          now + detail::max_reply_delay};
     if (is_behind(waiting.request)) {
         reply_to(waiting);
     } else {
@@ -355,7 +356,8 @@
     reply.rank = static_cast<std::uint32_t>(
         std::distance(followers_.begin(), followers_.find(request.host)) + 1);
     reply.store_age_ms = static_cast<std::uint64_t>(
-        std::max<std::int64_t>(-milliseconds_until(fleet_.registry_read_at, now), 0));
+        std::max<std::int64_t>(-milliseconds_until(core_.state.registry_known_at, now), 0));
+    reply.held_ms = static_cast<std::uint64_t>(-milliseconds_until(waiting.arrived_at, now));
     reply.config_version = core_.state.config.version;
     if (request.config_version < core_.state.config.version) {
         reply.config_text = from_.config_text();
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -58,6 +58,7 @@
     struct pending_reply {
         sync_request request;
         internal_server::respond respond;
+        boot_time arrived_at;
         boot_time due;
     };
 
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -101,3 +101,46 @@
     CHECK(router.is_used("t1"));
     CHECK(router.run_until([&] { return !router.is_used("t1"); }, milliseconds(5000)));
 }
+
+TEST_CASE(
+    "a router learns that a target is leaving although the leader's replies are late and old "
+    "[registry]") {
+    follower_fixture router;
+    const auto began = boot_clock::now();
+    router.reply_time = milliseconds(800);
+    router.answer = [&](const sync_request& request) {
+        sync_reply reply;
+        reply.registry_number = 1;
+        if (request.registry_number != 1) {
+            reply.registry = follower_fixture::whole_registry(11);
+        }
+        // The leader has not read the store since the beginning.
+        reply.store_age_ms =
+            static_cast<std::uint64_t>(-milliseconds_until(began, boot_clock::now()));
+        return reply;
+    };
+    fleet_control control(router.core, router.calls);
+    control.start();
+    REQUIRE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+    router.store.put("targets/t1", "leaving");
+    router.store.lost_registry_calls = 1;
+    CHECK(router.run_until([&] { return !router.is_used("t1"); },
+                           router.core.settings.bounds.leave_time));
+}
+
+TEST_CASE("a stopping router still learns that a target is leaving [registry]") {
+    follower_fixture router;
+    router.answer = [&](const sync_request&) {
+        sync_reply reply;
+        reply.registry_number = 1;
+        reply.registry = follower_fixture::whole_registry(11);
+        return reply;
+    };
+    fleet_control control(router.core, router.calls);
+    control.start();
+    REQUIRE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+    control.stop();
+    router.store.put("targets/t1", "leaving");
+    CHECK(router.run_until([&] { return !router.is_used("t1"); },
+                           router.core.settings.bounds.leave_time));
+}
