Keep the leader's registry beside the one that a router has read itself

What callers saw: requests at targets that had left, in waves: once the leader was late, most of the fleet was.

Cause: a router that had read the registry itself discarded the number of the leader's registry. Each of its next calls was answered with the whole registry, at once, which it discarded again as older than its own, and asked again after 0.15 s. Besides, a reply to a call that was on its way during the discard put the number back, and the leader's next difference was applied to a registry that it did not fit: a target that had come and gone in between stayed for good.

Fix: the router keeps the leader's last registry while it uses its own, and applies differences only to that. Whichever of the two has the higher revision is used. No number is discarded, so no registry is sent again.

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -83,7 +83,6 @@
         client_.tick(now);
     }
     if (must_read_registry(now)) {
-        client_.discard_registry();
         registry_.read_when_due(now);
     }
     if (!fleet_.leading && !client_.is_up_to_date(now) && !fleet_.stopping) {
@@ -160,12 +159,8 @@
     core_.state.router_rank = reply.rank;
     operators_.apply_from_leader(reply.config_text, reply.operators_revision,
                                  reply.evacuated_domains);
-    if (reply.registry && reply.registry->revision >= core_.state.registry.revision) {
-        auto next = applied(core_.state.registry, *reply.registry);
-        next.evacuated_domains = operators_.evacuated();
-        registry_.apply(next);
-    } else if (reply.registry) {
-        client_.discard_registry();  // This router has read a newer registry.
+    if (reply.registry) {
+        registry_.apply_from_leader(*reply.registry);
     }
     registry_.set_evacuated(operators_.evacuated());
     if (reply.concurrency_quotas) {
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -110,7 +110,7 @@
     next_listing_ = now + detail::listing_interval;
     // Until the end of the grace period, only a listing shows which targets are missing.
     must_list_ = now < outage_.keep_missing_until;
-    apply(merge_snapshot(core_.state.registry, reading, outage_, now));
+    apply_reading(merge_snapshot(core_.state.registry, reading, outage_, now));
 }
 
 void registry_reader::apply_changes(const store_items& items) {
@@ -130,6 +130,26 @@
             next.targets.erase(item.key.substr(core_.platform.keys.targets.size()));
         }
     }
+    apply_reading(std::move(next));
+}
+
+void registry_reader::apply_reading(registry_state next) {
+    if (fleet_.leading) {
+        leader_registry_.reset();
+    } else if (!leader_registry_) {
+        leader_registry_ = core_.state.registry;
+    }
+    apply(next);
+}
+
+void registry_reader::apply_from_leader(const registry_update& update) {
+    auto next = applied(leader_registry_ ? *leader_registry_ : core_.state.registry, update);
+    next.evacuated_domains = core_.state.registry.evacuated_domains;
+    if (next.revision < core_.state.registry.revision) {
+        leader_registry_ = std::move(next);
+        return;
+    }
+    leader_registry_.reset();
     apply(next);
 }
 
--- a/src/gateway/registry_reader.hpp
+++ b/src/gateway/registry_reader.hpp
@@ -5,6 +5,7 @@
 
 #include "fleet_state.hpp"
 #include "lifetime.hpp"
+#include "mimosavalve/gateway/state_update.hpp"
 
 namespace mimosavalve::gateway {
 
@@ -21,8 +22,9 @@
     /// Makes the next call of `read_when_due` list all targets at once.
     void make_due() { next_read_ = next_listing_ = {}; }
 
-    /// Replaces the registry and updates the table of targets.
-    void apply(const registry_state& next);
+    /// Applies an update to the registry that the leader sent last. The result is used unless this
+    /// router has read a newer registry itself.
+    void apply_from_leader(const registry_update& update);
     void set_evacuated(const std::set<std::string>& domains);
 
 private:
@@ -33,12 +35,18 @@
                     const store_items& items);
     void apply_listing(const store_items& items, boot_time now);
     void apply_changes(const store_items& items);
+    /// Applies what this router has read itself.
+    void apply_reading(registry_state next);
+    /// Replaces the registry and updates the table of targets.
+    void apply(const registry_state& next);
     [[nodiscard]] std::optional<target_entry> decode(const store_item& item);
 
     router_core& core_;
     fleet_state& fleet_;
     std::function<void()> changed_;
     registry_outage outage_;
+    /// Registry that the leader sent last, if this router has read another one since.
+    std::optional<registry_state> leader_registry_;
     bool call_in_flight_ = false;
     boot_time next_read_;
     milliseconds pause_{0};   ///< Last pause after a failed read.
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -112,12 +112,6 @@
     if (!fleet_.leading) {
         apply(*reply, sent_at);
     }
-    if (followed_registry_ == 0) {
-        // `replied` has discarded the registry of the reply, since this router has read a newer
-        // one; another call at once would only return the same registry.
-        next_call_ = core_.now() + detail::sync_retry_delay;
-        return;
-    }
     // The leader delays its reply until state has changed, or for a maximum time.
     next_call_ = {};
     call_leader();
--- a/src/gateway/sync_client.hpp
+++ b/src/gateway/sync_client.hpp
@@ -23,11 +23,10 @@
     void tick(boot_time now);
     /// Makes the next `tick` call the leader without a pause; used when the leader has changed.
     void make_due() { next_call_ = {}; }
-    /// Discard the numbers of the last maps of keys, or of the last registry, received from the
-    /// leader. Must be called after they were read from the store, since a difference to the
-    /// leader's last state does not apply to them.
+    /// Discards the numbers of the last maps of keys received from the leader. Must be called after
+    /// they were read from the store, since a difference to the leader's last state does not apply
+    /// to them.
     void discard_maps() { followed_maps_.clear(); }
-    void discard_registry() { followed_registry_ = 0; }
 
     /// Whether the state that the leader sent contains all recent changes.
     [[nodiscard]] bool is_up_to_date(boot_time now) const;
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -128,6 +128,55 @@
                            router.core.settings.bounds.leave_time));
 }
 
+TEST_CASE(
+    "a router that has read a newer registry does not ask the leader for all of it again "
+    "[registry]") {
+    follower_fixture router;
+    router.answer = [&](const sync_request& request) {
+        sync_reply reply;
+        reply.registry_number = 1;
+        if (request.registry_number != 1) {
+            reply.registry = follower_fixture::whole_registry(5);
+        }
+        reply.store_age_ms = 5000;
+        return reply;
+    };
+    router.reply_time = milliseconds(100);
+    fleet_control control(router.core, router.calls);
+    control.start();
+    router.run_for(milliseconds(3000));
+    CHECK(router.core.state.registry.revision > 5);
+    CHECK(router.requests.size() > 5);
+    CHECK(std::count_if(router.requests.begin(), router.requests.end(),
+                        [](const auto& request) { return request.registry_number == 0; }) <= 1);
+}
+
+TEST_CASE("a difference of the leader is applied to the leader's last registry [registry]") {
+    follower_fixture router;
+    bool leader_has_read = false;
+    router.answer = [&](const sync_request& request) {
+        sync_reply reply;
+        reply.registry_number = leader_has_read ? 2 : 1;
+        if (request.registry_number == 0) {
+            reply.registry = follower_fixture::whole_registry(5);
+            reply.registry_number = 1;
+        } else if (request.registry_number == 1 && leader_has_read) {
+            // In the leader's two registries there is no target t2.
+            reply.registry = registry_update();
+            reply.registry->revision = 99;
+        }
+        reply.store_age_ms = leader_has_read ? 0 : 5000;
+        return reply;
+    };
+    router.store.put("targets/t2", "ready");
+    router.reply_time = milliseconds(100);
+    fleet_control control(router.core, router.calls);
+    control.start();
+    REQUIRE(router.run_until([&] { return router.is_used("t2"); }, milliseconds(4000)));
+    leader_has_read = true;
+    CHECK(router.run_until([&] { return !router.is_used("t2"); }, milliseconds(2000)));
+}
+
 TEST_CASE("a stopping router still learns that a target is leaving [registry]") {
     follower_fixture router;
     router.answer = [&](const sync_request&) {
