Limit what the leader has in transit to its followers

What callers saw: requests on an old registry, sent by the leader itself and by routers that wait for it.

Cause: each change was sent to all 89 followers at once, whether or not they had received the change before. Nothing bounded the queue of the leader's link, and every state in it was old when it arrived.

Fix: replies wait while 128 KB are on their way, that is, to routers that have not called again (nor given up, 0.9 s). A waiting reply is made when it is sent, so that several changes are sent once. The oldest call is answered first. A router that calls again has only one waiting call. Reads of the registry are 0.2 s apart, so that the six states of the leader's history reach back over a call's time.

--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -12,9 +12,9 @@
 // answer that nothing has changed.
 constexpr milliseconds max_wait_for_changes{200};
 constexpr milliseconds wait_timeout = max_wait_for_changes + store_call_time;
-// Minimum interval between reads of the leader, and of a router that reads the registry itself.
-constexpr milliseconds leader_read_interval{50};
-constexpr milliseconds own_read_interval{200};
+// Minimum interval between reads. Changes of this time make one state of the leader's history,
+// which must reach back to the last reply to each router.
+constexpr milliseconds read_interval{200};
 // Interval between the leader's listings, which find changes that were not reported.
 constexpr milliseconds listing_interval{3000};
 // Duration from which a read of the registry is logged.
@@ -35,7 +35,7 @@
         must_list_ || registry.revision == 0 || (fleet_.leading && now >= next_listing_);
     const auto kind = lists ? read_kind::listing : read_kind::changes;
     call_in_flight_ = true;
-    next_read_ = now + (fleet_.leading ? detail::leader_read_interval : detail::own_read_interval);
+    next_read_ = now + detail::read_interval;
     auto done = life_.guard([this, kind, now](std::error_code error, const store_items& items) {
         call_in_flight_ = false;
         on_reading(kind, now, error, items);
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -22,6 +22,11 @@
 constexpr milliseconds evaluation_interval{200};
 constexpr milliseconds work_interval{1000};
 constexpr milliseconds load_line_interval{1000};
+// Size of the replies in transit from which further ones wait. The leader's own calls to the store
+// wait behind them: 0.1 s on a link of 10 Mbit/s. State that changes meanwhile is sent once.
+constexpr std::size_t max_bytes_in_transit = 128U << 10U;
+// Time after which a reply has arrived, or the router has given it up.
+constexpr milliseconds max_transit_time{900};
 // Relative change of a rate or work time below which it is not sent again.
 constexpr double min_relative_change = 0.05;
 // Weight of one answer in a target's mean work time.
@@ -82,9 +87,29 @@
         next_load_line_ = now + detail::load_line_interval;
         log_load();
     }
+    send_due_replies();
+}
+
+std::size_t sync_server::bytes_in_transit(boot_time now) const {
+    std::size_t sum = 0;
+    for (const auto& [host, router] : followers_) {
+        if (now - router.replied_at < detail::max_transit_time) {
+            sum += router.bytes_in_transit;
+        }
+    }
+    return sum;
+}
+
+void sync_server::send_due_replies() {
+    const auto now = core_.now();
+    auto in_transit = bytes_in_transit(now);
     for (auto& waiting : pending_replies_) {
+        if (in_transit >= detail::max_bytes_in_transit) {
+            break;
+        }
         if (now >= waiting.due) {
             reply_to(waiting);
+            in_transit += followers_[waiting.request.host].bytes_in_transit;
         }
     }
     std::erase_if(pending_replies_, [](const auto& waiting) { return !waiting.respond; });
@@ -129,10 +154,13 @@
     pending_reply waiting{std::move(*request), std::move(respond), now,
                           now + detail::max_reply_delay};
     if (is_behind(waiting.request)) {
-        reply_to(waiting);
-    } else {
-        pending_replies_.push_back(std::move(waiting));
+        waiting.due = now;
     }
+    // A router that calls again has given up its last call.
+    std::erase_if(pending_replies_,
+                  [&](const auto& other) { return other.request.host == waiting.request.host; });
+    pending_replies_.push_back(std::move(waiting));
+    send_due_replies();
 }
 
 void sync_server::record_caller(const sync_request& request, boot_time now) {
@@ -157,6 +185,7 @@
         caller.crashes.reset();
         caller.work_ms.clear();
     }
+    caller.bytes_in_transit = 0;
     caller.address = request.address;
     caller.failure_domain = request.failure_domain;
     caller.called_at = now;
@@ -380,6 +409,7 @@
     add_totals(reply);
     ++totals_.replies;
     totals_.bytes += static_cast<std::int64_t>(body.size());
+    caller.bytes_in_transit = body.size();
     respond({200, peer_paths::body_type, std::move(body), {}});
 }
 
@@ -397,10 +427,11 @@
     replies_deferred_ = true;
     core_.defer(life_.guard([this] {
         replies_deferred_ = false;
+        const auto now = core_.now();
         for (auto& waiting : pending_replies_) {
-            reply_to(waiting);
+            waiting.due = std::min(waiting.due, now);
         }
-        pending_replies_.clear();
+        send_due_replies();
     }));
 }
 
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -44,6 +44,8 @@
     struct follower {
         router_evidence evidence;
         boot_time replied_at;  ///< When the leader last replied to the router.
+        /// Size of that reply until the router has called again.
+        std::size_t bytes_in_transit = 0;
         std::string address;
         std::string failure_domain;
         boot_time called_at;  ///< When the router last called.
@@ -59,7 +61,7 @@
         sync_request request;
         internal_server::respond respond;
         boot_time arrived_at;
-        boot_time due;
+        boot_time due;  ///< Earliest time of the reply.
     };
 
     void record_caller(const sync_request& request, boot_time now);
@@ -69,7 +71,11 @@
     void find_crashes(boot_time now);
     /// Logs the work done for followers since the last call.
     void log_load();
+    /// Replies to calls that are due, the oldest first, while few replies are in transit.
+    void send_due_replies();
     void reply_to(pending_reply& waiting);
+    /// Size of the replies that routers may still be receiving.
+    [[nodiscard]] std::size_t bytes_in_transit(boot_time now) const;
     void add_totals(const sync_reply& reply);
     void add_maps(sync_reply& reply, const sync_request& request, boot_time now) const;
     void add_registry(sync_reply& reply, const sync_request& request);
--- /dev/null
+++ b/tests/gateway/sync_server_test.cpp
@@ -0,0 +1,111 @@
+#include "gateway/sync_server.hpp"
+
+#include <doctest/doctest.h>
+
+#include "registry_fixture.hpp"
+
+using namespace mimosavalve::gateway;
+using namespace mimosavalve::gateway::testing;
+
+namespace {
+
+constexpr int followers = 90;
+constexpr std::size_t limit_bytes = 160U << 10U;
+
+/// Leader with many followers, whose calls and replies the test passes on.
+struct server_fixture : registry_fixture {
+    server_fixture()
+        : server(core, fleet,
+                 {[](const auto&) {}, [](sync_reply&) {},
+                  [this]() -> const std::string& { return config_text; }, [] { return false; }}) {
+        core.now = [this] { return now; };
+        core.defer = [](const std::function<void()>& step) { step(); };
+        fleet.leading = true;
+        fleet.leader.epoch = 1;
+        server.begin();
+    }
+
+    void call(int number) {
+        sync_request request;
+        request.host = "r" + std::to_string(number);
+        request.epoch = 1;
+        request.registry_number = received[number];
+        server.serve(encode(request), [this, number](const internal_answer& answer) {
+            const auto reply = decode_sync_reply(answer.body);
+            REQUIRE(reply);
+            received[number] = reply->registry_number;
+            ++replies;
+            bytes += answer.body.size();
+            in_transit.push_back(number);
+        });
+    }
+    /// Each follower gets a first reply and then waits for a change.
+    void begin_following() {
+        for (int number = 0; number < followers; ++number) {
+            call(number);
+            call(number);
+        }
+        in_transit.clear();
+        replies = 0;
+        bytes = 0;
+    }
+    void change_targets(int version) {
+        for (int number = 0; number < 200; ++number) {
+            target_entry entry;
+            entry.id = "t" + std::to_string(number);
+            entry.started_unix_ms = static_cast<std::uint64_t>(version);
+            core.state.registry.targets.insert_or_assign(entry.id, entry);
+        }
+        ++core.state.registry.revision;
+        server.on_registry_change();
+        server.on_state_change();
+    }
+
+    boot_time now = boot_clock::now();
+    std::string config_text;
+    fleet_state fleet;
+    sync_server server;
+    std::map<int, std::uint64_t> received;  ///< Numbers of the registries of the followers.
+    std::vector<int> in_transit;            ///< Followers that have not called since their reply.
+    int replies = 0;
+    std::size_t bytes = 0;
+};
+
+}  // namespace
+
+TEST_CASE("a leader does not fill its link with replies when its state changes [sync_server]") {
+    server_fixture leader;
+    leader.begin_following();
+    leader.change_targets(1);
+    CHECK(leader.replies > 0);
+    CHECK(leader.bytes <= limit_bytes);
+}
+
+TEST_CASE("all followers get the newest state although few replies are in transit [sync_server]") {
+    server_fixture leader;
+    leader.begin_following();
+    for (int version = 1; version <= 3; ++version) {
+        leader.change_targets(version);
+    }
+    while (!leader.in_transit.empty()) {
+        const auto number = leader.in_transit.front();
+        leader.in_transit.erase(leader.in_transit.begin());
+        leader.call(number);
+    }
+    for (const auto& [number, registry] : leader.received) {
+        CHECK(registry == leader.received[0]);
+    }
+    CHECK(leader.received.size() == followers);
+    CHECK(leader.replies < 2 * followers);
+}
+
+TEST_CASE("a follower that has vanished does not hold up the replies to others [sync_server]") {
+    server_fixture leader;
+    leader.begin_following();
+    leader.change_targets(1);
+    const auto replies_before = leader.replies;
+    REQUIRE(replies_before < followers);
+    leader.now += milliseconds(1000);
+    leader.server.tick(leader.now);
+    CHECK(leader.replies > replies_before);
+}
