Look at the target again before a request goes out on a new connection

What callers saw: requests sent to targets that had left, and look-ups answered 421, by routers that knew better.

Cause: the target was chosen, its connection was opened (up to 0.3 s, or as long as the process did not run), and the request was written without another look at the state.

Fix: once the connection is open, the target must still be one that may get requests, in the instance that was chosen, and hold the key. Otherwise nothing is sent and a target is chosen anew; this costs no attempt. Requests that wait, are refused or are repeated already choose at each dispatch, and a kept connection is used at the choice.

Both tests failed on the code before: path_test.cpp: CHECK( path.target.received[0].find("Expected: t2") != std::string::npos ) is NOT correct!, twice (target that starts to leave, key that moves), and CHECK( ... open_connections == 0 ) is NOT correct!

Not covered: a router that was frozen and has not read the registry since looks at the state from before.

--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -118,6 +118,11 @@
 /// domains. Targets with about equal times take turns.
 target_choice choose_target(routing_state& state, const choice_request& request, boot_time now);
 
+/// Whether a request may still be sent to the target that was chosen for it: new requests may be
+/// sent there, and it owns the key of a keyed request.
+bool is_still_eligible(const routing_state& state, const target_state& target,
+                       const choice_request& request, boot_time now);
+
 /// Maximum number of requests that this router may have at the target at a time, by the target's
 /// slots and connections; concurrency quotas are not considered.
 std::uint32_t own_concurrency_limit(const routing_state& state, const target_state& target,
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -312,11 +312,25 @@
                 on_connection_lost(make_error_code(errc::target_unreachable));
                 return;
             }
-            send_on(std::make_unique<target_link>(std::move(connection),
-                                                  core_.platform.headers.request_id));
+            send_on_new(std::move(connection));
         });
 }
 
+void exchange::send_on_new(std::unique_ptr<stream> connection) {
+    const auto* target = current_target();
+    const choice_request request{&*route_, service_, key_, tried_targets_};
+    if (target != nullptr && is_still_eligible(core_.state, *target, request, boot_clock::now())) {
+        send_on(std::make_unique<target_link>(std::move(connection),
+                                              core_.platform.headers.request_id));
+        return;
+    }
+    count(core_.metrics, "targets_chosen_again");
+    core_.log.write("target_chosen_again",
+                    {{"request", id_}, {"target", target_id_}, {"age_ms", age_ms()}});
+    detach_from_target();
+    dispatch();
+}
+
 std::string exchange::request_head() const {
     const auto& names = core_.platform.headers;
     std::string text = head_.method + " " + head_.request_target + " HTTP/1.1\r\n";
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -76,6 +76,9 @@
     /// Estimates the wait for room at the targets that may run the request.
     [[nodiscard]] wait_estimate estimate_wait() const;
     void open_link(target_state& target);
+    /// Sends the request on a connection that has been opened for it, unless the target may no
+    /// longer get it: then another one is chosen.
+    void send_on_new(std::unique_ptr<stream> connection);
     void send_on(std::unique_ptr<target_link> link);
     void send_body();
     [[nodiscard]] std::string request_head() const;
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -318,6 +318,23 @@
     return std::min(by_slots, by_connections);
 }
 
+bool is_still_eligible(const routing_state& state, const target_state& target,
+                       const choice_request& request, boot_time now) {
+    if (!can_send_to(state, target, now)) {
+        return false;
+    }
+    const auto kind = state.config.services.find(std::string(request.service));
+    if (kind == state.config.services.end() || !kind->second.keyed || !request.key) {
+        return true;
+    }
+    const auto map = state.keys.find(request.service);
+    if (map == state.keys.end()) {
+        return false;
+    }
+    const auto& segment = segment_of(map->second, *request.key);
+    return !segment.moving && segment.owner == target.entry.id;
+}
+
 target_choice choose_target(routing_state& state, const choice_request& request, boot_time now) {
     const auto kind = state.config.services.find(std::string(request.service));
     if (kind == state.config.services.end()) {
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -207,6 +207,52 @@
     CHECK(answer.find("hello") != std::string::npos);
 }
 
+TEST_CASE("a target that starts to leave while its connection opens gets no request [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    auto second = path.core.state.registry.targets.at("t1");
+    second.id = "t2";
+    path.target.script = {good_answer};
+    path.post("r1");
+    const auto& first = *path.core.state.targets.at("t1");
+    for (int round = 0; round < 1000 && first.running == 0; ++round) {
+        path.context.run_one_for(milliseconds(5));
+        path.context.restart();
+    }
+    REQUIRE(first.running == 1);
+    REQUIRE(path.target.received.empty());
+    path.core.state.registry.targets["t1"].leaving = true;
+    path.core.state.registry.targets.emplace("t2", second);
+    update_targets(path.core.state, boot_clock::now());
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+    REQUIRE(path.target.received.size() == 1);
+    CHECK(path.target.received[0].find("Expected: t2") != std::string::npos);
+    CHECK(path.core.state.targets.at("t1")->running == 0);
+    CHECK(path.core.state.targets.at("t1")->open_connections == 0);
+}
+
+TEST_CASE("a key that moves while a connection opens is asked at its new owner [path]") {
+    path_fixture path(request_kind::idempotent);
+    path.core.state.config.services["orders"].keyed = true;
+    auto second = path.core.state.registry.targets.at("t1");
+    second.id = "t2";
+    path.core.state.registry.targets.emplace("t2", second);
+    update_targets(path.core.state, boot_clock::now());
+    auto& keys = path.core.state.keys["orders"];
+    assign(keys, {0, key_count - 1, "t1", 1, false, 1, 0});
+    path.target.script = {good_answer};
+    path.send("GET /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nKey: 7\r\n\r\n");
+    const auto& first = *path.core.state.targets.at("t1");
+    for (int round = 0; round < 1000 && first.running == 0; ++round) {
+        path.context.run_one_for(milliseconds(5));
+        path.context.restart();
+    }
+    REQUIRE(path.target.received.empty());
+    assign(keys, {0, key_count - 1, "t2", 2, false, 2, 0});
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+    REQUIRE(path.target.received.size() == 1);
+    CHECK(path.target.received[0].find("Expected: t2") != std::string::npos);
+}
+
 TEST_CASE("a non-idempotent request whose answer is lost is not sent again [path]") {
     path_fixture path(request_kind::non_idempotent);
     path.target.script = {"CLOSE", good_answer};
