Keep missing targets only after a real outage of the store

Cause: any failed read of the registry, also a single one that a busy router did not get answered in time, began the grace period in which missing entries are kept (2.5 s after the last failure): as long as the time in which a leaving target may get requests, on top of the time to learn of it.

Fix: the grace period begins only if no call to the store has succeeded for 0.7 s. A live target writes its entry about every second, and it expires when three writes are missing, so none expires in less. The time is counted from the first failed call (store_lost_at), and a call that succeeds in between, such as a renewal of the lease, ends the outage.

"a target that left the registry during an outage of the store is kept for a while" passed before and passes now.

--- a/include/mimosavalve/gateway/target_registry.hpp
+++ b/include/mimosavalve/gateway/target_registry.hpp
@@ -51,7 +51,7 @@
 /// platform's documentation of service discovery says "about two seconds").
 inline constexpr milliseconds entry_rewrite_time{2500};
 
-/// Records a failed read of the registry and restarts the grace period.
+/// Records that the store is or was unavailable, and restarts the grace period.
 void record_registry_outage(registry_outage& outage, boot_time now);
 
 /// Returns the state after a snapshot. A snapshot older than the state changes nothing. Entries
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -19,6 +19,7 @@
     leader_identity leader;          ///< Current leader; epoch 0: unknown.
     std::uint64_t newest_epoch = 0;  ///< Highest epoch of any leader that this router has received.
     bool store_responsive = true;    ///< Whether the last call to the store was answered.
+    boot_time store_lost_at;         ///< Since when it is not responsive.
     /// When this router last confirmed to any leader that it has received the announcement of long
     /// holds.
     std::optional<boot_time> long_holds_reported_at;
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds read_interval{200};
 // Interval between the leader's listings, which find changes that were not reported.
 constexpr milliseconds listing_interval{3000};
+// Duration of an outage of the store from which entries of live targets may expire: these write
+// them about every second, and an entry expires when three writes are missing.
+constexpr milliseconds min_outage{700};
 // Duration from which a read of the registry is logged.
 constexpr milliseconds slow_read_time{300};
 
@@ -70,7 +73,7 @@
         next_read_ = now;
         return;
     }
-    if (error || !fleet_.store_responsive) {
+    if (!fleet_.store_responsive && now - fleet_.store_lost_at >= detail::min_outage) {
         record_registry_outage(outage_, now);
         must_list_ = true;
     }
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -88,6 +88,16 @@
     CHECK(router.store.registry_calls - calls_before <= 2);
 }
 
+TEST_CASE("one failed read does not keep a target that is gone [registry]") {
+    leader_fixture router;
+    REQUIRE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+    router.store.lost_registry_calls = 1;
+    REQUIRE(router.run_until([&] { return router.store.lost_registry_calls == 0; },
+                             milliseconds(2000)));
+    router.store.put("targets/t1", "");
+    CHECK(router.run_until([&] { return !router.is_used("t1"); }, milliseconds(2000)));
+}
+
 TEST_CASE(
     "a target that left the registry during an outage of the store is kept for a while "
     "[registry]") {
