Bound what is kept of bytes without end

What callers would see: a router that grows until it is killed, and takes their requests with it.

Cause: a body without the target's signature was kept up to the parser's limit of 64 MB per request, on hosts of 160 MB. The line that begins a chunk had no limit at all. A long answer was read as fast as the target sent it, whether or not the caller read it.

Fix: an answer that is not the target's is given up at 128 KB, as a lost connection (502, may have run). A parser accepts at most its maximum size of a head as unfinished bytes, for all uses of it: answers, callers' requests, calls between routers, to the store and to targets. Reading from a target stops while 256 KB wait for the caller. The request's time ends the answer as before, and resets the connection.

Tests in path_test.cpp, with a target that sends until it is closed.

--- a/include/mimosavalve/gateway/http_message.hpp
+++ b/include/mimosavalve/gateway/http_message.hpp
@@ -74,7 +74,8 @@
     };
 
     /// Parses received bytes. The caller passes bytes that were not consumed again, followed by
-    /// those received after them.
+    /// those received after them. At most `message_limits::max_header_bytes` of an unfinished
+    /// message are not consumed; more are an error.
     result feed(std::string_view bytes);
 
     /// Ends the message because the sender has closed the connection. Returns false if the message
--- a/include/mimosavalve/gateway/target_link.hpp
+++ b/include/mimosavalve/gateway/target_link.hpp
@@ -31,6 +31,8 @@
     void begin_request(std::string_view head, std::string request_id, bool expects_body,
                        callbacks handlers);
     void write(std::string_view data);
+    /// Stops or continues the reading of the answer.
+    void set_reading_enabled(bool enabled) { connection_->set_reading_enabled(enabled); }
 
     /// Number of bytes that the kernel has not accepted yet.
     [[nodiscard]] std::size_t queued_bytes() const { return connection_->queued_bytes(); }
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -23,6 +23,8 @@
                                 [this] {
                                     if (is_closing_) {
                                         close();
+                                    } else if (exchange_) {
+                                        exchange_->resume_answer();
                                     }
                                 },
                                 [this](std::error_code) { on_caller_left(); }});
@@ -123,6 +125,7 @@
             connection_->set_reading_enabled(true);
         }
     };
+    sink.unsent_bytes = [this] { return connection_->queued_bytes(); };
     exchange_ = std::make_unique<exchange>(core_, std::move(head), std::move(sink));
     exchange_->start();
     if (expects_continue && !exchange_->is_done()) {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t max_whole_answer_bytes = 128U << 10U;
 // Number of unsent body bytes at which the router stops reading from the caller.
 constexpr std::size_t max_unsent_body_bytes = 256U << 10U;
+// Number of unsent bytes of an answer at which the router stops reading from the target.
+constexpr std::size_t max_unsent_answer_bytes = 256U << 10U;
 // The kernel repeats a lost SYN packet only after seconds; trying another target is faster.
 constexpr milliseconds connect_timeout{300};
 constexpr std::uint32_t max_connects = 3;
@@ -503,13 +505,26 @@
 void exchange::on_answer_body(std::string_view data) {
     answer_body_.append(data);
     const bool is_signed = has_field(answer_, core_.platform.headers.signature);
-    if (!is_streaming_ && answer_body_.size() > detail::max_whole_answer_bytes && is_signed) {
+    if (!is_streaming_ && answer_body_.size() > detail::max_whole_answer_bytes) {
+        if (!is_signed) {
+            on_connection_lost(make_error_code(errc::malformed_message));
+            return;
+        }
         is_streaming_ = true;
         sink_.send_part(answer_head(answer_, answer_.content_length));
     }
     if (is_streaming_) {
         sink_.send_part(std::move(answer_body_));
         answer_body_.clear();
+        if (sink_.unsent_bytes() > detail::max_unsent_answer_bytes) {
+            link_->set_reading_enabled(false);
+        }
+    }
+}
+
+void exchange::resume_answer() {
+    if (is_streaming_ && link_) {
+        link_->set_reading_enabled(true);
     }
 }
 
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -27,6 +27,8 @@
     std::function<void()> abort;
     /// Reports that `exchange::should_read_body` may have changed.
     std::function<void()> room_changed;
+    /// Number of bytes of the answer that the caller has not accepted yet.
+    std::function<std::size_t()> unsent_bytes;
 };
 
 /// Forwards one request of a caller to a target, and the answer back.
@@ -47,6 +49,9 @@
     /// Whether more of the request body should be read from the caller now.
     [[nodiscard]] bool should_read_body() const;
 
+    /// Continues to read a long answer, since the caller has accepted all parts of it.
+    void resume_answer();
+
     /// Ends the exchange because the caller has closed its connection.
     void cancel();
 
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -115,7 +115,8 @@
 }
 
 template <typename Parser>
-message_parser::result feed_parser(Parser& parser, std::string_view bytes) {
+message_parser::result feed_parser(Parser& parser, std::string_view bytes,
+                                   std::size_t max_unparsed_bytes) {
     message_parser::result result;
     // Each call of `put` parses at most one element of a chunked body.
     while (!parser.is_done() && result.consumed < bytes.size()) {
@@ -128,6 +129,11 @@
             break;
         }
     }
+    // The parser limits a head, but not the line that begins a chunk.
+    if (result.error == parse_error::none && !parser.is_done() &&
+        bytes.size() - result.consumed > max_unparsed_bytes) {
+        result.error = parse_error::header_too_large;
+    }
     return result;
 }
 
@@ -136,11 +142,13 @@
 struct message_parser::implementation {
     std::unique_ptr<detail::collecting_parser<true>> request;
     std::unique_ptr<detail::collecting_parser<false>> answer;
+    std::size_t max_unparsed_bytes = 0;
 };
 
 message_parser::message_parser(message_kind kind, const message_limits& limits,
                                message_events events)
     : implementation_(std::make_unique<implementation>()) {
+    implementation_->max_unparsed_bytes = limits.max_header_bytes;
     const auto set_limits = [&](auto& parser) {
         parser.header_limit(limits.max_header_bytes);
         parser.body_limit(limits.max_body_bytes);
@@ -161,8 +169,10 @@
 message_parser& message_parser::operator=(message_parser&&) noexcept = default;
 
 message_parser::result message_parser::feed(std::string_view bytes) {
-    return implementation_->request ? detail::feed_parser(*implementation_->request, bytes)
-                                    : detail::feed_parser(*implementation_->answer, bytes);
+    const auto max_unparsed_bytes = implementation_->max_unparsed_bytes;
+    return implementation_->request
+               ? detail::feed_parser(*implementation_->request, bytes, max_unparsed_bytes)
+               : detail::feed_parser(*implementation_->answer, bytes, max_unparsed_bytes);
 }
 
 bool message_parser::finish() {
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -78,7 +78,9 @@
     };
     events.body = [this](std::string_view part) {
         if (!is_answer_to_other_request_ && callbacks_.body) {
-            callbacks_.body(part);
+            // A copy, since the handler may end the request and so replace the callbacks.
+            const auto body = callbacks_.body;
+            body(part);
         }
     };
     parser_ = std::make_unique<message_parser>(message_kind::answer, message_limits{}, events);
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -14,8 +14,11 @@
 
 namespace {
 
+constexpr std::string_view endless = "ENDLESS";
+
 /// Target that answers each request with the next scripted text; "CLOSE" closes the connection, and
-/// an empty text sends nothing.
+/// an empty text sends nothing. After a text that begins with "ENDLESS", the rest of the text and
+/// then filler are sent until the connection is closed.
 class scripted_target {
 public:
     explicit scripted_target(boost::asio::io_context& context)
@@ -30,6 +33,8 @@
 
     std::vector<std::string> script;
     std::vector<std::string> received;  ///< Received bytes of each request.
+    std::size_t filler_bytes = 0;       ///< Accepted by the kernel, of all connections.
+    int endless_connections = 0;        ///< Open connections on which filler is sent.
     int connections = 0;
 
 private:
@@ -66,10 +71,23 @@
         if (answer == "CLOSE") {
             from.set_reading_enabled(false);
             from.close();
+        } else if (answer.starts_with(endless)) {
+            ++endless_connections;
+            from.set_callbacks({[this, &from] { read(from); }, [this, &from] { send_filler(from); },
+                                [this](std::error_code) { --endless_connections; }});
+            from.write(answer.substr(endless.size()));
+            send_filler(from);
         } else if (!answer.empty()) {
             from.write(answer);
         }
     }
+    void send_filler(stream& to) {
+        const std::string filler(std::size_t{256} << 10U, 'x');
+        while (to.is_open() && to.queued_bytes() == 0) {
+            to.write(filler);
+            filler_bytes += filler.size();
+        }
+    }
 
     std::vector<std::unique_ptr<stream>> connections_;
     listener listener_;
@@ -82,11 +100,12 @@
         : log(open("/dev/null", O_WRONLY | O_CLOEXEC)),
           target(context),
           core(context, {}, log),
-          caller_listener(context, {boost::asio::ip::address_v4::loopback(), 0},
-                          [this](std::unique_ptr<stream> connection) {
-                              sessions.push_back(std::make_unique<caller_session>(
-                                  core, std::move(connection), [](caller_session*) {}));
-                          }),
+          caller_listener(
+              context, {boost::asio::ip::address_v4::loopback(), 0},
+              [this](std::unique_ptr<stream> connection) {
+                  sessions.push_back(std::make_unique<caller_session>(
+                      core, std::move(connection), [this](caller_session*) { ++closed_sessions; }));
+              }),
           caller(context) {
         core.platform.headers = {"Request-Id", "Deadline", "Signature", "Expected", "Target",
                                  "Load",       "Not-Run",  "Cold",      "Key",      "Retry-After"};
@@ -172,10 +191,15 @@
     scripted_target target;
     router_core core;
     std::vector<std::unique_ptr<caller_session>> sessions;
+    int closed_sessions = 0;
     listener caller_listener;
     tcp::socket caller;
 };
 
+// More than the kernel buffers of a connection hold.
+constexpr std::size_t max_filler_bytes = std::size_t{24} << 20U;
+const std::string chunked_answer =
+    "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string good_answer =
     "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\nhello";
 
@@ -476,3 +500,66 @@
           200'000);
     CHECK(text.ends_with("0\r\n\r\n"));
 }
+
+TEST_CASE("a head without end is not read on [path]") {
+    for (const std::string start :
+         {"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nFiller: ", "no answer "}) {
+        path_fixture path(request_kind::non_idempotent);
+        path.target.script = {std::string(endless) + start};
+        path.post("r1");
+        CHECK(path.receive("\r\n\r\n").find("502") != std::string::npos);
+        path.settle();
+        CHECK(path.target.endless_connections == 0);
+        CHECK(path.target.filler_bytes < max_filler_bytes);
+    }
+}
+
+TEST_CASE("a body without end and without the target's signature is not kept [path]") {
+    for (const std::string status : {"200 OK", "500 Failed"}) {
+        path_fixture path(request_kind::non_idempotent);
+        path.target.script = {std::string(endless) + "HTTP/1.1 " + status +
+                              "\r\nRequest-Id: $ID\r\n\r\n"};
+        path.post("r1");
+        CHECK(path.receive("\r\n\r\n").find("502") != std::string::npos);
+        path.settle();
+        CHECK(path.target.endless_connections == 0);
+        CHECK(path.target.filler_bytes < max_filler_bytes);
+    }
+}
+
+TEST_CASE("a chunk extension without end is not kept [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {std::string(endless) + chunked_answer + "5;extension="};
+    path.post("r1");
+    CHECK(path.receive("\r\n\r\n").find("502") != std::string::npos);
+    path.settle();
+    CHECK(path.target.endless_connections == 0);
+    CHECK(path.target.filler_bytes < max_filler_bytes);
+}
+
+TEST_CASE("a body without end waits for a caller that does not read, and ends in time [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {std::string(endless) +
+                          "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\n\r\n"};
+    path.post("r1");
+    path.context.run_for(milliseconds(500));
+    path.context.restart();
+    CHECK(path.target.endless_connections == 1);
+    CHECK(path.target.filler_bytes < max_filler_bytes);
+    path.expire_all();
+    path.settle();
+    CHECK(path.target.endless_connections == 0);
+    CHECK(path.closed_sessions == 1);
+}
+
+TEST_CASE("a long answer arrives whole at a caller that begins to read late [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    const std::string body = std::string(std::size_t{8} << 20U, 'y') + "END";
+    path.target.script = {"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: " +
+                          std::to_string(body.size()) + "\r\n\r\n" + body};
+    path.post("r1");
+    path.context.run_for(milliseconds(200));
+    path.context.restart();
+    const auto answer = path.receive("yEND");
+    CHECK(std::count(answer.begin(), answer.end(), 'y') == std::ptrdiff_t{8} << 20U);
+}
