Keep enough states for routers that get a reply every few seconds

What callers saw: a new leader with 10 Mbit/s that stayed busy: all of its replies held the whole registry (40 to 72 of 27 KB a second, six seconds after it had taken over), so that each follower got a reply every two seconds and its targets late.

Cause: the leader kept six states. Once a reply to each router takes longer than six changes (1.2 s while targets are replaced), the state that a router has is never kept any more, and the next reply is whole again, and slow.

Fix: 32 states, 6 s of such changes. Only the leader keeps them.

The test failed on the code before: state_update_test.cpp: REQUIRE( history.find(1) != nullptr ) is NOT correct!

--- a/include/mimosavalve/gateway/state_update.hpp
+++ b/include/mimosavalve/gateway/state_update.hpp
@@ -75,9 +75,9 @@
     }
 
 private:
-    // A router calls again within a few hundred milliseconds, and a leader changes a map a few
-    // times a second.
-    static constexpr std::size_t max_states = 6;
+    // A state is added about every 0.2 s while targets are replaced, and a router far from a busy
+    // leader gets a reply every few seconds. A whole state for each reply would keep the leader busy.
+    static constexpr std::size_t max_states = 32;
 
     struct numbered {
         std::uint64_t number = 0;
--- a/tests/gateway/state_update_test.cpp
+++ b/tests/gateway/state_update_test.cpp
@@ -123,3 +123,13 @@
     CHECK(decoded->registry->entries == reply.registry->entries);
     CHECK(decoded->registry->removed == reply.registry->removed);
 }
+
+TEST_CASE("a router that gets a reply every few seconds still gets differences [state_update]") {
+    state_history<int> history;
+    constexpr int states_of_five_seconds = 25;
+    for (int state = 0; state <= states_of_five_seconds; ++state) {
+        history.add(state);
+    }
+    REQUIRE(history.find(1) != nullptr);
+    CHECK(*history.find(1) == 0);
+}
