Let an answer of the store arrive whole when it takes longer than a call

What callers saw: requests routed by an old configuration, and a registry that was not read for 3 s and more, after an outage of the store.

Fix: the deadline of a read of the store is for an answer that does not come. One that is arriving may arrive for 4 s more, with pauses of at most 0.8 s. Writes, renewals of leases, grants and calls between routers keep their deadlines, since others rely on these.

--- a/include/mimosavalve/gateway/call_client.hpp
+++ b/include/mimosavalve/gateway/call_client.hpp
@@ -23,6 +23,8 @@
     std::string body;
     std::vector<header_field> fields;  ///< Fields besides Host, Content-Length and Content-Type.
     std::string host;                  ///< Value of Host; the endpoint if empty.
+    /// An answer that is arriving when the call's deadline passes may arrive until then.
+    std::chrono::steady_clock::time_point transfer_deadline{};
 };
 
 struct call_answer {
@@ -53,6 +55,7 @@
     void open_connection(pending_call& pending, bool fresh_only);
     void send_request(pending_call& pending, std::unique_ptr<stream> connection, bool reused);
     void read(pending_call& pending);
+    void arm_timer(pending_call& pending, call_deadline until);
     void finish(pending_call& pending, std::error_code error);
     void start_next_queued(const tcp::endpoint& to);
 
--- a/include/mimosavalve/gateway/platform_port.hpp
+++ b/include/mimosavalve/gateway/platform_port.hpp
@@ -70,6 +70,10 @@
     std::vector<std::string> removals;
 };
 
+/// Time after the deadline of a read within which an answer that is arriving may arrive: a large
+/// configuration takes long while all routers of a region read it over one link.
+inline constexpr milliseconds store_transfer_time{4000};
+
 /// The platform's store. After `errc::store_unavailable` (no answer) a write may have taken effect,
 /// or may still take effect seconds later. After `errc::store_refused` nothing was done.
 struct metadata_store {
--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -17,6 +17,8 @@
 // during the call; one that ends earlier, to have been closed by the server while it was idle.
 constexpr std::chrono::milliseconds idle_close_delay{200};
 constexpr std::size_t call_read_bytes = 16384;
+// Maximum pause in an answer that arrives after the call's deadline.
+constexpr std::chrono::milliseconds max_transfer_pause{800};
 constexpr std::uint64_t max_answer_bytes = 16ULL << 20U;
 
 std::string request_text_of(const call& request, const tcp::endpoint& to) {
@@ -53,6 +55,7 @@
     bool reused = false;
     std::chrono::steady_clock::time_point sent_at;
     bool started = false;
+    bool has_progressed = false;  ///< Bytes have arrived since the timer was armed.
 
     explicit pending_call(boost::asio::io_context& context) : timer(context) {}
 };
@@ -69,14 +72,8 @@
     added->request = std::move(request);
     added->deadline = deadline;
     added->done = std::move(done);
-    added->timer.expires_at(deadline);
     const auto number = added->number;
-    added->timer.async_wait([this, number](auto error) {
-        const auto found = error ? pending_calls_.end() : pending_calls_.find(number);
-        if (found != pending_calls_.end()) {
-            finish(*found->second, make_error_code(std::errc::timed_out));
-        }
-    });
+    arm_timer(*added, deadline);
     auto& placed = *pending_calls_.emplace(number, std::move(added)).first->second;
     auto& state = endpoints_[to];
     if (state.active_calls < max_connections_) {
@@ -88,6 +85,26 @@
     }
 }
 
+void call_client::arm_timer(pending_call& pending, call_deadline until) {
+    pending.has_progressed = false;
+    pending.timer.expires_at(until);
+    pending.timer.async_wait([this, number = pending.number](auto error) {
+        const auto found = error ? pending_calls_.end() : pending_calls_.find(number);
+        if (found == pending_calls_.end()) {
+            return;
+        }
+        auto& late = *found->second;
+        const auto now = std::chrono::steady_clock::now();
+        if (late.has_progressed && now < late.request.transfer_deadline) {
+            // Another call would only transfer the same bytes again.
+            arm_timer(late,
+                      std::min(now + detail::max_transfer_pause, late.request.transfer_deadline));
+        } else {
+            finish(late, make_error_code(std::errc::timed_out));
+        }
+    });
+}
+
 void call_client::start_next_queued(const tcp::endpoint& to) {
     auto& state = endpoints_[to];
     while (!state.queued.empty()) {
@@ -172,6 +189,7 @@
         finish(pending, got.error ? got.error : make_error_code(std::errc::connection_reset));
         return;
     }
+    pending.has_progressed = true;
     pending.input.append(chunk.data(), got.bytes);
     const auto fed = pending.parser->feed(pending.input);
     pending.input.erase(0, fed.consumed);
--- /dev/null
+++ b/tests/gateway/call_client_test.cpp
@@ -0,0 +1,100 @@
+#include "mimosavalve/gateway/call_client.hpp"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+#include "gateway/internal_server.hpp"
+#include "gateway/lifetime.hpp"
+
+using namespace mimosavalve::gateway;
+
+namespace {
+
+/// Server that sends an answer of `parts` parts, one every 50 ms.
+class slow_server {
+public:
+    explicit slow_server(boost::asio::io_context& context)
+        : context_(context),
+          listener_(context, {boost::asio::ip::address_v4::loopback(), 0},
+                    [this](std::unique_ptr<stream> connection) {
+                        connections_.push_back(std::move(connection));
+                        run_after(context_, milliseconds(20), life_, [this] { send_head(); });
+                    }) {}
+
+    [[nodiscard]] tcp::endpoint address() const { return listener_.address(); }
+
+    int parts = 0;
+    int announced_parts = 0;
+
+private:
+    void send_head() {
+        connections_.back()->write(
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(announced_parts) + "\r\n\r\n");
+        send_part(0);
+    }
+    void send_part(int sent) {
+        if (sent == parts) {
+            return;
+        }
+        connections_.back()->write("x");
+        run_after(context_, milliseconds(50), life_, [this, sent] { send_part(sent + 1); });
+    }
+
+    boost::asio::io_context& context_;
+    listener listener_;
+    std::vector<std::unique_ptr<stream>> connections_;
+    lifetime life_;
+};
+
+struct outcome {
+    std::optional<std::error_code> error;
+    std::size_t body_bytes = 0;
+    milliseconds took{0};
+};
+
+/// Calls with a deadline of 200 ms and, for an arriving answer, 1500 ms.
+outcome call_server(int parts, int announced_parts) {
+    boost::asio::io_context context;
+    slow_server server(context);
+    server.parts = parts;
+    server.announced_parts = announced_parts;
+    call_client client(context);
+    outcome result;
+    const auto began = std::chrono::steady_clock::now();
+    client.send(server.address(), {"GET", "/", "", "", {}, {}, began + milliseconds(1500)},
+                began + milliseconds(200), [&](std::error_code error, const call_answer& answer) {
+                    result = {error, answer.body.size(),
+                              std::chrono::duration_cast<milliseconds>(
+                                  std::chrono::steady_clock::now() - began)};
+                });
+    for (int round = 0; round < 600 && !result.error; ++round) {
+        context.run_for(milliseconds(5));
+        context.restart();
+    }
+    return result;
+}
+
+}  // namespace
+
+TEST_CASE("a large answer that is arriving is not given up at the deadline [call_client]") {
+    const auto result = call_server(12, 12);
+    REQUIRE(result.error);
+    CHECK_FALSE(*result.error);
+    CHECK(result.body_bytes == 12);
+}
+
+TEST_CASE("an answer that stops arriving is given up [call_client]") {
+    const auto result = call_server(2, 12);
+    REQUIRE(result.error);
+    CHECK(*result.error == std::errc::timed_out);
+    CHECK(result.took < milliseconds(1400));
+}
+
+TEST_CASE("an answer that never ends is given up at the transfer deadline [call_client]") {
+    const auto result = call_server(1000, 1000);
+    REQUIRE(result.error);
+    CHECK(*result.error == std::errc::timed_out);
+    CHECK(result.took >= milliseconds(1400));
+    CHECK(result.took < milliseconds(2000));
+}
