List the targets before changes are applied that an outage may have caused

The test failed before: registry_test.cpp, "a target whose end is the first news after an outage of the store is kept for a while": CHECK( router.is_used("t1") ) is NOT correct!

Besides, the timeout of a call to the leader is one constant, which the leader uses as well.

--- a/src/gateway/control_timing.hpp
+++ b/src/gateway/control_timing.hpp
@@ -9,6 +9,8 @@
 
 // Timeout of one call to the store, which normally answers within a few milliseconds.
 constexpr milliseconds store_call_time{800};
+// Timeout of a router's call to its leader, which delays its reply until state has changed.
+constexpr milliseconds sync_call_time{900};
 // The pause after failed calls doubles up to `max_pause`: every refused call is charged, and adds
 // load to a store that already has a fault.
 constexpr milliseconds min_pause{200};
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -84,6 +84,10 @@
         return;
     }
     pause_ = {};
+    if (kind == read_kind::changes && must_list_) {
+        next_read_ = now;
+        return;
+    }
     core_.state.registry_known_at = std::max(core_.state.registry_known_at, began_at);
     if (kind == read_kind::listing) {
         apply_listing(items, now);
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -9,7 +9,6 @@
 
 // Age of the leader's state from which a router reads the owners of keys itself.
 constexpr milliseconds max_state_age{900};
-constexpr milliseconds sync_timeout{900};
 constexpr milliseconds sync_retry_delay{150};
 // Consecutive failed calls after which `leader_silent` is logged; single calls are lost
 // occasionally.
@@ -83,7 +82,7 @@
     auto body = encode(make_request());
     count(core_.metrics, "sync_bytes_sent", body.size());
     calls_.send(*to, {"POST", peer_paths::sync, peer_paths::body_type, std::move(body), {}, {}},
-                detail::deadline_in(detail::sync_timeout),
+                detail::deadline_in(detail::sync_call_time),
                 life_.guard([this, epoch = fleet_.leader.epoch, sent_at = core_.now()](
                                 std::error_code error, const call_answer& answer) {
                     call_in_flight_ = false;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "control_timing.hpp"
 #include "peer_paths.hpp"
 #include "sync_client.hpp"
 
@@ -25,8 +26,6 @@
 // Size of the replies in transit from which further ones wait. The leader's own calls to the store
 // wait behind them: 0.1 s on a link of 10 Mbit/s. State that changes meanwhile is sent once.
 constexpr std::size_t max_bytes_in_transit = 128U << 10U;
-// Time after which a reply has arrived, or the router has given it up.
-constexpr milliseconds max_transit_time{900};
 // Relative change of a rate or work time below which it is not sent again.
 constexpr double min_relative_change = 0.05;
 // Weight of one answer in a target's mean work time.
@@ -93,7 +92,8 @@
 std::size_t sync_server::bytes_in_transit(boot_time now) const {
     std::size_t sum = 0;
     for (const auto& [host, router] : followers_) {
-        if (now - router.replied_at < detail::max_transit_time) {
+        // Later, the router has received the reply or given up the call.
+        if (now - router.replied_at < detail::sync_call_time) {
             sum += router.bytes_in_transit;
         }
     }
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -112,6 +112,19 @@
     CHECK(router.run_until([&] { return !router.is_used("t1"); }, milliseconds(5000)));
 }
 
+TEST_CASE(
+    "a target whose end is the first news after an outage of the store is kept for a while "
+    "[registry]") {
+    leader_fixture router;
+    REQUIRE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+    router.fleet.store_responsive = false;
+    router.fleet.store_lost_at = router.core.now() - milliseconds(1000);
+    router.store.put("targets/t1", "");
+    router.run_for(milliseconds(1500));
+    CHECK(router.is_used("t1"));
+    CHECK(router.run_until([&] { return !router.is_used("t1"); }, milliseconds(5000)));
+}
+
 TEST_CASE(
     "a router learns that a target is leaving although the leader's replies are late and old "
     "[registry]") {
