--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -137,10 +137,10 @@
             next.targets.erase(item.key.substr(core_.platform.keys.targets.size()));
         }
     }
-    apply_reading(std::move(next));
+    apply_reading(next);
 }
 
-void registry_reader::apply_reading(registry_state next) {
+void registry_reader::apply_reading(const registry_state& next) {
     if (fleet_.leading) {
         leader_registry_.reset();
     } else if (!leader_registry_) {
--- a/src/gateway/registry_reader.hpp
+++ b/src/gateway/registry_reader.hpp
@@ -36,7 +36,7 @@
     void apply_listing(const store_items& items, boot_time now);
     void apply_changes(const store_items& items);
     /// Applies what this router has read itself.
-    void apply_reading(registry_state next);
+    void apply_reading(const registry_state& next);
     /// Replaces the registry and updates the table of targets.
     void apply(const registry_state& next);
     [[nodiscard]] std::optional<target_entry> decode(const store_item& item);
--- a/tests/gateway/registry_fixture.hpp
+++ b/tests/gateway/registry_fixture.hpp
@@ -34,7 +34,7 @@
     }
 
     void install(router_core& core) {
-        core.platform.keys = {"op/config", "op/evacuate/", "op/", "targets/", "own/"};
+        core.platform.keys = {"operators/config", "evacuated/", "operators/", "targets/", "own/"};
         core.platform.decode_target = [](std::string_view id, std::string_view text) {
             target_entry entry;
             entry.id = id;
