Do not list all targets again and again after an outage of the store

Fix: 0.8 s between such listings, and after a failed one.

The test failed before: registry_test.cpp: CHECK( router.store.registry_calls - calls_before <= 5 ) is NOT correct!

--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -15,6 +15,9 @@
 // Minimum interval between reads. Changes of this time make one state of the leader's history,
 // which must reach back to the last reply to each router.
 constexpr milliseconds read_interval{200};
+// Minimum interval between listings during an outage of the store and after it, when all routers
+// read much at once.
+constexpr milliseconds outage_listing_interval{800};
 // Interval between the leader's listings, which find changes that were not reported.
 constexpr milliseconds listing_interval{3000};
 // Duration of an outage of the store from which entries of live targets may expire: these write
@@ -80,7 +83,8 @@
     record_store_call(core_, fleet_, !error, "read targets");
     if (error) {
         pause_ = detail::next_pause(pause_);
-        next_read_ = now + pause_;
+        next_read_ =
+            now + (must_list_ ? std::max(pause_, detail::outage_listing_interval) : pause_);
         return;
     }
     pause_ = {};
@@ -117,6 +121,9 @@
     next_listing_ = now + detail::listing_interval;
     // Until the end of the grace period, only a listing shows which targets are missing.
     must_list_ = now < outage_.keep_missing_until;
+    if (must_list_) {
+        next_read_ = now + detail::outage_listing_interval;
+    }
     apply_reading(merge_snapshot(core_.state.registry, reading, outage_, now));
 }
 
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -216,3 +216,13 @@
     CHECK(router.run_until([&] { return !router.is_used("t1"); },
                            router.core.settings.bounds.leave_time));
 }
+
+TEST_CASE("all targets are not listed again and again after an outage of the store [registry]") {
+    leader_fixture router;
+    REQUIRE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+    router.fleet.store_responsive = false;
+    router.fleet.store_lost_at = router.core.now() - milliseconds(1000);
+    const auto calls_before = router.store.registry_calls;
+    router.run_for(milliseconds(2000));
+    CHECK(router.store.registry_calls - calls_before <= 5);
+}
