--- a/include/mimosavalve/gateway/state_update.hpp
+++ b/include/mimosavalve/gateway/state_update.hpp
@@ -76,7 +76,7 @@
 
 private:
     // A state is added about every 0.2 s while targets are replaced, and a router far from a busy
-    // leader gets a reply every few seconds. A whole state for each reply would keep the leader busy.
+    // leader gets a reply every few seconds. Whole states would keep the leader busy.
     static constexpr std::size_t max_states = 32;
 
     struct numbered {
