--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -322,6 +322,7 @@
     if (move.phase == move_phase::releasing) {
         move.not_before = free_at(move);
         if (now >= move.not_before) {
+            log_free_keys(move, now);
             move.phase = move_phase::ready;
             move.next_attempt = {};
         } else if (!move.released && !move.release_in_flight && now >= move.next_attempt) {
@@ -400,6 +401,7 @@
         return;
     }
     move.release_in_flight = true;
+    move.release_sent_at = now;
     move.next_attempt = now + detail::retry_interval;
     // The release carries the new fence, so that the target refuses a late renewal with the old
     // one.
@@ -426,6 +428,7 @@
                 // `next_attempt` delays only retries of the release, not the next phase.
                 released.next_attempt = {};
                 if (core_.now() >= released.not_before) {
+                    log_free_keys(released, core_.now());
                     released.phase = move_phase::ready;
                 }
             }
@@ -433,6 +436,24 @@
         }));
 }
 
+void key_decider::log_free_keys(const running_move& move, boot_time now) {
+    const auto& from = holds_of(move.old_owner);
+    const auto ms_since = [now](boot_time at) {
+        return at == boot_time{} ? std::int64_t{-1} : -milliseconds_until(at, now);
+    };
+    core_.log.write("keys_free",
+                    {{"service", move.service},
+                     {"first", std::int64_t{move.keys.first}},
+                     {"last", std::int64_t{move.keys.last}},
+                     {"from", move.old_owner},
+                     {"why", move.released ? "released" : "hold ended"},
+                     {"began_ms_ago", ms_since(move.began)},
+                     {"grant_sent_ms_ago", ms_since(from.sent_at)},
+                     {"grant_answered_ms_ago", ms_since(from.answered_at)},
+                     {"unanswered", static_cast<std::int64_t>(from.pending_grants.size())},
+                     {"release_sent_ms_ago", ms_since(move.release_sent_at)}});
+}
+
 void key_decider::write_owners(const std::string& name, service_state& state, boot_time now) {
     if (state.writing || !may_act(now)) {
         return;
@@ -529,6 +550,7 @@
                   [&](const pending_grant& grant) { return !grant.in_flight && grant.end <= now; });
     const auto number = next_grant_++;
     to.pending_grants.push_back({number, keys.first, keys.last, end, true});
+    to.sent_at = now;
     // A target that has never answered counts as silent since its first grant.
     if (to.answered_at == boot_time{}) {
         to.answered_at = now;
@@ -539,9 +561,15 @@
                  std::chrono::duration_cast<milliseconds>(current_term_.valid_until - now));
     core_.platform.commands.grant(
         to.address, keys, hold, handover, detail::deadline_in(call_time),
-        term_life_.guard([this, id = keys.owner, end, number, done = std::move(done)](
+        term_life_.guard([this, id = keys.owner, end, number, now, done = std::move(done)](
                              std::error_code error, const std::string&) {
             auto& target = holds_of(id);
+            const auto took = core_.now() - now;
+            if (took > detail::max_transit_time) {
+                core_.log.write("grant_slow", {{"target", id},
+                                               {"error", error ? error.message() : ""},
+                                               {"took_ms", -milliseconds_until(now, core_.now())}});
+            }
             const bool answered = !error || error == errc::target_refused;
             // A grant that could not be sent has no effect.
             if (error != errc::target_unreachable) {
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -73,6 +73,7 @@
         bool grant_in_flight = false;
         bool released = false;  ///< Whether the old owner has released the keys.
         boot_time began;
+        boot_time release_sent_at;  ///< When the last release was sent; for the log.
     };
     struct service_state {
         key_map recorded;
@@ -100,6 +101,7 @@
         /// Time of the last answer to a grant; before the first answer, that of the first grant.
         boot_time answered_at;
         std::uint32_t failures = 0;  ///< Number of consecutive grants without an answer.
+        boot_time sent_at;           ///< When the last grant was sent.
     };
 
     void load_records();
@@ -108,6 +110,8 @@
                     boot_time now);
     void advance(const std::string& name, service_state& state, running_move& move, boot_time now);
     void release(running_move& move, boot_time now);
+    /// Logs why the old owner cannot hold the keys any more.
+    void log_free_keys(const running_move& move, boot_time now);
     /// Time from which the old owner is guaranteed not to hold the keys, and no grant in transit
     /// can give them back to it.
     [[nodiscard]] boot_time free_at(const running_move& move);
