Do not write a call whose deadline has passed

A call's deadline was enforced by a timer only. When the loop runs late, because the process gets too little processor time, a connection that has opened meanwhile, or a connection that the call before has freed, may be handled before the timer: the request was written after its deadline. A grant could then leave after the end of its leader's term.

The deadline is now checked just before the write. The call ends by its timer, which is due, and since nothing was written, as never sent (errc::target_unreachable). So does a call whose connection has not opened by then; which of the two errors it got depended on which of two timers was handled first.

Before the change:

TEST CASE: a call whose deadline has passed is not sent on an idle connection [call_client] call_client_test.cpp:125: ERROR: CHECK( fleet.served == std::vector<std::string>{"/first"} ) is NOT correct! call_client_test.cpp:127: ERROR: CHECK( fleet.ended["/late"] == mimosavalve::errc::target_unreachable ) is NOT correct! values: CHECK( generic:110 == 10 ) TEST CASE: a connection that opens after the deadline carries no call [call_client] call_client_test.cpp:136: ERROR: CHECK( fleet.served.empty() ) is NOT correct! call_client_test.cpp:138: ERROR: CHECK( fleet.ended["/late"] == mimosavalve::errc::target_unreachable ) is NOT correct! values: CHECK( generic:110 == 10 ) TEST CASE: a queued call that starts after its deadline is not sent [call_client] call_client_test.cpp:154: ERROR: CHECK( fleet.served == std::vector<std::string>{"/first"} ) is NOT correct! call_client_test.cpp:156: ERROR: CHECK( fleet.ended["/late"] == mimosavalve::errc::target_unreachable ) is NOT correct! values: CHECK( generic:110 == 10 )

--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -55,6 +55,7 @@
     bool reused = false;
     std::chrono::steady_clock::time_point sent_at;
     bool started = false;
+    bool written = false;         ///< Whether the request may have left on a connection.
     bool has_progressed = false;  ///< Bytes have arrived since the timer was armed.
 
     explicit pending_call(boost::asio::io_context& context) : timer(context) {}
@@ -148,8 +149,13 @@
 
 void call_client::send_request(pending_call& pending, std::unique_ptr<stream> connection,
                                bool reused) {
+    // The loop may run late. The timer is due then, and ends the call.
+    if (std::chrono::steady_clock::now() >= pending.deadline) {
+        return;
+    }
     pending.connection = std::move(connection);
     pending.reused = reused;
+    pending.written = true;
     pending.sent_at = std::chrono::steady_clock::now();
     pending.input.clear();
     pending.answer = {};
@@ -220,8 +226,8 @@
     }
     if (ended->started) {
         start_next_queued(ended->to);
-    } else if (error == std::errc::timed_out) {
-        // The call was never sent.
+    }
+    if (error == std::errc::timed_out && !ended->written) {
         error = make_error_code(errc::target_unreachable);
     }
     const auto done = std::move(ended->done);
--- a/tests/gateway/call_client_test.cpp
+++ b/tests/gateway/call_client_test.cpp
@@ -2,10 +2,13 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <optional>
+#include <thread>
 
 #include "gateway/internal_server.hpp"
 #include "gateway/lifetime.hpp"
+#include "mimosavalve/core/error.hpp"
 
 using namespace mimosavalve::gateway;
 
@@ -75,8 +78,84 @@
     return result;
 }
 
+/// Client with one connection to a server that answers at once.
+struct one_connection {
+    boost::asio::io_context context;
+    std::vector<std::string> served;  ///< Paths of the requests that have arrived.
+    internal_server server{context,
+                           {boost::asio::ip::address_v4::loopback(), 0},
+                           [this](const message_head& head, const std::string&,
+                                  const internal_server::respond& respond) {
+                               served.push_back(head.request_target);
+                               respond({});
+                           }};
+    call_client client{context, 1};
+    std::map<std::string, std::error_code> ended;
+
+    void send(const std::string& path, milliseconds time) {
+        client.send(server.address(), {"GET", path, "", "", {}, {}, {}},
+                    std::chrono::steady_clock::now() + time,
+                    [this, path](std::error_code error, const call_answer&) {
+                        ended.emplace(path, error);
+                    });
+    }
+    /// Runs until the call has ended, and a little longer, so that what it has sent can arrive.
+    void finish(const std::string& path) {
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!ended.contains(path) && std::chrono::steady_clock::now() < limit) {
+            run_for(milliseconds(5));
+        }
+        run_for(milliseconds(50));
+    }
+    void run_for(milliseconds time) {
+        context.run_for(time);
+        context.restart();
+    }
+};
+
 }  // namespace
 
+TEST_CASE("a call whose deadline has passed is not sent on an idle connection [call_client]") {
+    one_connection fleet;
+    fleet.send("/first", milliseconds(3000));
+    fleet.finish("/first");
+    REQUIRE(fleet.ended.contains("/first"));
+    fleet.send("/late", milliseconds(0));
+    fleet.finish("/late");
+    CHECK(fleet.served == std::vector<std::string>{"/first"});
+    REQUIRE(fleet.ended.contains("/late"));
+    CHECK(fleet.ended["/late"] == mimosavalve::errc::target_unreachable);
+}
+
+TEST_CASE("a connection that opens after the deadline carries no call [call_client]") {
+    one_connection fleet;
+    fleet.send("/late", milliseconds(20));
+    // The kernel completes the connection while the process gets no processor time.
+    std::this_thread::sleep_for(milliseconds(50));
+    fleet.finish("/late");
+    CHECK(fleet.served.empty());
+    REQUIRE(fleet.ended.contains("/late"));
+    CHECK(fleet.ended["/late"] == mimosavalve::errc::target_unreachable);
+    fleet.send("/next", milliseconds(3000));
+    fleet.finish("/next");
+    CHECK(fleet.served == std::vector<std::string>{"/next"});
+}
+
+TEST_CASE("a queued call that starts after its deadline is not sent [call_client]") {
+    one_connection fleet;
+    fleet.send("/first", milliseconds(3000));
+    fleet.send("/late", milliseconds(100));
+    while (fleet.served.empty()) {
+        fleet.context.run_one();
+    }
+    std::this_thread::sleep_for(milliseconds(150));
+    fleet.context.restart();
+    fleet.finish("/late");
+    CHECK(fleet.served == std::vector<std::string>{"/first"});
+    REQUIRE(fleet.ended.contains("/late"));
+    CHECK(fleet.ended["/late"] == mimosavalve::errc::target_unreachable);
+}
+
 TEST_CASE("a large answer that is arriving is not given up at the deadline [call_client]") {
     const auto result = call_server(12, 12);
     REQUIRE(result.error);
