Send the configuration only to routers that do not read it from the store

The text is now sent to followers that report the loss of the store, and to others only when they have been behind for longer than 1.2 s, counted from the leader's first version that they do not have or from their own first call. At most one such reply is in transit. A follower that will not get the text does not make its reply due at once.

Before the change:

TEST CASE: followers that read the configuration themselves are not sent it [sync_server] sync_server_test.cpp:141: ERROR: CHECK( leader.replies == followers ) is NOT correct! values: CHECK( 1 == 90 ) sync_server_test.cpp:149: ERROR: CHECK( leader.bytes <= limit_bytes ) is NOT correct! values: CHECK( <= 163840 ) TEST CASE: followers that stay behind are sent the configuration one by one [sync_server] sync_server_test.cpp:158: ERROR: CHECK( leader.got_config == std::vector{1} ) is NOT correct! TEST CASE: a follower that vanishes with a configuration does not hold up the next [sync_server] sync_server_test.cpp:174: FATAL ERROR: REQUIRE( leader.got_config == std::vector{1} ) is NOT correct! TEST CASE: a follower that cannot reach the store is sent the configuration at once [sync_server] sync_server_test.cpp:188: ERROR: CHECK( leader.got_config == std::vector{7} ) is NOT correct!

(The last two fail on the old code because other followers got the text before.)

--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -26,6 +26,11 @@
 // Size of the replies in transit from which further ones wait. The leader's own calls to the store
 // wait behind them: 0.1 s on a link of 10 Mbit/s. State that changes meanwhile is sent once.
 constexpr std::size_t max_bytes_in_transit = 128U << 10U;
+// Routers read the configuration from the store themselves. One that has been behind for longer may
+// have missed the change; a configuration must be in force 2.5 s after its acknowledgement.
+constexpr milliseconds max_config_lag{1200};
+// Number of configurations whose times are kept; the lag behind older ones exceeds the maximum.
+constexpr std::size_t max_configs_since = 16;
 // Relative change of a rate or work time below which it is not sent again.
 constexpr double min_relative_change = 0.05;
 // Weight of one answer in a target's mean work time.
@@ -58,6 +63,8 @@
 void sync_server::begin() {
     followers_.clear();
     term_began_ = core_.now();
+    configs_since_.clear();
+    record_config(term_began_);
     crash_watch_ = resume_crash_watch(core_.announced_crashes, core_.now());
     registries_.restart();
     registries_.add(core_.state.registry);
@@ -153,7 +160,7 @@
     record_reports(request->host, *request, now);
     pending_reply waiting{std::move(*request), std::move(respond), now,
                           now + detail::max_reply_delay};
-    if (is_behind(waiting.request)) {
+    if (is_behind(waiting.request, now)) {
         waiting.due = now;
     }
     // A router that calls again has given up its last call.
@@ -169,6 +176,9 @@
     // transit, so that its arrival proves no later time.
     const auto sent_after =
         caller.evidence.instance == request.instance ? caller.replied_at : boot_time{};
+    if (caller.called_at == boot_time{} || caller.evidence.instance != request.instance) {
+        caller.following_since = now;
+    }
     caller.evidence.instance = request.instance;
     caller.evidence.followed_at = sent_after;
     caller.evidence.store_lost_at = request.store_lost ? sent_after : boot_time{};
@@ -186,14 +196,39 @@
         caller.work_ms.clear();
     }
     caller.bytes_in_transit = 0;
+    caller.config_in_transit = false;
     caller.address = request.address;
     caller.failure_domain = request.failure_domain;
     caller.called_at = now;
 }
 
-bool sync_server::is_behind(const sync_request& request) const {
-    if (request.config_version < core_.state.config.version ||
-        request.registry_number != registries_.number()) {
+void sync_server::record_config(boot_time now) {
+    configs_since_.try_emplace(core_.state.config.version, now);
+    while (configs_since_.size() > detail::max_configs_since) {
+        configs_since_.erase(configs_since_.begin());
+    }
+}
+
+bool sync_server::must_send_config(const sync_request& request, boot_time now) const {
+    const auto missing = configs_since_.upper_bound(request.config_version);
+    if (request.config_version >= core_.state.config.version || missing == configs_since_.end()) {
+        return false;
+    }
+    const auto caller = followers_.find(request.host);
+    const auto following_since = caller == followers_.end() ? now : caller->second.following_since;
+    const bool reads_itself =
+        !request.store_lost &&
+        now - std::max(missing->second, following_since) <= detail::max_config_lag;
+    // One at a time: the text is larger than all other state, and fills the leader's link.
+    return !reads_itself &&
+           std::none_of(followers_.begin(), followers_.end(), [&](const auto& other) {
+               return other.second.config_in_transit &&
+                      now - other.second.replied_at < detail::sync_call_time;
+           });
+}
+
+bool sync_server::is_behind(const sync_request& request, boot_time now) const {
+    if (must_send_config(request, now) || request.registry_number != registries_.number()) {
         return true;
     }
     return std::any_of(maps_.begin(), maps_.end(), [&](const auto& numbered) {
@@ -388,7 +423,8 @@
         std::max<std::int64_t>(-milliseconds_until(core_.state.registry_known_at, now), 0));
     reply.held_ms = static_cast<std::uint64_t>(-milliseconds_until(waiting.arrived_at, now));
     reply.config_version = core_.state.config.version;
-    if (request.config_version < core_.state.config.version) {
+    const bool sends_config = must_send_config(request, now);
+    if (sends_config) {
         reply.config_text = from_.config_text();
     }
     reply.long_holds = from_.announces_long_holds();
@@ -397,6 +433,7 @@
     add_maps(reply, request, now);
     auto& caller = followers_[request.host];
     caller.replied_at = now;
+    caller.config_in_transit = sends_config;
     reply.number = ++caller.reply_number;
     add_quotas(reply, request.host, caller);
     add_work(reply, caller, now);
@@ -414,6 +451,7 @@
 }
 
 void sync_server::on_state_change() {
+    record_config(core_.now());
     for (const auto& [service, map] : core_.state.keys) {
         auto& maps = maps_[service];
         if (maps.last() == nullptr || *maps.last() != map) {
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -48,7 +48,10 @@
         std::size_t bytes_in_transit = 0;
         std::string address;
         std::string failure_domain;
-        boot_time called_at;  ///< When the router last called.
+        boot_time called_at;        ///< When the router last called.
+        boot_time following_since;  ///< When this instance of it first called.
+        /// Whether the last reply carries the configuration, until the router has called again.
+        bool config_in_transit = false;
         // Values that the router has received up to the last reply.
         std::uint64_t reply_number = 0;
         std::optional<std::map<std::string, std::uint32_t>> concurrency;
@@ -65,7 +68,12 @@
     };
 
     void record_caller(const sync_request& request, boot_time now);
-    [[nodiscard]] bool is_behind(const sync_request& request) const;
+    [[nodiscard]] bool is_behind(const sync_request& request, boot_time now) const;
+    /// Records when the leader got its present configuration.
+    void record_config(boot_time now);
+    /// Whether the router needs the text of the configuration from the leader, since it does not
+    /// get it from the store, and the text may be sent now.
+    [[nodiscard]] bool must_send_config(const sync_request& request, boot_time now) const;
     void record_reports(const std::string& host, sync_request& request, boot_time now);
     void allocate_quotas(boot_time now);
     void find_crashes(boot_time now);
@@ -88,6 +96,8 @@
     sources from_;
     boot_time term_began_;                       ///< When this router became the leader.
     std::map<std::string, follower> followers_;  ///< By host.
+    /// When the leader got its latest configurations, by version.
+    std::map<std::uint64_t, boot_time> configs_since_;
     std::vector<pending_reply> pending_replies_;
     bool replies_deferred_ = false;  ///< Whether replies to all pending calls are scheduled.
     state_history<registry_state> registries_;
