Revisions and lease ids carry the era of the store

When the platform's store comes back from an older copy, it gives out the same revisions and lease ids again. Everything that compares such a number with one from before was wrong: a new listing counted as older than the registry in use, a watch went on from a revision that now stood for another change, a condition could hold for another write, and a renewal could extend the lease of another router.

Each answer names the era of the store.

The store's stand-in can come back from a copy.

--- a/include/mimosavalve/gateway/call_client.hpp
+++ b/include/mimosavalve/gateway/call_client.hpp
@@ -50,6 +50,11 @@
 
     void send(const tcp::endpoint& to, call request, call_deadline deadline, handler done);
 
+    /// Runs the handlers of this client.
+    [[nodiscard]] boost::asio::io_context::executor_type executor() const {
+        return context_.get_executor();
+    }
+
 private:
     struct pending_call;
     void open_connection(pending_call& pending, bool fresh_only);
--- a/include/mimosavalve/gateway/platform_port.hpp
+++ b/include/mimosavalve/gateway/platform_port.hpp
@@ -40,6 +40,18 @@
     double slowdown = 1;  ///< Current duration of its work divided by the normal one.
 };
 
+/// Number of low bits of a revision or lease id that hold the store's own number; the bits above
+/// hold the era. A trillion changes, and 16 million eras, are more than a store sees in its life.
+inline constexpr unsigned store_era_shift = 40;
+
+/// Era of a revision or of a lease id. A store that comes back from an older copy begins a new era,
+/// in which it gives out revisions and lease ids again. With the era in front, a number that was
+/// given out later is always greater, and no number stands for two different changes. 0, which
+/// stands for no revision and no lease, has no era.
+constexpr std::uint64_t store_era_of(std::uint64_t revision) {
+    return revision >> store_era_shift;
+}
+
 struct store_item {
     std::string key;
     std::string value;
@@ -76,6 +88,10 @@
 
 /// The platform's store. After `errc::store_unavailable` (no answer) a write may have taken effect,
 /// or may still take effect seconds later. After `errc::store_refused` nothing was done.
+///
+/// Revisions and lease ids contain the era of the store (`store_era_of`). Those of an earlier era
+/// are not valid any more: a condition does not hold, a lease has ended, and the changes since then
+/// are not known.
 struct metadata_store {
     using item_handler = std::function<void(std::error_code, store_item, std::uint64_t revision)>;
     using items_handler = std::function<void(std::error_code, store_items)>;
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -64,12 +64,16 @@
 
 }  // namespace
 
-void store_standin::listen(const std::string& host, const gateway::tcp::endpoint& address) {
+gateway::tcp::endpoint store_standin::listen(const std::string& host,
+                                             const gateway::tcp::endpoint& address) {
     servers_[host] = std::make_unique<gateway::internal_server>(
         context_, address,
         [this, host](const gateway::message_head& head, const std::string& body,
                      const gateway::internal_server::respond& respond) {
-            serve(host, head, body, [this, respond](const internal_answer& result) {
+            serve(host, head, body, [this, respond](internal_answer result) {
+                if (era_ != 0) {
+                    result.fields.push_back({wire::store_era_header, std::to_string(era_)});
+                }
                 if (answer_delay.count() == 0) {
                     respond(result);
                 } else {
@@ -78,6 +82,7 @@
                 }
             });
         });
+    return servers_[host]->address();
 }
 
 void store_standin::set_access(const std::string& host, store_access access) {
@@ -94,23 +99,23 @@
 }
 
 void store_standin::put(const std::string& key, const std::string& value) {
-    apply(key, value, 0, ++revision_);
+    apply(key, value, 0, ++contents_.revision);
     notify_watchers();
 }
 
 void store_standin::remove(const std::string& key) {
-    erase(key, ++revision_);
+    erase(key, ++contents_.revision);
     notify_watchers();
 }
 
 const std::string* store_standin::value_of(const std::string& key) const {
-    const auto found = items_.find(key);
-    return found == items_.end() ? nullptr : &found->second.value;
+    const auto found = contents_.items.find(key);
+    return found == contents_.items.end() ? nullptr : &found->second.value;
 }
 
 void store_standin::discard_history() {
-    history_.clear();
-    history_start_revision_ = revision_;
+    contents_.history.clear();
+    contents_.history_start_revision = contents_.revision;
     const auto pending = std::move(watchers_);
     watchers_.clear();
     for (const auto& watch : pending) {
@@ -118,6 +123,20 @@
     }
 }
 
+void store_standin::restore_copy() {
+    contents_ = copy_;
+    ++era_;
+    for (auto& [id, lease] : contents_.leases) {
+        lease.renewal = ++last_renewal_;
+        schedule_lease_expiry(id);
+    }
+    const auto pending = std::move(watchers_);
+    watchers_.clear();
+    for (const auto& watch : pending) {
+        watch.respond(json_answer(unavailable, json::object()));
+    }
+}
+
 void store_standin::serve(const std::string& host, const gateway::message_head& head,
                           const std::string& body,
                           const gateway::internal_server::respond& respond) {
@@ -153,7 +172,7 @@
         respond(renew_lease(id_after(wire::renew_lease_path)));
     } else if (path.starts_with(wire::end_lease_path)) {
         const auto id = id_after(wire::end_lease_path);
-        const bool known = leases_.contains(id);
+        const bool known = contents_.leases.contains(id);
         end_lease(id);
         respond(json_answer(known ? ok : not_found, json::object()));
     } else {
@@ -175,12 +194,12 @@
 }  // namespace
 
 internal_answer store_standin::read(const std::map<std::string, std::string>& query) const {
-    const auto found = items_.find(parameter_of(query, "key"));
-    if (found == items_.end()) {
-        return json_answer(not_found, {{"asOf", revision_}});
+    const auto found = contents_.items.find(parameter_of(query, "key"));
+    if (found == contents_.items.end()) {
+        return json_answer(not_found, {{"asOf", contents_.revision}});
     }
     auto body = to_json(found->first, found->second);
-    body["asOf"] = revision_;
+    body["asOf"] = contents_.revision;
     return json_answer(ok, body);
 }
 
@@ -189,7 +208,7 @@
     const auto after = parameter_of(query, "after");
     json items = json::array();
     bool has_more = false;
-    for (const auto& [key, item] : items_) {
+    for (const auto& [key, item] : contents_.items) {
         if (!key.starts_with(prefix) || key <= after) {
             continue;
         }
@@ -199,13 +218,13 @@
         }
         items.push_back(to_json(key, item));
     }
-    return json_answer(ok, {{"items", items}, {"hasMore", has_more}, {"asOf", revision_}});
+    return json_answer(ok, {{"items", items}, {"hasMore", has_more}, {"asOf", contents_.revision}});
 }
 
 std::string store_standin::events_after(const std::string& prefix,
                                         std::uint64_t after_revision) const {
     json events = json::array();
-    for (const auto& change : history_) {
+    for (const auto& change : contents_.history) {
         if (change.item.revision <= after_revision || !change.key.starts_with(prefix)) {
             continue;
         }
@@ -214,14 +233,16 @@
                 ? json({{"key", change.key}, {"revision", change.item.revision}, {"deleted", true}})
                 : to_json(change.key, change.item));
     }
-    return events.empty() ? std::string() : json({{"events", events}, {"asOf", revision_}}).dump();
+    return events.empty() ? std::string()
+                          : json({{"events", events}, {"asOf", contents_.revision}}).dump();
 }
 
 void store_standin::watch(const std::string& host, const std::map<std::string, std::string>& query,
                           const gateway::internal_server::respond& respond) {
     const watcher added{host, parameter_of(query, "prefix"),
                         number_of(parameter_of(query, "after")), respond};
-    if (added.after_revision < history_start_revision_) {
+    if (added.after_revision < contents_.history_start_revision ||
+        added.after_revision > contents_.revision) {
         respond(json_answer(gone, json::object()));
         return;
     }
@@ -240,7 +261,7 @@
                     const auto respond_empty = position->respond;
                     watchers_.erase(position);
                     respond_empty(
-                        json_answer(ok, {{"events", json::array()}, {"asOf", revision_}}));
+                        json_answer(ok, {{"events", json::array()}, {"asOf", contents_.revision}}));
                     return;
                 }
             }
@@ -269,97 +290,97 @@
     bool conditions_hold = true;
     for (const auto& row : body.at("precondition")) {
         const auto key = row.at("key").get<std::string>();
-        const auto found = items_.find(key);
-        const auto revision = found == items_.end() ? 0 : found->second.revision;
+        const auto found = contents_.items.find(key);
+        const auto revision = found == contents_.items.end() ? 0 : found->second.revision;
         conditions_hold = conditions_hold && revision == row.at("revision").get<std::uint64_t>();
-        current.push_back(found == items_.end() ? json({{"key", key}, {"revision", 0}})
-                                                : to_json(key, found->second));
+        current.push_back(found == contents_.items.end() ? json({{"key", key}, {"revision", 0}})
+                                                         : to_json(key, found->second));
     }
     if (!conditions_hold) {
-        return json_answer(precondition_failed, {{"items", current}, {"asOf", revision_}});
+        return json_answer(precondition_failed, {{"items", current}, {"asOf", contents_.revision}});
     }
     for (const auto& row : body.at("puts")) {
         const auto lease = row.at("lease").get<std::uint64_t>();
-        if (lease != 0 && !leases_.contains(lease)) {
+        if (lease != 0 && !contents_.leases.contains(lease)) {
             return json_answer(not_found, json::object());
         }
     }
-    ++revision_;
+    ++contents_.revision;
     for (const auto& row : body.at("puts")) {
         apply(row.at("key").get<std::string>(), decode_base64(row.at("value").get<std::string>()),
-              row.at("lease").get<std::uint64_t>(), revision_);
+              row.at("lease").get<std::uint64_t>(), contents_.revision);
     }
     for (const auto& key : body.at("remove")) {
-        erase(key.get<std::string>(), revision_);
+        erase(key.get<std::string>(), contents_.revision);
     }
-    const auto written = revision_;
+    const auto written = contents_.revision;
     notify_watchers();
     return json_answer(ok, {{"revision", written}});
 }
 
 internal_answer store_standin::open_lease(const std::string& text) {
     const auto ttl = json::parse(text).at("ttlMs").get<std::uint64_t>();
-    const auto id = next_lease_++;
-    leases_[id] = {ttl, 0};
+    const auto id = contents_.next_lease++;
+    contents_.leases[id] = {ttl, ++last_renewal_};
     schedule_lease_expiry(id);
     return json_answer(ok, {{"lease", id}, {"ttlMs", ttl}});
 }
 
 internal_answer store_standin::renew_lease(std::uint64_t id) {
-    const auto found = leases_.find(id);
-    if (found == leases_.end()) {
+    const auto found = contents_.leases.find(id);
+    if (found == contents_.leases.end()) {
         return json_answer(not_found, json::object());
     }
-    ++found->second.renewals;
+    found->second.renewal = ++last_renewal_;
     schedule_lease_expiry(id);
     return json_answer(ok, {{"ttlMs", found->second.ttl_ms}});
 }
 
 void store_standin::schedule_lease_expiry(std::uint64_t id) {
-    const auto& lease = leases_.at(id);
-    gateway::run_after(context_, milliseconds(lease.ttl_ms), lifetime_,
-                       [this, id, renewals = lease.renewals] {
-                           const auto found = leases_.find(id);
-                           if (found != leases_.end() && found->second.renewals == renewals) {
-                               end_lease(id);
-                           }
-                       });
+    const auto& lease = contents_.leases.at(id);
+    gateway::run_after(
+        context_, milliseconds(lease.ttl_ms), lifetime_, [this, id, renewal = lease.renewal] {
+            const auto found = contents_.leases.find(id);
+            if (found != contents_.leases.end() && found->second.renewal == renewal) {
+                end_lease(id);
+            }
+        });
 }
 
 void store_standin::end_lease(std::uint64_t id) {
-    if (leases_.erase(id) == 0) {
+    if (contents_.leases.erase(id) == 0) {
         return;
     }
     std::vector<std::string> removed_keys;
-    for (const auto& [key, item] : items_) {
+    for (const auto& [key, item] : contents_.items) {
         if (item.lease == id) {
             removed_keys.push_back(key);
         }
     }
-    ++revision_;
+    ++contents_.revision;
     for (const auto& key : removed_keys) {
-        erase(key, revision_);
+        erase(key, contents_.revision);
     }
     notify_watchers();
 }
 
 void store_standin::apply(const std::string& key, const std::string& value, std::uint64_t lease,
                           std::uint64_t revision) {
-    auto& item = items_[key];
+    auto& item = contents_.items[key];
     item.value = value;
     item.revision = revision;
     item.created_revision = item.created_revision == 0 ? revision : item.created_revision;
     item.lease = lease;
-    history_.push_back({key, item, false});
+    contents_.history.push_back({key, item, false});
 }
 
 void store_standin::erase(const std::string& key, std::uint64_t revision) {
-    if (items_.erase(key) > 0) {
+    if (contents_.items.erase(key) > 0) {
         stored_change removed;
         removed.key = key;
         removed.item.revision = revision;
         removed.deleted = true;
-        history_.push_back(std::move(removed));
+        contents_.history.push_back(std::move(removed));
     }
 }
 
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -24,7 +24,8 @@
 public:
     explicit store_standin(boost::asio::io_context& context) : context_(context) {}
 
-    void listen(const std::string& host, const gateway::tcp::endpoint& address);
+    /// Returns the address, with the port that was chosen if that of `address` is 0.
+    gateway::tcp::endpoint listen(const std::string& host, const gateway::tcp::endpoint& address);
     void set_access(const std::string& host, store_access access);
 
     void put(const std::string& key, const std::string& value);
@@ -34,6 +35,12 @@
     /// Discards the history of changes and ends all running watches with status 410.
     void discard_history();
 
+    /// Copies items, history and leases for `restore_copy`.
+    void take_copy() { copy_ = contents_; }
+    /// Comes back from the copy and begins a new era: everything written since then is gone, and
+    /// revisions and lease ids are given out again.
+    void restore_copy();
+
     gateway::milliseconds answer_delay{0};  ///< Time between carrying out a call and answering it.
     std::size_t max_page_items = 500;       ///< Maximum number of items of one page.
     std::uint32_t unanswered_writes = 0;  ///< Number of next writes to carry out without an answer.
@@ -58,7 +65,15 @@
     };
     struct lease_state {
         std::uint64_t ttl_ms = 0;
-        std::uint64_t renewals = 0;
+        std::uint64_t renewal = 0;  ///< Number of the last renewal of any lease.
+    };
+    struct stored_contents {
+        std::map<std::string, stored_item> items;
+        std::deque<stored_change> history;
+        std::uint64_t revision = 1;
+        std::uint64_t history_start_revision = 1;  ///< `history` holds the changes after it.
+        std::uint64_t next_lease = 1;
+        std::map<std::uint64_t, lease_state> leases;
     };
 
     void serve(const std::string& host, const gateway::message_head& head, const std::string& body,
@@ -84,12 +99,10 @@
     boost::asio::io_context& context_;
     std::map<std::string, std::unique_ptr<gateway::internal_server>> servers_;
     std::map<std::string, store_access> access_;
-    std::map<std::string, stored_item> items_;
-    std::deque<stored_change> history_;
-    std::uint64_t revision_ = 1;
-    std::uint64_t history_start_revision_ = 1;  ///< `history_` holds the changes after it.
-    std::uint64_t next_lease_ = 1;
-    std::map<std::uint64_t, lease_state> leases_;
+    stored_contents contents_;
+    stored_contents copy_;
+    std::uint64_t era_ = 0;
+    std::uint64_t last_renewal_ = 0;
     std::list<watcher> watchers_;
     gateway::lifetime lifetime_;
 };
