A listing whose pages are of two eras fails and is repeated

A store that came back from an older copy between two pages answered the second page from the copy. The listing took both for one state: with the revision of the first page, and without what the second page had lost. Such a listing now fails with history_lost, and its callers that follow a prefix list again at once, since the store answers.

The new test against the old code:

store_listing_test.cpp:101: CHECK( result.error == errc::history_lost ) is NOT correct! values: CHECK( system:0 == 5 ) store_listing_test.cpp:102: CHECK( result.items.items.empty() ) is NOT correct! values: CHECK( false )

--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -27,7 +27,12 @@
 void store_follower::list() {
     list_all(core_.platform.store, prefix_, detail::store_call_time,
              life_.guard([this](std::error_code error, const store_items& items) {
-                 record_store_call(core_, fleet_, !error, "list " + name_);
+                 record_store_call(core_, fleet_, !error || error == errc::history_lost,
+                                   "list " + name_);
+                 if (error == errc::history_lost) {
+                     list();
+                     return;
+                 }
                  if (error) {
                      list_later();
                      return;
@@ -66,7 +71,12 @@
 void store_follower::check() {
     list_all(core_.platform.store, prefix_, detail::store_call_time,
              life_.guard([this](std::error_code error, const store_items& items) {
-                 record_store_call(core_, fleet_, !error, "check " + name_);
+                 record_store_call(core_, fleet_, !error || error == errc::history_lost,
+                                   "check " + name_);
+                 if (error == errc::history_lost) {
+                     check();
+                     return;
+                 }
                  if (!error && items.revision >= revision_) {
                      revision_ = items.revision;
                      handlers_.listed(items);
--- a/src/gateway/store_listing.cpp
+++ b/src/gateway/store_listing.cpp
@@ -41,6 +41,10 @@
         return;
     }
     auto& all = running->items;
+    if (!all.items.empty() && store_era_of(page.revision) != store_era_of(all.revision)) {
+        running->done(make_error_code(errc::history_lost), {});
+        return;
+    }
     if (all.items.empty()) {
         all.revision = page.revision;
     }
--- a/tests/gateway/store_listing_test.cpp
+++ b/tests/gateway/store_listing_test.cpp
@@ -83,3 +83,21 @@
     CHECK(list_from(store).error == errc::malformed_message);
     CHECK(calls == 1);
 }
+
+// The first page is of the old era, the second one lacks what was written since the copy.
+TEST_CASE("pages from before and after the store came back older are no listing [store_listing]") {
+    metadata_store store;
+    store.list = [](const std::string&, const std::string& after, call_deadline,
+                    const metadata_store::items_handler& done) {
+        store_items page;
+        const std::uint64_t era = after.empty() ? 0 : 1;
+        page.revision = (era << store_era_shift) + 40;
+        page.items.push_back({after.empty() ? "a" : "b", "value", page.revision, 7, 0});
+        page.has_more = after.empty();
+        done({}, page);
+    };
+    const auto result = list_from(store);
+    CHECK(result.calls == 1);
+    CHECK(result.error == errc::history_lost);
+    CHECK(result.items.items.empty());
+}
