An older entry of a target never replaces a newer one

After the store came back from an older copy, routers took its entries for news: targets that were leaving, or had gone, got requests again, and live targets whose entries the copy lacked were dropped until they wrote them again.

The leader sends with its updates which targets have gone. A router that has read the store itself takes from a leader that has not noticed the return yet the newer entries only.

A new era also counts as an outage: missing entries are kept for entry_rewrite_time, and all targets are listed. The store may then lack changes that it had acknowledged before, so `registry_known_at` stays where it was until a read that began when live targets have written their entries again; until then the routers read the registry themselves, as they do in an outage.

--- a/include/mimosavalve/gateway/state_update.hpp
+++ b/include/mimosavalve/gateway/state_update.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -33,6 +34,8 @@
     std::uint64_t revision = 0;
     std::vector<target_entry> entries;  ///< New and changed entries.
     std::vector<std::string> removed;   ///< Ids of removed targets.
+    /// Targets that have gone since, or all that are remembered if `whole` is set.
+    std::map<std::string, gone_target> gone{};
 };
 
 registry_update whole_update(const registry_state& state);
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -51,7 +51,8 @@
     operator_config config;
     route_index routes;
     registry_state registry;
-    /// `registry` contains all changes that the store acknowledged before this time.
+    /// `registry` contains all changes that the store acknowledged before this time. While targets
+    /// write again what the store lost when it came back older, it stays where it was.
     boot_time registry_known_at;
     std::map<std::string, key_map, std::less<>> keys;  ///< Key maps by service.
     /// Times at which `keys` were received.
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -45,10 +45,15 @@
                            entry.slots, entry.leaving, entry.remaining_cold_ms,
                            entry.started_unix_ms, entry.sequence});
     }
+    json gone = json::array();
+    for (const auto& [id, target] : update.gone) {
+        gone.push_back({id, target.started_unix_ms, target.sequence});
+    }
     return {{"whole", update.whole},
             {"revision", update.revision},
             {"targets", std::move(targets)},
-            {"removed", update.removed}};
+            {"removed", update.removed},
+            {"gone", std::move(gone)}};
 }
 
 registry_update registry_from_json(const json& value) {
@@ -56,6 +61,11 @@
     out.whole = value.at("whole");
     out.revision = value.at("revision");
     out.removed = value.at("removed").get<std::vector<std::string>>();
+    // The receiver decides how long it remembers them.
+    for (const auto& item : value.at("gone")) {
+        out.gone.insert_or_assign(item.at(0).get<std::string>(),
+                                  gone_target{item.at(1), item.at(2), {}});
+    }
     for (const auto& item : value.at("targets")) {
         out.entries.push_back({item.at(0), item.at(1), item.at(2), item.at(3), item.at(4),
                                item.at(5), item.at(6), item.at(7), item.at(8)});
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -80,6 +80,17 @@
         record_registry_outage(outage_, now);
         must_list_ = true;
     }
+    if (!error && core_.state.registry.revision != 0) {
+        const auto era = store_era_of(items.revision);
+        const auto known_era = store_era_of(core_.state.registry.revision);
+        if (era < known_era) {
+            next_read_ = now;  // An answer from before the store came back older.
+            return;
+        }
+        if (era > known_era) {
+            on_new_era(era, now);
+        }
+    }
     record_store_call(core_, fleet_, !error, "read targets");
     if (error) {
         pause_ = detail::next_pause(pause_);
@@ -92,7 +103,10 @@
         next_read_ = now;
         return;
     }
-    core_.state.registry_known_at = std::max(core_.state.registry_known_at, began_at);
+    // Until then the store may lack what it had acknowledged before it came back older.
+    if (began_at >= rewritten_at_) {
+        core_.state.registry_known_at = std::max(core_.state.registry_known_at, began_at);
+    }
     if (kind == read_kind::listing) {
         apply_listing(items, now);
     } else if (items.revision >= core_.state.registry.revision) {
@@ -100,6 +114,13 @@
     }
 }
 
+void registry_reader::on_new_era(std::uint64_t era, boot_time now) {
+    core_.log.write_always("registry_came_back_older", {{"era", static_cast<std::int64_t>(era)}});
+    record_registry_outage(outage_, now);
+    must_list_ = true;
+    rewritten_at_ = now + entry_rewrite_time;
+}
+
 std::optional<target_entry> registry_reader::decode(const store_item& item) {
     const auto id = std::string_view(item.key).substr(core_.platform.keys.targets.size());
     auto entry = core_.platform.decode_target(id, item.value);
@@ -144,7 +165,7 @@
             next.targets.erase(item.key.substr(core_.platform.keys.targets.size()));
         }
     }
-    apply_reading(next);
+    apply_reading(without_older_entries(core_.state.registry, std::move(next), core_.now()));
 }
 
 void registry_reader::apply_reading(const registry_state& next) {
@@ -158,13 +179,27 @@
 
 void registry_reader::apply_from_leader(const registry_update& update) {
     auto next = applied(leader_registry_ ? *leader_registry_ : core_.state.registry, update);
-    next.evacuated_domains = core_.state.registry.evacuated_domains;
-    if (next.revision < core_.state.registry.revision) {
+    const auto& own = core_.state.registry;
+    const auto now = core_.now();
+    next.evacuated_domains = own.evacuated_domains;
+    forget_gone_targets(next, now);
+    if (own.revision != 0 && store_era_of(next.revision) > store_era_of(own.revision)) {
+        on_new_era(store_era_of(next.revision), now);
+    }
+    if (next.revision < own.revision) {
         leader_registry_ = std::move(next);
+        if (store_era_of(leader_registry_->revision) < store_era_of(own.revision)) {
+            apply(with_news_from_before(own, *leader_registry_, now));
+        }
         return;
     }
-    leader_registry_.reset();
-    apply(next);
+    const auto used = without_older_entries(own, next, now);
+    if (used.targets == next.targets) {
+        leader_registry_.reset();
+    } else {
+        leader_registry_ = std::move(next);
+    }
+    apply(used);
 }
 
 void registry_reader::apply(const registry_state& next) {
--- a/src/gateway/registry_reader.hpp
+++ b/src/gateway/registry_reader.hpp
@@ -23,7 +23,8 @@
     void make_due() { next_read_ = next_listing_ = {}; }
 
     /// Applies an update to the registry that the leader sent last. The result is used unless this
-    /// router has read a newer registry itself.
+    /// router has read a newer registry itself; of one from before the store came back older, the
+    /// newer entries are used.
     void apply_from_leader(const registry_update& update);
     void set_evacuated(const std::set<std::string>& domains);
 
@@ -33,6 +34,8 @@
     /// `began_at`: when the read was sent.
     void on_reading(read_kind kind, boot_time began_at, std::error_code error,
                     const store_items& items);
+    /// The store has come back from an older copy.
+    void on_new_era(std::uint64_t era, boot_time now);
     void apply_listing(const store_items& items, boot_time now);
     void apply_changes(const store_items& items);
     /// Applies what this router has read itself.
@@ -45,6 +48,8 @@
     fleet_state& fleet_;
     std::function<void()> changed_;
     registry_outage outage_;
+    /// Since then live targets have written again what the store lost when it came back older.
+    boot_time rewritten_at_;
     /// Registry that the leader sent last, if this router has read another one since.
     std::optional<registry_state> leader_registry_;
     bool call_in_flight_ = false;
--- a/src/gateway/state_update.cpp
+++ b/src/gateway/state_update.cpp
@@ -43,6 +43,7 @@
     for (const auto& [id, entry] : state.targets) {
         update.entries.push_back(entry);
     }
+    update.gone = state.gone;
     return update;
 }
 
@@ -60,6 +61,13 @@
             update.removed.push_back(id);
         }
     }
+    for (const auto& [id, target] : after.gone) {
+        const auto previous = before.gone.find(id);
+        if (previous == before.gone.end() || previous->second.sequence != target.sequence ||
+            previous->second.started_unix_ms != target.started_unix_ms) {
+            update.gone.emplace(id, target);
+        }
+    }
     return update;
 }
 
@@ -75,6 +83,9 @@
     for (const auto& id : update.removed) {
         next.targets.erase(id);
     }
+    for (const auto& [id, target] : update.gone) {
+        next.gone.insert_or_assign(id, target);
+    }
     return next;
 }
 
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -1,9 +1,85 @@
 #include "mimosavalve/gateway/target_registry.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosavalve::gateway {
 
+namespace detail {
+
+bool is_not_newer(const target_entry& entry, const gone_target& gone) {
+    return std::pair(entry.started_unix_ms, entry.sequence) <=
+           std::pair(gone.started_unix_ms, gone.sequence);
+}
+
+void remember(std::map<std::string, gone_target>& gone, const std::string& id,
+              const gone_target& added) {
+    const auto [kept, is_new] = gone.try_emplace(id, added);
+    if (!is_new && std::pair(kept->second.started_unix_ms, kept->second.sequence) <
+                       std::pair(added.started_unix_ms, added.sequence)) {
+        kept->second = added;
+    }
+}
+
+}  // namespace detail
+
+void forget_gone_targets(registry_state& state, boot_time now) {
+    auto& gone = state.gone;
+    for (auto& [id, target] : gone) {
+        if (target.forget_at == boot_time()) {
+            target.forget_at = now + gone_target_time;
+        }
+    }
+    std::erase_if(gone, [&](const auto& named) { return now >= named.second.forget_at; });
+    while (gone.size() > max_gone_targets) {
+        gone.erase(std::min_element(gone.begin(), gone.end(), [](const auto& one, const auto& two) {
+            return one.second.forget_at < two.second.forget_at;
+        }));
+    }
+}
+
+bool is_older(const target_entry& entry, const target_entry& other) {
+    return std::pair(entry.started_unix_ms, entry.sequence) <
+           std::pair(other.started_unix_ms, other.sequence);
+}
+
+registry_state without_older_entries(const registry_state& state, registry_state next,
+                                     boot_time now) {
+    for (const auto& [id, target] : state.gone) {
+        detail::remember(next.gone, id, target);
+    }
+    for (const auto& [id, entry] : state.targets) {
+        const auto found = next.targets.find(id);
+        if (found == next.targets.end()) {
+            detail::remember(next.gone, id, {entry.started_unix_ms, entry.sequence, {}});
+        } else if (is_older(found->second, entry)) {
+            found->second = entry;
+        }
+    }
+    forget_gone_targets(next, now);
+    std::erase_if(next.targets, [&](const auto& named) {
+        const auto found = next.gone.find(named.first);
+        return found != next.gone.end() && detail::is_not_newer(named.second, found->second);
+    });
+    std::erase_if(next.gone, [&](const auto& named) { return next.targets.contains(named.first); });
+    return next;
+}
+
+registry_state with_news_from_before(const registry_state& state, const registry_state& other,
+                                     boot_time now) {
+    auto next = state;
+    for (const auto& [id, entry] : other.targets) {
+        const auto found = next.targets.find(id);
+        if (found != next.targets.end() && is_older(found->second, entry)) {
+            found->second = entry;
+        }
+    }
+    for (const auto& [id, target] : other.gone) {
+        detail::remember(next.gone, id, target);
+    }
+    return without_older_entries(state, std::move(next), now);
+}
+
 bool is_same_for_routing(const target_entry& left, const target_entry& right) {
     return left.id == right.id && left.service == right.service && left.address == right.address &&
            left.failure_domain == right.failure_domain && left.slots == right.slots &&
@@ -35,7 +111,7 @@
             next.targets.emplace(id, entry);
         }
     }
-    return next;
+    return without_older_entries(state, std::move(next), now);
 }
 
 bool differs_for_routing(const registry_state& left, const registry_state& right) {
--- a/tests/gateway/registry_fixture.hpp
+++ b/tests/gateway/registry_fixture.hpp
@@ -24,6 +24,9 @@
     void put(const std::string& key, const std::string& value) {
         ++revision_;
         store_item change{key, value, revision_, revision_, 0};
+        if (key.starts_with("targets/")) {
+            change.value += " " + std::to_string(++last_sequence_);
+        }
         if (value.empty()) {
             items_.erase(key);
             change.revision = 0;
@@ -33,6 +36,25 @@
         changes_.push_back(change);
     }
 
+    /// Copies the items for `restore_copy`.
+    void take_copy() { copy_ = {items_, changes_, revision_ & store_number_mask}; }
+    /// Comes back from the copy: what was written since is gone, and its revisions are given out
+    /// again in a new era.
+    void restore_copy() {
+        ++era_;
+        items_ = copy_.items;
+        changes_ = copy_.changes;
+        revision_ = (era_ << store_era_shift) | copy_.number;
+        for (auto& [key, item] : items_) {
+            item.revision = (era_ << store_era_shift) | (item.revision & store_number_mask);
+            item.created = item.revision;
+        }
+        for (auto& change : changes_) {
+            change.created = (era_ << store_era_shift) | (change.created & store_number_mask);
+            change.revision = change.revision == 0 ? 0 : change.created;
+        }
+    }
+
     void install(router_core& core) {
         core.platform.keys = {"operators/config", "evacuated/", "operators/", "targets/", "own/"};
         core.platform.decode_target = [](std::string_view id, std::string_view text) {
@@ -41,7 +63,8 @@
             entry.service = "orders";
             entry.address = "127.0.0.1:1";
             entry.started_unix_ms = 1;
-            entry.leaving = text == "leaving";
+            entry.leaving = text.starts_with("leaving");
+            entry.sequence = std::stoull(std::string(text.substr(text.find(' '))));
             return std::optional(entry);
         };
         core.platform.store.list = [this](const std::string& prefix, const std::string& after,
@@ -68,6 +91,8 @@
     int registry_calls = 0;
 
 private:
+    static constexpr std::uint64_t store_number_mask = (std::uint64_t{1} << store_era_shift) - 1;
+
     void count_call(const std::string& prefix) { registry_calls += prefix == "targets/" ? 1 : 0; }
     bool must_lose(const std::string& prefix) {
         return prefix == "targets/" && lost_registry_calls > 0 && lost_registry_calls-- > 0;
@@ -100,6 +125,11 @@
     }
     void watch(const std::string& prefix, std::uint64_t revision, call_deadline until,
                metadata_store::items_handler done) {
+        if (store_era_of(revision) != era_) {
+            run_after(context_, milliseconds(1), life_,
+                      [done = std::move(done)] { done(make_error_code(errc::history_lost), {}); });
+            return;
+        }
         store_items found;
         found.revision = revision_;
         for (const auto& change : changes_) {
@@ -121,6 +151,14 @@
     std::map<std::string, store_item> items_;
     std::vector<store_item> changes_;
     std::uint64_t revision_ = 10;
+    std::uint64_t era_ = 0;
+    std::uint64_t last_sequence_ = 0;
+    struct copied_items {
+        std::map<std::string, store_item> items;
+        std::vector<store_item> changes;
+        std::uint64_t number = 0;  ///< Revision without the era.
+    };
+    copied_items copy_;
     lifetime life_;
 };
 
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -226,3 +226,94 @@
     router.run_for(milliseconds(2000));
     CHECK(router.store.registry_calls - calls_before <= 5);
 }
+
+TEST_CASE("an older entry does not bring back a target that is leaving [registry]") {
+    leader_fixture router;
+    REQUIRE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+    router.store.take_copy();
+    router.store.put("targets/t1", "leaving");
+    REQUIRE(router.run_until([&] { return !router.is_used("t1"); }, milliseconds(2000)));
+    router.store.restore_copy();
+    CHECK_FALSE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(4000)));
+}
+
+TEST_CASE("an older entry does not bring back a target that has gone [registry]") {
+    leader_fixture router;
+    router.store.put("targets/t2", "ready");
+    REQUIRE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+    router.store.take_copy();
+    router.store.put("targets/t1", "");
+    REQUIRE(router.run_until([&] { return !router.is_used("t1"); }, milliseconds(2000)));
+    router.store.restore_copy();
+    CHECK_FALSE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(4000)));
+    router.store.put("targets/t1", "ready");
+    CHECK(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+}
+
+TEST_CASE("targets that an older copy lacks are kept until they write again [registry]") {
+    leader_fixture router;
+    router.store.take_copy();
+    router.store.put("targets/t2", "ready");
+    router.store.put("targets/t3", "ready");
+    REQUIRE(router.run_until([&] { return router.is_used("t3"); }, milliseconds(2000)));
+    router.store.restore_copy();
+    CHECK_FALSE(router.run_until([&] { return !router.is_used("t2") || !router.is_used("t3"); },
+                                 milliseconds(1500)));
+    router.store.put("targets/t2", "ready");
+    CHECK(router.run_until([&] { return !router.is_used("t3"); }, milliseconds(5000)));
+    CHECK(router.is_used("t2"));
+}
+
+TEST_CASE("a target that leaves after the store came back older gets no more requests [registry]") {
+    leader_fixture router;
+    REQUIRE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+    router.store.take_copy();
+    for (int number = 2; number <= 8; ++number) {
+        router.store.put("targets/t" + std::to_string(number), "ready");
+    }
+    REQUIRE(router.run_until([&] { return router.is_used("t8"); }, milliseconds(2000)));
+    router.store.restore_copy();
+    router.run_for(milliseconds(500));
+    router.store.put("targets/t1", "leaving");
+    CHECK(router.run_until([&] { return !router.is_used("t1"); },
+                           router.core.settings.bounds.leave_time));
+}
+
+TEST_CASE("what a store that came back older lacks does not count as known [registry]") {
+    leader_fixture router;
+    REQUIRE(router.run_until([&] { return router.is_used("t1"); }, milliseconds(2000)));
+    router.store.take_copy();
+    const auto restored_at = boot_clock::now();
+    router.store.restore_copy();
+    router.run_for(milliseconds(1500));
+    CHECK(router.core.state.registry_known_at < restored_at + milliseconds(100));
+    CHECK(router.run_until(
+        [&] { return router.core.state.registry_known_at > restored_at + milliseconds(2000); },
+        milliseconds(4000)));
+}
+
+// The leader read that the target is leaving; the follower read the store after it came back.
+TEST_CASE("what only the leader knew before the store came back older is used [registry]") {
+    follower_fixture router;
+    router.store.take_copy();
+    router.store.restore_copy();
+    bool is_leaving = false;
+    router.answer = [&](const sync_request&) {
+        sync_reply reply;
+        reply.registry_number = 1;
+        reply.registry = follower_fixture::whole_registry(5000);
+        reply.registry->entries.front().leaving = is_leaving;
+        reply.registry->entries.front().sequence = is_leaving ? 1000 : 0;
+        reply.store_age_ms = 5000;
+        return reply;
+    };
+    fleet_control control(router.core, router.calls);
+    control.start();
+    REQUIRE(router.run_until(
+        [&] {
+            return router.is_used("t1") && store_era_of(router.core.state.registry.revision) == 1;
+        },
+        milliseconds(4000)));
+    is_leaving = true;
+    CHECK(router.run_until([&] { return !router.is_used("t1"); }, milliseconds(2000)));
+}
--- a/tests/gateway/state_update_test.cpp
+++ b/tests/gateway/state_update_test.cpp
@@ -111,7 +111,7 @@
     reply.number = 3;
     reply.rate_quotas = std::map<std::string, double>{};
     reply.maps["status"] = {false, {{5, 9, "a", 4, true, 2, 30}}};
-    reply.registry = registry_update{false, 8, {entry_of("a", 1)}, {"b"}};
+    reply.registry = registry_update{false, 8, {entry_of("a", 1)}, {"b"}, {{"b", {5, 9, {}}}}};
     const auto decoded = decode_sync_reply(encode(reply));
     REQUIRE(decoded);
     CHECK(decoded->number == 3);
@@ -122,6 +122,9 @@
     REQUIRE(decoded->registry);
     CHECK(decoded->registry->entries == reply.registry->entries);
     CHECK(decoded->registry->removed == reply.registry->removed);
+    REQUIRE(decoded->registry->gone.size() == 1);
+    CHECK(decoded->registry->gone.at("b").started_unix_ms == 5);
+    CHECK(decoded->registry->gone.at("b").sequence == 9);
 }
 
 TEST_CASE("a router that gets a reply every few seconds still gets differences [state_update]") {
@@ -133,3 +136,45 @@
     REQUIRE(history.find(1) != nullptr);
     CHECK(*history.find(1) == 0);
 }
+
+TEST_CASE("a router learns from the leader which targets have gone [state_update]") {
+    registry_state before;
+    before.targets["a"] = entry_of("a", 1);
+    before.targets["a"].sequence = 4;
+    before.targets["b"] = entry_of("b", 1);
+    auto after = before;
+    after.targets.erase("a");
+    after = without_older_entries(before, after, boot_clock::now());
+    CHECK(difference(before, after).gone.at("a").sequence == 4);
+    CHECK(difference(after, after).gone.empty());
+    CHECK(whole_update(after).gone.at("a").sequence == 4);
+    CHECK(applied(before, difference(before, after)).gone.contains("a"));
+}
+
+TEST_CASE("a target that has gone is forgotten after a minute, and many at once [state_update]") {
+    const auto start = boot_clock::now();
+    registry_state state;
+    for (std::size_t number = 0; number < 2 * max_gone_targets; ++number) {
+        const auto id = "t" + std::to_string(number);
+        state.targets[id] = entry_of(id, 1);
+    }
+    const auto gone = without_older_entries(state, {}, start);
+    CHECK(gone.gone.size() == max_gone_targets);
+    CHECK(without_older_entries(gone, {}, start + gone_target_time - milliseconds(1)).gone.size() ==
+          max_gone_targets);
+    CHECK(without_older_entries(gone, {}, start + gone_target_time).gone.empty());
+}
+
+TEST_CASE("a later instance is used although its reports are counted anew [state_update]") {
+    const auto now = boot_clock::now();
+    registry_state state;
+    state.targets["a"] = entry_of("a", 7);
+    state.targets["a"].sequence = 100;
+    registry_state next;
+    next.targets["a"] = entry_of("a", 8);
+    CHECK(without_older_entries(state, next, now).targets.at("a").started_unix_ms == 8);
+    CHECK(without_older_entries(next, state, now).targets.at("a").started_unix_ms == 8);
+    const auto gone = without_older_entries(state, {}, now);
+    CHECK(without_older_entries(gone, next, now).targets.contains("a"));
+    CHECK_FALSE(without_older_entries(gone, state, now).targets.contains("a"));
+}
