Evacuations survive a store that comes back older

A listing of the older copy ended evacuations that had begun since, and began again those that had ended, until the operators wrote their items again. After a change of the era, a difference between a listing and what the router knew is now taken over only from a listing after the time in which items are written again; what a watch reports is applied at once. The same holds for what comes from the leader. A router that knew nothing takes the listing.

The older configuration of the copy was rejected with each listing, counted in `configs_rejected` and logged. It is ignored now, with one log line per era.

The new tests against the old code:

operator_items_test.cpp:44: an evacuation that an older copy lacks stays until it is written again CHECK( router.stays(true, milliseconds(1500)) ) is NOT correct! operator_items_test.cpp:59: an evacuation that nobody writes again after the store came back ends CHECK( router.stays(true, milliseconds(2000)) ) is NOT correct! operator_items_test.cpp:72: an evacuation that ended does not begin again with an older copy CHECK( router.stays(false, milliseconds(1500)) ) is NOT correct! operator_items_test.cpp:95: a leader's evacuations from an older copy are not taken over at once CHECK( router.is_evacuated() ) is NOT correct! operator_items_test.cpp:114: the configuration of an older copy is ignored and not counted as bad CHECK( router.core.metrics.counters["configs_rejected"] == 0 ) is NOT correct! values: CHECK( 1 == 0 )

--- a/src/gateway/operator_items.cpp
+++ b/src/gateway/operator_items.cpp
@@ -1,5 +1,7 @@
 #include "operator_items.hpp"
 
+#include <utility>
+
 namespace mimosavalve::gateway {
 
 namespace detail {
@@ -7,6 +9,9 @@
 // A configuration must be in force within 2.5 s (see the platform's documentation of rules), also
 // when the watch missed it.
 constexpr milliseconds check_interval{900};
+// Time after a return of the store from an older copy within which operators write their items
+// again, as targets do.
+constexpr milliseconds item_rewrite_time = entry_rewrite_time;
 
 }  // namespace detail
 
@@ -38,20 +43,56 @@
     if (!config_text.empty()) {
         apply_config(config_text, 0);
     }
-    if (revision > follower_.revision()) {
+    note_era(revision);
+    if (revision > follower_.revision() && core_.now() >= rewritten_at_) {
         evacuated_ = evacuated;
     }
 }
 
+void operator_items::note_era(std::uint64_t revision) {
+    const auto era = store_era_of(revision);
+    if (revision == 0 || (known_era_ && era <= *known_era_)) {
+        return;
+    }
+    if (known_era_) {
+        core_.log.write_always("operators_came_back_older",
+                               {{"era", static_cast<std::int64_t>(era)}});
+        rewritten_at_ = core_.now() + detail::item_rewrite_time;
+        const bool is_waiting = std::exchange(must_list_, true);
+        if (!is_waiting) {
+            list_when_rewritten(detail::item_rewrite_time);
+        }
+    }
+    known_era_ = era;
+}
+
+void operator_items::list_when_rewritten(milliseconds pause) {
+    run_after(core_.context, pause, life_, [this] {
+        if (must_list_) {
+            follower_.check();
+            list_when_rewritten(detail::check_interval);
+        }
+    });
+}
+
 void operator_items::apply_all(const store_items& items) {
+    note_era(items.revision);
+    const bool is_rewritten = core_.now() >= rewritten_at_;
     const auto& prefix = core_.platform.keys.evacuations;
     std::set<std::string> listed;
     for (const auto& item : items.items) {
-        apply_item(item);
-        if (item.key.starts_with(prefix)) {
+        const bool is_evacuation = item.key.starts_with(prefix);
+        if (is_evacuation) {
             listed.insert(item.key.substr(prefix.size()));
         }
+        if (!is_evacuation || is_rewritten) {
+            apply_item(item);
+        }
+    }
+    if (!is_rewritten) {
+        return;
     }
+    must_list_ = false;
     for (const auto& domain : std::set<std::string>(evacuated_)) {
         set_evacuated(domain, listed.contains(domain));
     }
@@ -85,6 +126,18 @@
     if (config && config->version == core_.state.config.version) {
         return;
     }
+    if (config && config->version < core_.state.config.version) {
+        // A store that came back older returns it with every listing until it is written again.
+        if (store_era_of(revision) >= next_older_config_era_) {
+            next_older_config_era_ = store_era_of(revision) + 1;
+            core_.log.write_always(
+                "config_older",
+                {{"version", static_cast<std::int64_t>(config->version)},
+                 {"revision", static_cast<std::int64_t>(revision)},
+                 {"in_force", static_cast<std::int64_t>(core_.state.config.version)}});
+        }
+        return;
+    }
     if (config) {
         problem = problem_of(*config, core_.state.config.version);
     }
--- a/src/gateway/operator_items.hpp
+++ b/src/gateway/operator_items.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -9,7 +10,9 @@
 namespace mimosavalve::gateway {
 
 /// Follows the items that operators write: the configuration and the evacuated failure domains. A
-/// configuration in force is never replaced by an older one.
+/// configuration in force is never replaced by an older one. After the store has come back from an
+/// older copy, operators write again what it lost; until then, only changes that the store reports
+/// are applied, and evacuations that it lacks or has again are not.
 class operator_items {
 public:
     struct callbacks {
@@ -33,6 +36,9 @@
     [[nodiscard]] std::uint64_t revision() const { return follower_.revision(); }
 
 private:
+    /// Called with each revision that operators' items were received with.
+    void note_era(std::uint64_t revision);
+    void list_when_rewritten(milliseconds pause);
     void apply_all(const store_items& items);
     void apply_item(const store_item& item);
     void apply_config(const std::string& text, std::uint64_t revision);
@@ -44,6 +50,11 @@
     std::string config_text_;
     std::set<std::string> evacuated_;
     boot_time next_check_;
+    std::optional<std::uint64_t> known_era_;
+    boot_time rewritten_at_;  ///< Until then operators may not have written their items again.
+    bool must_list_ = false;  ///< No listing since the era began was later than that.
+    std::uint64_t next_older_config_era_ = 0;  ///< Older configurations of eras before are logged.
+    lifetime life_;
 };
 
 }  // namespace mimosavalve::gateway
