Recorded owners from before the last moves are not used

A router that gets no replies from its leader reads the recorded owners of keys. From a store that came back from an older copy it read owners from before the last moves, and sent requests to targets that no longer hold the keys. Fences rise with each move, so a record whose highest fence is lower than the highest one known is older, and is left out.

The new test against the old code:

registry_test.cpp:347: recorded owners from before the last moves do not replace newer ones CHECK_FALSE( router.run_until([&] { return owner() != "t2"; }, milliseconds(4000)) ) is NOT correct! values: CHECK_FALSE( true )

--- a/include/mimosavalve/gateway/key_map.hpp
+++ b/include/mimosavalve/gateway/key_map.hpp
@@ -38,6 +38,9 @@
 /// The segment that contains the key.
 const key_segment& segment_of(const key_map& map, std::uint32_t key);
 
+/// Highest fence of any segment. It rises with each change of an owner.
+std::uint64_t highest_fence(const key_map& map);
+
 /// Replaces the segment data of the range `change.first` to `change.last`, then calls `join_equal`.
 void assign(key_map& map, const key_segment& change);
 
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -203,17 +203,24 @@
                  if (error || fleet_.leading) {
                      return;
                  }
+                 bool changed = false;
                  for (const auto& item : items.items) {
                      auto map = decode_key_map(item.value);
-                     if (map) {
-                         core_.state.keys.insert_or_assign(item.key.substr(prefix.size()),
-                                                           std::move(*map));
-                     } else {
+                     if (!map) {
                          core_.log.write_always("record_unreadable", {{"key", item.key}});
+                         continue;
                      }
+                     auto& known = core_.state.keys[item.key.substr(prefix.size())];
+                     // A store that came back from a copy has owners from before the last moves.
+                     if (highest_fence(*map) >= highest_fence(known)) {
+                         known = std::move(*map);
+                         changed = true;
+                     }
+                 }
+                 if (changed) {
+                     client_.discard_maps();
+                     state_changed();
                  }
-                 client_.discard_maps();
-                 state_changed();
              }));
 }
 
--- a/src/gateway/key_map.cpp
+++ b/src/gateway/key_map.cpp
@@ -25,6 +25,14 @@
     map.segments = std::move(joined);
 }
 
+std::uint64_t highest_fence(const key_map& map) {
+    std::uint64_t highest = 0;
+    for (const auto& segment : map.segments) {
+        highest = std::max(highest, segment.fence);
+    }
+    return highest;
+}
+
 void assign(key_map& map, const key_segment& change) {
     std::vector<key_segment> next;
     for (const auto& segment : map.segments) {
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -317,3 +317,34 @@
     is_leaving = true;
     CHECK(router.run_until([&] { return !router.is_used("t1"); }, milliseconds(2000)));
 }
+
+TEST_CASE("recorded owners from before the last moves do not replace newer ones [registry]") {
+    follower_fixture router;
+    const auto owned_by = [](const std::string& owner, std::uint64_t fence) {
+        key_map map;
+        assign(map, {0, key_count - 1, owner, fence, false, 1, 0});
+        return map;
+    };
+    router.store.put("own/keys/status", encode(owned_by("t1", 10)));
+    router.answer = [&](const sync_request& request) {
+        sync_reply reply;
+        reply.map_numbers["status"] = 1;
+        if (!request.map_numbers.contains("status")) {
+            reply.maps["status"] = whole_update(owned_by("t2", 20));
+        }
+        reply.store_age_ms = 5000;
+        return reply;
+    };
+    router.reply_time = milliseconds(300);
+    fleet_control control(router.core, router.calls);
+    control.start();
+    const auto owner = [&] {
+        const auto map = router.core.state.keys.find("status");
+        return map == router.core.state.keys.end() ? std::string()
+                                                   : segment_of(map->second, 0).owner;
+    };
+    REQUIRE(router.run_until([&] { return owner() == "t2"; }, milliseconds(3000)));
+    CHECK_FALSE(router.run_until([&] { return owner() != "t2"; }, milliseconds(4000)));
+    router.store.put("own/keys/status", encode(owned_by("t3", 30)));
+    CHECK(router.run_until([&] { return owner() == "t3"; }, milliseconds(4000)));
+}
