Test a fleet whose store comes back from an older copy

Real routers with a store that is away for a second and comes back from a copy of some seconds before. The entries of the targets' stand-ins count their reports, as those of targets do.

--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -100,8 +100,19 @@
     store.remove(wire::target_prefix + id);
 }
 
-void fleet_fixture::write_store_entry(const target_standin& target) {
-    store.put(wire::target_prefix + target.options().id, target.store_entry());
+void fleet_fixture::write_store_entry(target_standin& target) {
+    store.put(wire::target_prefix + target.options().id, target.next_store_entry());
+}
+
+void fleet_fixture::restore_store(milliseconds away) {
+    for (const auto& [host, entry] : routers_) {
+        store.set_access(host, store_access::refused);
+    }
+    run_for(away);
+    store.restore_copy();
+    for (const auto& [host, entry] : routers_) {
+        store.set_access(host, store_access::served);
+    }
 }
 
 void fleet_fixture::put_config(unsigned version, const std::string& orders_service) {
--- a/tests/platform/fleet_fixture.hpp
+++ b/tests/platform/fleet_fixture.hpp
@@ -36,7 +36,9 @@
     /// Ends a target and starts another one at its address, without an update of the store.
     target_standin& replace_without_store_update(const std::string& id, const std::string& new_id);
     /// Writes the entry of a target to the store.
-    void write_store_entry(const target_standin& target);
+    void write_store_entry(target_standin& target);
+    /// The store refuses all routers for the time `away`, and comes back from its copy.
+    void restore_store(gateway::milliseconds away);
     /// Writes a configuration with the routes "/status/" (idempotent, keyed) and "/orders/" (at
     /// most once).
     void put_config(unsigned version, const std::string& orders_service = "orders");
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -266,3 +266,68 @@
     }
     CHECK(fleet.repeated_runs() == 0);
 }
+
+TEST_CASE("requests are served while the store comes back from an older copy [fleet]") {
+    fleet_fixture fleet;
+    start_three_routers(fleet);
+    fleet.run_for(std::chrono::seconds(4));
+    fleet.store.take_copy();
+    fleet.add_target("o3", "orders", false);
+    fleet.put_config(5);
+    fleet.run_for(std::chrono::seconds(3));
+    fleet.restore_store(std::chrono::seconds(1));
+    const auto all_are_served = [&] {
+        for (const auto* host : {"h1", "h2", "h3"}) {
+            CHECK(fleet.request_and_wait(host, "/status/x", 0).status == 200);
+            CHECK(fleet.request_and_wait(host, "/status/x", last_key).status == 200);
+            CHECK(fleet.request_and_wait(host, "/orders/x").status == 200);
+        }
+    };
+    all_are_served();
+    fleet.run_for(std::chrono::seconds(1));
+    fleet.put_config(5);
+    for (auto& [id, target] : fleet.targets) {
+        fleet.write_store_entry(*target);
+    }
+    for (int round = 0; round < 10; ++round) {
+        all_are_served();
+        fleet.run_for(milliseconds(400));
+    }
+    CHECK(fleet.history.violations.empty());
+    CHECK(fleet.repeated_runs() == 0);
+}
+
+TEST_CASE("news is used after the store came back from an older copy [fleet]") {
+    fleet_fixture fleet;
+    start_three_routers(fleet);
+    fleet.add_target("n1", "orders-new", false);
+    fleet.store.take_copy();
+    // Revisions rise, and are given out again.
+    for (int count = 0; count < 200; ++count) {
+        fleet.write_store_entry(*fleet.targets.at("o1"));
+    }
+    fleet.run_for(std::chrono::seconds(2));
+    fleet.restore_store(std::chrono::seconds(1));
+    fleet.run_for(std::chrono::seconds(1));
+    auto& leaving = *fleet.targets.at("o2");
+    leaving.leaving = true;
+    fleet.write_store_entry(leaving);
+    fleet.run_for(milliseconds(2500));
+    const auto runs_before = leaving.run_count();
+    for (int count = 0; count < 20; ++count) {
+        for (const auto* host : {"h1", "h2", "h3"}) {
+            CHECK(fleet.request_and_wait(host, "/orders/x").status == 200);
+        }
+    }
+    CHECK(leaving.run_count() == runs_before);
+    fleet.put_config(9, "orders-new");
+    CHECK(fleet.run_until(
+        [&] {
+            return fleet.request_and_wait("h1", "/orders/x").body == "done by n1" &&
+                   fleet.request_and_wait("h2", "/orders/x").body == "done by n1" &&
+                   fleet.request_and_wait("h3", "/orders/x").body == "done by n1";
+        },
+        std::chrono::seconds(3)));
+    CHECK(fleet.run_until_serving());
+    CHECK(fleet.history.violations.empty());
+}
--- a/tests/platform/target_standin.cpp
+++ b/tests/platform/target_standin.cpp
@@ -48,7 +48,7 @@
     std::erase(group_, this);
 }
 
-std::string target_standin::store_entry() const {
+std::string target_standin::next_store_entry() {
     return json({{"service", options_.service},
                  {"address", address_text(options_.address)},
                  {"zone", options_.failure_domain},
@@ -56,7 +56,7 @@
                  {"slots", max_running},
                  {"state", leaving ? "draining" : "ready"},
                  {"warmupLeftMs", 0},
-                 {"sequence", sequence_},
+                 {"sequence", ++sequence_},
                  {"born", started_unix_ms_}})
         .dump();
 }
--- a/tests/platform/target_standin.hpp
+++ b/tests/platform/target_standin.hpp
@@ -43,8 +43,8 @@
     target_standin& operator=(const target_standin&) = delete;
 
     [[nodiscard]] const target_options& options() const { return options_; }
-    /// The entry that the target writes to the store.
-    [[nodiscard]] std::string store_entry() const;
+    /// The next entry that the target writes to the store.
+    [[nodiscard]] std::string next_store_entry();
     /// Whether a grant of the key is in force.
     [[nodiscard]] bool holds(std::uint32_t key) const;
     [[nodiscard]] std::uint32_t run_count() const { return run_count_; }
