Give two tests of moved keys an owner whose answers show that the network is sound

Both tests have a single owner, whose grants get no answer, and expect its keys to move with the bound of a sound network. Since holds are counted by what the answers of a region show, nothing shows that here: a lost target and a full link look the same, and the hold must be counted with 2.4 s.

"a target that answers requests is not lost when its grants get no answer" gets a second owner whose grants are answered, and also checks that this one keeps its keys. "after an unanswered grant, keys move only after its hold, not after a release" gets a target of another keyed service in the region.

The former case has a test of its own, with the times of a network about which nothing is known: "the keys of a lost target move also if no other target has any".

--- a/tests/gateway/key_decider_test.cpp
+++ b/tests/gateway/key_decider_test.cpp
@@ -155,11 +155,7 @@
 // targets that served all requests counted as lost.
 TEST_CASE("a target that answers requests is not lost when its grants get no answer [decider]") {
     decider_fixture fleet;
-    fleet.add_target("a");
-    fleet.add_target("b");
-    fleet.record(owned_by("a", 7));
-    fleet.lead();
-    fleet.advance_time(std::chrono::milliseconds(100));
+    begin_with_two_owners(fleet);
     fleet.silent["a"] = true;
     for (int round = 0; round < 40; ++round) {
         fleet.core.state.targets.at("a")->answered_at = fleet.now;
@@ -169,6 +165,21 @@
     CHECK(fleet.owner_of(0) == "a");
     fleet.advance_time(std::chrono::seconds(5));  // Without answers to requests, it is lost.
     CHECK(fleet.owner_of(0) == "b");
+    CHECK(fleet.owner_of(50000) == "c");
+}
+
+TEST_CASE("the keys of a lost target move also if no other target has any [decider]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    fleet.record(owned_by("a", 7));
+    fleet.lead();
+    fleet.advance_time(std::chrono::seconds(1));
+    fleet.answer_times["a"] = never_answers;
+    const auto lost = fleet.now;
+    const auto moved = fleet.await_grant_to("b", std::chrono::seconds(20));
+    CHECK(moved - fleet.last_grant_to("a") >= congested_transit + longest_hold);
+    CHECK(moved - lost <= milliseconds(8500));
 }
 
 // Guards against renewals that fail on a saturated link, where grants took longer than the timeout
@@ -391,6 +402,15 @@
     fleet.add_target("a");
     fleet.add_target("b");
     fleet.record(owned_by("a", 7));
+    // The answers of "c", of another service, show that the network is sound.
+    service other;
+    other.name = "journal";
+    other.keyed = true;
+    fleet.core.state.config.services.emplace("journal", other);
+    fleet.stored["own/keys/journal"] = {"own/keys/journal", encode(owned_by("c", 8)), 90, 90, 0};
+    fleet.add_target("c");
+    fleet.core.state.registry.targets["c"].service = "journal";
+    update_targets(fleet.core.state, fleet.now);
     fleet.lead();
     fleet.silent["a"] = true;
     fleet.advance_time(key_decider::tick_time);
