Send a request at most once on a connection to a target

Callers were told "not run, try again" for requests that a target had run or was running, or such a request was sent to the target once more, after a faulty target had written an earlier refusal once more on a kept connection.

Cause: after a refusal (421, or 503 or 429 of an owner that has room) the request may go to the same target again, and took the kept connection on which it had been refused. All sends of a request have the same id, so a copy of the refusal that arrived after the second send was taken for its answer. Copies that meet another request, have no id, come in one segment with the first refusal, or arrive while the connection is idle were discarded before as well; the second test shows it and passes on the old code.

Each link has a number now, and a request takes no idle link that has carried it. The links are closed instead, so that no more connections stay open than before. This also covers an answer that the router itself rejects, such as a success without the target's signature.

Before the fix:

path_test.cpp:254: a copy of a refusal does not answer the next send of the same request CHECK( path.receive("hello").find("200 OK") != npos ) is NOT correct! logged: status := 421 Misdirected, 503 Full, 429 Full CHECK( path.core.waiting.empty() ) is NOT correct! logged: status := 421 Misdirected CHECK( path.target.received.size() == 2 ) is NOT correct! values: CHECK( 3 == 2 ), logged: status := 503 Full, 429 Full

--- a/include/mimosavalve/gateway/target_link.hpp
+++ b/include/mimosavalve/gateway/target_link.hpp
@@ -47,6 +47,7 @@
     /// Whether an idle link is open, has received nothing, and has not reached `idle_until`.
     bool is_still_usable();
 
+    std::uint64_t number = 0;  ///< Distinguishes the links of this process.
     std::string target_id;
     std::chrono::steady_clock::time_point
         idle_until;  ///< Time after which the target may close the idle link.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -290,7 +290,7 @@
     while (!idle.empty()) {
         auto link = std::move(idle.back());
         idle.pop_back();
-        if (link->is_still_usable()) {
+        if (can_send_on(*link)) {
             send_on(std::move(link));
             return;
         }
@@ -322,8 +322,10 @@
     const auto* target = current_target();
     const choice_request request{&*route_, service_, key_, tried_targets_};
     if (target != nullptr && is_still_eligible(core_.state, *target, request, boot_clock::now())) {
-        send_on(std::make_unique<target_link>(std::move(connection),
-                                              core_.platform.headers.request_id));
+        auto link =
+            std::make_unique<target_link>(std::move(connection), core_.platform.headers.request_id);
+        link->number = ++core_.links_opened;
+        send_on(std::move(link));
         return;
     }
     count(core_.metrics, "targets_chosen_again");
@@ -356,9 +358,15 @@
     return text + "\r\n";
 }
 
+bool exchange::can_send_on(target_link& link) const {
+    return std::find(used_links_.begin(), used_links_.end(), link.number) == used_links_.end() &&
+           link.is_still_usable();
+}
+
 void exchange::send_on(std::unique_ptr<target_link> link) {
     connector_.reset();
     link_ = std::move(link);
+    used_links_.push_back(link_->number);
     link_->target_id = target_id_;
     answer_ = {};
     answer_body_.clear();
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -85,6 +85,9 @@
     /// longer get it: then another one is chosen.
     void send_on_new(std::unique_ptr<stream> connection);
     void send_on(std::unique_ptr<target_link> link);
+    /// Whether an idle link may carry the request. A link carries a request once: a copy of the
+    /// answer to an earlier send has the same id, and would be taken for the next answer.
+    [[nodiscard]] bool can_send_on(target_link& link) const;
     void send_body();
     [[nodiscard]] std::string request_head() const;
 
@@ -132,6 +135,7 @@
     std::optional<std::uint64_t> fingerprint_;
 
     std::vector<std::string> tried_targets_;  ///< Ids of the targets that had the request.
+    std::vector<std::uint64_t> used_links_;   ///< Numbers of the links that carried the request.
     std::uint32_t attempts_ = 0;              ///< Number of sends on a connection.
     std::uint32_t connect_failures_ = 0;
     std::string target_id_;
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -46,6 +46,7 @@
     crash_report crashes;              ///< Observations about crashes since the last report.
     crash_findings announced_crashes;  ///< Findings that the leader last announced.
     std::map<std::string, std::vector<std::unique_ptr<target_link>>> idle_links;  ///< By target id.
+    std::uint64_t links_opened = 0;              ///< Also the number of the last opened link.
     std::map<std::string, double> split_credit;  ///< Of weighted splits, by route and service.
     bool stopping = false;  ///< The process is stopping; answers close callers' connections.
     /// Set when the process ends too soon to finish another request.
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -15,10 +15,12 @@
 namespace {
 
 constexpr std::string_view endless = "ENDLESS";
+constexpr std::string_view repeat = "REPEAT";
 
 /// Target that answers each request with the next scripted text; "CLOSE" closes the connection, and
 /// an empty text sends nothing. After a text that begins with "ENDLESS", the rest of the text and
-/// then filler are sent until the connection is closed.
+/// then filler are sent until the connection is closed. A text that begins with "REPEAT" first
+/// sends the last answer once more, on the connection that carried it.
 class scripted_target {
 public:
     explicit scripted_target(boost::asio::io_context& context)
@@ -30,6 +32,8 @@
     }
 
     void drop_connections() { connections_.clear(); }
+    /// Sends a text on the connection that carried the last answer.
+    void send_unasked(const std::string& text) { last_answered_->write(text); }
 
     std::vector<std::string> script;
     std::vector<std::string> received;  ///< Received bytes of each request.
@@ -68,6 +72,10 @@
         if (mark != std::string::npos && id != std::string::npos) {
             answer.replace(mark, 3, text.substr(id + 12, text.find('\r', id) - id - 12));
         }
+        if (answer.starts_with(repeat)) {
+            answer.erase(0, repeat.size());
+            send_unasked(last_answer_);
+        }
         if (answer == "CLOSE") {
             from.set_reading_enabled(false);
             from.close();
@@ -78,6 +86,8 @@
             from.write(answer.substr(endless.size()));
             send_filler(from);
         } else if (!answer.empty()) {
+            last_answered_ = &from;
+            last_answer_ = answer;
             from.write(answer);
         }
     }
@@ -90,6 +100,8 @@
     }
 
     std::vector<std::unique_ptr<stream>> connections_;
+    stream* last_answered_ = nullptr;
+    std::string last_answer_;
     listener listener_;
 };
 
@@ -173,6 +185,11 @@
         context.run_for(milliseconds(30));
         context.restart();
     }
+    /// Makes the service keyed, with the target as the owner of all keys.
+    void make_target_owner() {
+        core.state.config.services["orders"].keyed = true;
+        assign(core.state.keys["orders"], {0, key_count - 1, "t1", 1, false, 1, 0});
+    }
     /// Replaces the address of the target by one on which nothing listens.
     void make_target_unreachable() {
         core.state.targets["t1"]->entry.address = "127.0.0.1:1";
@@ -202,6 +219,8 @@
     "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string good_answer =
     "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\nhello";
+const std::string full_refusal =
+    "HTTP/1.1 503 Full\r\nRequest-Id: $ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
 }  // namespace
 
@@ -231,6 +250,67 @@
     CHECK(answer.find("hello") != std::string::npos);
 }
 
+// A faulty target sends a refusal twice; the copy has the id of the request that is sent again.
+TEST_CASE("a copy of a refusal does not answer the next send of the same request [path]") {
+    for (const std::string status : {"421 Misdirected", "503 Full", "429 Full"}) {
+        CAPTURE(status);
+        path_fixture path(request_kind::non_idempotent);
+        path.make_target_owner();
+        path.core.platform.decode_load = [](std::string_view) {
+            return std::optional(target_load{0, 0, 4});
+        };
+        path.target.script = {
+            "HTTP/1.1 " + status + "\r\nRequest-Id: $ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+            std::string(repeat) + good_answer};
+        path.send(
+            "POST /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nKey: 7\r\n"
+            "Content-Length: 4\r\n\r\nbody");
+        path.settle();
+        if (!path.core.waiting.empty()) {
+            path.core.waiting.front()->redispatch_if_waiting();
+        }
+        CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+        CHECK(path.core.waiting.empty());
+        CHECK(path.target.received.size() == 2);
+        CHECK(path.target.connections == 2);
+        CHECK(path.core.state.targets["t1"]->open_connections == 1);
+    }
+}
+
+TEST_CASE("a copy of a refusal does not answer the request that follows it [path]") {
+    for (const std::string id_field : {"Request-Id: r1\r\n", ""}) {
+        for (const std::string time : {"idle", "same segment", "with the answer", "then closes"}) {
+            CAPTURE(id_field);
+            CAPTURE(time);
+            path_fixture path(request_kind::non_idempotent);
+            const std::string copy =
+                "HTTP/1.1 503 Full\r\n" + id_field + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            path.target.script = {full_refusal + (time == "same segment" ? copy : ""),
+                                  (time == "with the answer" ? copy : "") + good_answer};
+            if (time == "then closes") {
+                path.target.script.back() = copy;
+            }
+            path.post("r1");
+            CHECK(path.receive("\r\n\r\n").find("not-run") != std::string::npos);
+            if (time == "idle") {
+                path.target.send_unasked(copy);
+                path.settle();
+            }
+            path.post("r2");
+            if (time == "then closes") {
+                path.settle();
+                path.target.drop_connections();
+                const auto answer = path.receive("\r\n\r\n");
+                CHECK(answer.find("502") != std::string::npos);
+                CHECK(answer.find("may-have-run") != std::string::npos);
+            } else {
+                CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+            }
+            CHECK(path.target.received.size() == 2);
+        }
+    }
+}
+
 TEST_CASE("a target that starts to leave while its connection opens gets no request [path]") {
     path_fixture path(request_kind::non_idempotent);
     auto second = path.core.state.registry.targets.at("t1");
