Do not let a reset complete the answer to a call

The call client took any end of the connection, a reset too, for the end of an answer without a length, so that a truncated answer of the store, of a router or of a target counted as whole. Only an orderly close completes it now, as on the connections to targets (target_link).

An orderly close at any byte of the head, or with a part of the body that the head announces, was reported as an error before as well; the second test shows it and passes on the old code.

Before the fix:

call_client_test.cpp:115: a reset does not complete an answer without a length CHECK( *result.error == std::errc::connection_reset ) is NOT correct! values: CHECK( system:0 == 104 )

--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -174,7 +174,8 @@
         return;
     }
     if (got.closed || got.error) {
-        if (pending.parser->finish()) {
+        // A reset, unlike an orderly end, does not complete an answer without a length.
+        if (got.closed && pending.parser->finish()) {
             pending.answer.head.keep_alive = false;
             finish(pending, {});
             return;
--- a/tests/gateway/call_client_test.cpp
+++ b/tests/gateway/call_client_test.cpp
@@ -75,8 +75,63 @@
     return result;
 }
 
+/// Calls a server that answers with a text and then closes or resets the connection.
+outcome call_breaking_server(const std::string& text, bool is_orderly) {
+    boost::asio::io_context context;
+    std::vector<std::unique_ptr<stream>> connections;
+    lifetime life;
+    const listener server(context, {boost::asio::ip::address_v4::loopback(), 0},
+                          [&](std::unique_ptr<stream> connection) {
+                              connections.push_back(std::move(connection));
+                              // The request is read first, since a close with unread bytes resets
+                              // the connection.
+                              run_after(context, milliseconds(20), life, [&] {
+                                  std::array<char, 1024> request{};
+                                  connections.back()->read(request);
+                                  connections.back()->write(text);
+                              });
+                              run_after(context, milliseconds(40), life, [&] {
+                                  is_orderly ? connections.back()->close()
+                                             : connections.back()->reset();
+                              });
+                          });
+    call_client client(context);
+    outcome result;
+    const auto began = std::chrono::steady_clock::now();
+    client.send(server.address(), {"GET", "/", "", "", {}, {}, began + milliseconds(500)},
+                began + milliseconds(500), [&](std::error_code error, const call_answer& answer) {
+                    result.error = error;
+                    result.body_bytes = answer.body.size();
+                });
+    for (int round = 0; round < 200 && !result.error; ++round) {
+        context.run_for(milliseconds(5));
+        context.restart();
+    }
+    return result;
+}
+
 }  // namespace
 
+TEST_CASE("a reset does not complete an answer without a length [call_client]") {
+    const auto result = call_breaking_server("HTTP/1.1 200 OK\r\n\r\nhal", false);
+    REQUIRE(result.error);
+    CHECK(*result.error == std::errc::connection_reset);
+}
+
+TEST_CASE("an orderly close completes only an answer without a length [call_client]") {
+    const auto whole = call_breaking_server("HTTP/1.1 200 OK\r\n\r\nwhole", true);
+    REQUIRE(whole.error);
+    CHECK_FALSE(*whole.error);
+    CHECK(whole.body_bytes == 5);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n";
+    for (std::size_t length = 0; length <= head.size(); ++length) {
+        CAPTURE(length);
+        const auto result = call_breaking_server(head.substr(0, length), true);
+        REQUIRE(result.error);
+        CHECK(*result.error == std::errc::connection_reset);
+    }
+}
+
 TEST_CASE("a large answer that is arriving is not given up at the deadline [call_client]") {
     const auto result = call_server(12, 12);
     REQUIRE(result.error);
