Reset the caller's connection when an answer breaks off

A long answer whose length the target does not announce (chunked, or ended by its connection) is passed on without a length and ends with the caller's connection. When the target broke off, or the time for the request ended, the router closed that connection in an orderly way, so that the caller received a 200 with a short body that looked complete. The connection is reset now.

An answer without a length that ends with an orderly close right after its head is complete by HTTP, and passed on as such.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -119,7 +119,7 @@
             defer(&caller_session::end_exchange);
         }
     };
-    sink.abort = [this] { defer(&caller_session::close); };
+    sink.abort = [this] { defer(&caller_session::abort); };
     sink.room_changed = [this] {
         if (!is_request_read_ && exchange_ && exchange_->should_read_body()) {
             connection_->set_reading_enabled(true);
@@ -209,6 +209,11 @@
     });
 }
 
+void caller_session::abort() {
+    connection_->reset();
+    close();
+}
+
 void caller_session::close() {
     if (is_closed_) {
         return;
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -37,6 +37,8 @@
     void reject(unsigned status);
     void end_exchange();
     void on_caller_left();
+    /// Resets the connection, since an orderly close would complete an answer without a length.
+    void abort();
     void close();
     /// Runs a member function after the current handler, unless the session is deleted before.
     void defer(void (caller_session::*step)());
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -16,11 +16,14 @@
 
 constexpr std::string_view endless = "ENDLESS";
 constexpr std::string_view repeat = "REPEAT";
+constexpr std::string_view cut = "CUT";
+constexpr std::string_view reset = "RESET";
 
 /// Target that answers each request with the next scripted text; "CLOSE" closes the connection, and
 /// an empty text sends nothing. After a text that begins with "ENDLESS", the rest of the text and
 /// then filler are sent until the connection is closed. A text that begins with "REPEAT" first
-/// sends the last answer once more, on the connection that carried it.
+/// sends the last answer once more, on the connection that carried it. After a text that begins
+/// with "CUT" or "RESET", the connection is closed or reset.
 class scripted_target {
 public:
     explicit scripted_target(boost::asio::io_context& context)
@@ -76,7 +79,12 @@
             answer.erase(0, repeat.size());
             send_unasked(last_answer_);
         }
-        if (answer == "CLOSE") {
+        if (answer.starts_with(cut) || answer.starts_with(reset)) {
+            const bool is_orderly = answer.starts_with(cut);
+            from.write(answer.substr(is_orderly ? cut.size() : reset.size()));
+            from.set_reading_enabled(false);
+            is_orderly ? from.close() : from.reset();
+        } else if (answer == "CLOSE") {
             from.set_reading_enabled(false);
             from.close();
         } else if (answer.starts_with(endless)) {
@@ -164,8 +172,7 @@
              "\r\nContent-Length: 4\r\n\r\nbody");
     }
     /// Runs until the caller has received a text that contains `end`, for about 2 s at most.
-    /// Appends
-    /// "<closed>" if the connection ends.
+    /// Appends "<closed>" if the connection ends, and "<reset>" if it is reset.
     std::string receive(const std::string& end) {
         std::string text;
         for (int round = 0; round < 400 && text.find(end) == std::string::npos; ++round) {
@@ -177,6 +184,9 @@
             if (error == boost::asio::error::eof) {
                 return text + "<closed>";
             }
+            if (error == boost::asio::error::connection_reset) {
+                return text + "<reset>";
+            }
         }
         return text;
     }
@@ -643,3 +653,58 @@
     const auto answer = path.receive("yEND");
     CHECK(std::count(answer.begin(), answer.end(), 'y') == std::ptrdiff_t{8} << 20U);
 }
+
+TEST_CASE("an answer whose head is cut at any byte is not passed on [path]") {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\nContent-Length: 12\r\n\r\n";
+    for (const auto ending : {cut, reset}) {
+        for (std::size_t length = 0; length <= head.size(); ++length) {
+            CAPTURE(ending);
+            CAPTURE(length);
+            path_fixture path(request_kind::non_idempotent);
+            path.target.script = {std::string(ending) + head.substr(0, length)};
+            path.post("r1");
+            const auto answer = path.receive("\r\n\r\n");
+            CHECK(answer.starts_with("HTTP/1.1 502"));
+            CHECK(answer.find("may-have-run") != std::string::npos);
+        }
+    }
+}
+
+TEST_CASE("an answer without its whole body is not passed on [path]") {
+    const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n";
+    const std::string lf_start = "HTTP/1.1 200 OK\nRequest-Id: r1\nSignature: s\n";
+    for (const auto& text :
+         {std::string(cut) + start + "Transfer-Encoding: chunked\r\n\r\n",
+          std::string(cut) + start + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+          std::string(cut) + start + "Content-Length: 5\r\n\r\nhell",
+          std::string(reset) + start + "\r\n", std::string(reset) + start + "\r\nhell",
+          std::string(cut) + lf_start + "\n", std::string(cut) + lf_start + "\r\n",
+          std::string(cut) + lf_start + "Content-Length: 5\n\nhell",
+          std::string(cut) + start + "\nhell"}) {
+        CAPTURE(text);
+        path_fixture path(request_kind::non_idempotent);
+        path.target.script = {text};
+        path.post("r1");
+        CHECK(path.receive("\r\n\r\n").starts_with("HTTP/1.1 502"));
+    }
+}
+
+TEST_CASE("a long answer of unknown length that breaks off does not look complete [path]") {
+    for (const bool is_late : {false, true}) {
+        path_fixture path(request_kind::non_idempotent);
+        const std::string part(std::size_t{256} << 10U, 'y');
+        path.target.script = {std::string(is_late ? "" : cut) + chunked_answer + "40000\r\n" +
+                              part + "\r\n"};
+        path.post("r1");
+        const auto start = path.receive("yyy");
+        CHECK(start.starts_with("HTTP/1.1 200"));
+        CHECK(start.find("Content-Length") == std::string::npos);
+        if (is_late) {
+            path.settle();
+            path.expire_all();
+        }
+        CHECK((start + path.receive("<")).ends_with("<reset>"));
+        CHECK(path.closed_sessions == 1);
+    }
+}
