Close callers' connections without resetting them

A close with unread bytes makes the kernel reset the connection, which may destroy an answer that the caller has not received yet. The router closed so after its last answer on a connection (`Connection: close`, as all answers of a stopping router are, and after 400, 413 and 431), if the caller had sent more meanwhile. In a planned stop it also closed idle connections on which a request had arrived that it had not read.

After its last answer the router now only ends its own side, discards what still arrives, and closes once the caller has closed, or after 1 s. Before it closes an idle connection, it reads what has arrived; a request is handled.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -13,6 +13,8 @@
 // Added to the configured idle timeout. Callers reuse connections only up to four fifths of it, so
 // a small margin suffices.
 constexpr std::chrono::milliseconds idle_margin{1000};
+// Time for the caller to close its side after the last answer. Most callers do so at once.
+constexpr std::chrono::milliseconds linger_time{1000};
 
 }  // namespace detail
 
@@ -21,8 +23,10 @@
     : core_(core), connection_(std::move(connection)), on_closed_(std::move(on_closed)) {
     connection_->set_callbacks({[this] { read(); },
                                 [this] {
-                                    if (is_closing_) {
+                                    if (is_closing_ && has_caller_finished_) {
                                         close();
+                                    } else if (is_closing_) {
+                                        close_at_ = steady::now() + detail::linger_time;
                                     } else if (exchange_) {
                                         exchange_->resume_answer();
                                     }
@@ -63,10 +67,19 @@
         return;
     }
     last_active_ = steady::now();
+    if (got.closed && is_closing_ && connection_->queued_bytes() > 0) {
+        // The caller sends nothing more, but may still read the answer.
+        has_caller_finished_ = true;
+        connection_->set_reading_enabled(false);
+        return;
+    }
     if (got.closed || got.error) {
         on_caller_left();
         return;
     }
+    if (is_closing_) {
+        return;
+    }
     input_.append(chunk.data(), got.bytes);
     parse_input();
 }
@@ -144,28 +157,26 @@
     if (exchange_) {
         exchange_->cancel();
     }
-    connection_->set_reading_enabled(false);
+    start_closing();
+}
+
+void caller_session::start_closing() {
     is_closing_ = true;
+    close_at_ = steady::now() + detail::linger_time;
+    input_.clear();
     connection_->finish_writing();
-    if (connection_->queued_bytes() == 0) {
-        defer(&caller_session::close);
-    }
+    connection_->set_reading_enabled(true);
 }
 
 void caller_session::end_exchange() {
-    if (is_closed_ || !answered_ || !exchange_) {
+    if (is_closed_ || is_closing_ || !answered_ || !exchange_) {
         return;
     }
     const bool keep_alive = exchange_->keeps_connection_open();
     core_.defer([kept = std::shared_ptr<exchange>(std::move(exchange_))] {});
     last_active_ = steady::now();
     if (!keep_alive) {
-        is_closing_ = true;
-        connection_->set_reading_enabled(false);
-        if (connection_->queued_bytes() == 0) {
-            connection_->finish_writing();
-            defer(&caller_session::close);
-        }
+        start_closing();
         return;
     }
     start_parser();
@@ -184,7 +195,13 @@
 }
 
 void caller_session::check_time(steady::time_point now) {
-    if (exchange_ || is_closing_) {
+    if (is_closing_) {
+        if (connection_->queued_bytes() == 0 && now >= close_at_) {
+            close();
+        }
+        return;
+    }
+    if (exchange_) {
         return;
     }
     const auto& limits = core_.state.config.limits;
@@ -196,7 +213,12 @@
 }
 
 void caller_session::close_if_idle() {
-    if (!is_busy()) {
+    if (is_busy() || is_closing_) {
+        return;
+    }
+    // A close with unread bytes would reset the connection.
+    read();
+    if (!is_busy() && !is_closing_) {
         close();
     }
 }
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -25,7 +25,7 @@
     /// Closes the connection if it has been idle for too long, or its header is not complete in
     /// time.
     void check_time(steady::time_point now);
-    /// Closes the connection unless it carries a request.
+    /// Closes the connection unless it carries a request, or one has arrived.
     void close_if_idle();
     [[nodiscard]] bool is_busy() const { return exchange_ != nullptr || !input_.empty(); }
 
@@ -35,6 +35,9 @@
     void start_parser();
     void begin_exchange(message_head head);
     void reject(unsigned status);
+    /// Closes the connection once the caller has read all output and closes its side, since a close
+    /// with unread bytes resets the connection. Discards what the caller still sends.
+    void start_closing();
     void end_exchange();
     void on_caller_left();
     /// Resets the connection, since an orderly close would complete an answer without a length.
@@ -52,7 +55,10 @@
     steady::time_point last_active_ = steady::now();
     bool answered_ = false;  ///< The answer was written; the rest of the request body is discarded.
     bool is_request_read_ = false;  ///< The whole request was read.
-    bool is_closing_ = false;       ///< The connection is closed once all output is written.
+    bool is_closing_ = false;       ///< No answer follows those that were written.
+    bool has_caller_finished_ =
+        false;                     ///< The caller has closed its side while answers are queued.
+    steady::time_point close_at_;  ///< While closing: when to close even if the caller does not.
     bool is_closed_ = false;
     bool is_parsing_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -190,6 +190,13 @@
         }
         return text;
     }
+    /// Error of the caller's connection, such as a reset that arrived after its orderly end.
+    [[nodiscard]] int pending_error() {
+        int error = 0;
+        socklen_t size = sizeof error;
+        getsockopt(caller.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+        return error;
+    }
     /// Runs long enough for requests and answers to pass between sockets of one host.
     void settle() {
         context.run_for(milliseconds(30));
@@ -708,3 +715,49 @@
         CHECK(path.closed_sessions == 1);
     }
 }
+
+// Bytes that arrive after the request, unread by the router, turn a close into a reset, which may
+// destroy an answer that the caller has not received yet.
+TEST_CASE("a close after the answer does not reset a caller that still sends [path]") {
+    for (const bool is_refused : {false, true}) {
+        path_fixture path(request_kind::non_idempotent);
+        path.target.script = {good_answer};
+        path.core.stopping = !is_refused;
+        path.post("r1");
+        if (is_refused) {
+            path.send("no request\r\n\r\n");
+        }
+        path.send(std::string(std::size_t{128} << 10U, 'x'));
+        path.context.run_for(milliseconds(100));
+        path.context.restart();
+        const auto answer = path.receive("<");
+        CHECK(answer.find(is_refused ? "400 Bad Request" : "hello") != std::string::npos);
+        CHECK(answer.ends_with("<closed>"));
+        CHECK(path.pending_error() == 0);
+        path.caller.close();
+        path.settle();
+        CHECK(path.closed_sessions == 1);
+    }
+}
+
+TEST_CASE("a request that is unread when idle connections are closed gets an answer [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {good_answer, good_answer};
+    path.post("r1");
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+    path.core.stopping = true;
+    path.post("r2");
+    path.sessions.front()->close_if_idle();
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+    CHECK(path.receive("<") == "<closed>");
+}
+
+TEST_CASE("a caller that keeps its connection open after the last answer is closed [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {good_answer};
+    path.core.stopping = true;
+    path.post("r1");
+    CHECK(path.receive("<").ends_with("<closed>"));
+    path.sessions.front()->check_time(std::chrono::steady_clock::now() + std::chrono::seconds(2));
+    CHECK(path.closed_sessions == 1);
+}
