Answer every request that a stopping router has read

In a planned stop, requests that were at a target, or still waited in the router, 0.4 s before the kill were cut without an answer; among them were requests that may not be repeated. Requests that arrived in the first 2.5 s were sent whatever their time-out, and all later ones were refused, even if they would surely have ended in time.

A stopping router now decides by time. Until `answers_until`, 0.4 s before the kill, a request is sent if its deadline or the time-out of its route ends before, or if eight times the known mean time to an answer of its target, and the objective of its route, fit into the time left. Otherwise it is refused at once as not run. The same holds for a request that waits in the router, each time it is dispatched. What is at a target is awaited until `answers_until` and then answered 502, which promises nothing; a long answer that is being passed on is reset, since its connection's orderly end could complete it. The process ends 0.2 s before the kill, or once all connections are closed. Readiness is withdrawn at once, as before.

"a stopping router refuses new requests as not run and closes the connection" sets the time instead of the flag that is gone; its checks are the same. The other new cases of path_test.cpp use the new functions and don't compile with the old code. The case with real processes failed before the fix (599: the connection ended without an answer):

fleet_test.cpp:271: a stopping router serves what ends in time and answers what does not CHECK( fleet.request_and_wait("h2", "/orders/x").status == 200 ) is NOT correct! values: CHECK( 503 == 200 ) CHECK( fleet.request_and_wait("h2", "/status/x", 7).status == 200 ) is NOT correct! values: CHECK( 503 == 200 ) CHECK( slow->status == 502 ) is NOT correct! values: CHECK( 599 == 502 )

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -223,6 +223,16 @@
     }
 }
 
+void caller_session::end_with_process() {
+    if (!exchange_ || is_closing_) {
+        return;
+    }
+    exchange_->end_with_process();
+    if (!is_request_read_) {
+        start_closing();
+    }
+}
+
 void caller_session::defer(void (caller_session::*step)()) {
     core_.defer([this, step, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired()) {
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -27,6 +27,8 @@
     void check_time(steady::time_point now);
     /// Closes the connection unless it carries a request, or one has arrived.
     void close_if_idle();
+    /// Gives the final answer to the current request, since the process ends.
+    void end_with_process();
     [[nodiscard]] bool is_busy() const { return exchange_ != nullptr || !input_.empty(); }
 
 private:
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -32,6 +32,9 @@
 // Time reserved for running a request after its owner is known.
 constexpr milliseconds min_time_with_owner{100};
 constexpr milliseconds default_timeout{30000};
+// A stopping router expects no answer to take longer than this multiple of the mean. Of
+// exponentially distributed times, three in ten thousand do.
+constexpr double max_answer_time_factor = 8;
 // Minimum time until the deadline for another send to be tried.
 constexpr std::int64_t min_remaining_ms = 10;
 
@@ -116,10 +119,6 @@
     const auto requested_ms =
         detail::parse_number(field_of(head_, core_.platform.headers.deadline));
     auto timeout = requested_ms ? milliseconds(*requested_ms) : detail::default_timeout;
-    if (core_.refuses_new_requests) {
-        refuse(detail::status_unavailable, "stopping");
-        return;
-    }
     if (core_.state.config.version == 0) {
         refuse(detail::status_unavailable, "no-configuration");
         return;
@@ -183,17 +182,49 @@
     const auto now = boot_clock::now();
     const choice_request request{&*route_, service_, key_, tried_targets_};
     const auto choice = choose_target(core_.state, request, now);
-    if (choice.kind == choice_kind::target) {
-        stop_waiting();
-        open_link(*choice.target);
-    } else if (choice.kind == choice_kind::none) {
+    if (choice.kind == choice_kind::none) {
         stop_waiting();
         give_up("no-target");
+    } else if (may_outlast_process(choice.target)) {
+        stop_waiting();
+        give_up("stopping");
+    } else if (choice.kind == choice_kind::target) {
+        stop_waiting();
+        open_link(*choice.target);
     } else {
         wait_or_refuse(choice);
     }
 }
 
+bool exchange::may_outlast_process(const target_state* target) const {
+    if (!core_.answers_until || answer_deadline_ <= *core_.answers_until) {
+        return false;
+    }
+    const auto answer_ms = known_answer_ms(target);
+    const milliseconds longest(
+        static_cast<std::int64_t>(answer_ms * detail::max_answer_time_factor));
+    return answer_ms <= 0 ||
+           steady::now() + std::max(route_->objective, longest) > *core_.answers_until;
+}
+
+double exchange::known_answer_ms(const target_state* target) const {
+    const auto known_time = [](const target_state& of) {
+        return std::max(of.answer_ms, of.work_ms);
+    };
+    if (target != nullptr && known_time(*target) > 0) {
+        return known_time(*target);
+    }
+    double sum = 0;
+    std::uint32_t count = 0;
+    for (const auto& [id, other] : core_.state.targets) {
+        if (other->entry.service == service_ && known_time(*other) > 0) {
+            sum += known_time(*other);
+            ++count;
+        }
+    }
+    return count > 0 ? sum / count : 0;
+}
+
 void exchange::wait_or_refuse(const target_choice& choice) {
     auto estimate = estimate_wait();
     const auto left = route_->objective - milliseconds(age_ms());
@@ -677,6 +708,18 @@
            "timeout");
 }
 
+void exchange::end_with_process() {
+    if (done_) {
+        return;
+    }
+    if (is_streaming_) {
+        finish("stopping", answer_.status);
+        sink_.abort();
+        return;
+    }
+    give_up("stopping");
+}
+
 void exchange::cancel() {
     if (done_) {
         return;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -60,6 +60,9 @@
     /// Gives the final answer because the deadline has passed. The caller of this function has
     /// removed the exchange from `router_core::deadlines`.
     void expire();
+    /// Gives the final answer because the process ends. A request that is at a target may have run,
+    /// so its answer promises nothing.
+    void end_with_process();
 
     [[nodiscard]] bool is_done() const { return done_; }
     [[nodiscard]] bool keeps_connection_open() const { return keep_alive_; }
@@ -77,6 +80,12 @@
     void dispatch();
     /// Queues the request if it may still be answered in time, else refuses it at once.
     void wait_or_refuse(const target_choice& choice);
+    /// Whether the process is stopping and may end before the request is answered if it is sent to
+    /// `target` now; null: to any target of its service.
+    [[nodiscard]] bool may_outlast_process(const target_state* target) const;
+    /// Mean time from a send until the answer, of `target` or, if that is not known, of the targets
+    /// of the service; 0: not known.
+    [[nodiscard]] double known_answer_ms(const target_state* target) const;
     void stop_waiting();
     /// Estimates the wait for room at the targets that may run the request.
     [[nodiscard]] wait_estimate estimate_wait() const;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -33,8 +33,12 @@
 // Time after which the balancer sends a stopping host no more callers: two failed checks, one each
 // second.
 constexpr milliseconds balancer_removal_time{2500};
+// Time from the final answers until the platform kills the process, in which callers read them.
+constexpr milliseconds final_answer_margin{400};
 // Time reserved for the exit itself before the platform kills the process.
-constexpr milliseconds exit_margin{400};
+constexpr milliseconds exit_margin{200};
+// Maximum interval of the steps of a stop.
+constexpr milliseconds stop_step_interval{100};
 // Maximum number of connections to one target for grants.
 constexpr std::size_t max_grant_connections = 6;
 
@@ -299,30 +303,45 @@
         log_.write_always("stopping", {{"sessions", static_cast<std::int64_t>(sessions_.size())}});
         control_.stop();
         stop_started_at_ = steady::now();
+        core_.answers_until =
+            stop_started_at_ + core_.settings.bounds.stop_time - final_answer_margin;
         advance_stop();
     }
 
     // Callers still arrive until the balancer has detected the stop. After that, idle connections
-    // are closed at once and busy ones after their answer.
+    // are closed at once and busy ones after their answer. Requests are sent as long as they are
+    // expected to be answered before the process ends; those that still have no answer then get
+    // one.
     void advance_stop() {
         const auto now = steady::now();
-        const auto elapsed = now - stop_started_at_;
-        if (elapsed >= balancer_removal_time) {
-            core_.refuses_new_requests = true;
-            std::vector<caller_session*> sessions;
-            for (const auto& [session, owned] : sessions_) {
-                sessions.push_back(session);
-            }
+        const auto exit_at = stop_started_at_ + core_.settings.bounds.stop_time - exit_margin;
+        std::vector<caller_session*> sessions;
+        sessions.reserve(sessions_.size());
+        for (const auto& [session, owned] : sessions_) {
+            sessions.push_back(session);
+        }
+        if (now >= stop_started_at_ + balancer_removal_time) {
             for (auto* session : sessions) {
                 session->close_if_idle();
             }
             exit_if_no_sessions();
         }
-        if (elapsed >= core_.settings.bounds.stop_time - exit_margin) {
+        // Those that wait in the router are refused once too little time is left.
+        redispatch_waiting();
+        if (now >= *core_.answers_until) {
+            for (auto* session : sessions) {
+                session->end_with_process();
+            }
+        }
+        if (now >= exit_at) {
             context_.stop();
             return;
         }
-        stop_timer_.expires_after(milliseconds(100));
+        auto next = now + stop_step_interval;
+        for (const auto phase : {*core_.answers_until, exit_at}) {
+            next = phase > now ? std::min(next, phase) : next;
+        }
+        stop_timer_.expires_at(next);
         stop_timer_.async_wait([this](auto error) {
             if (!error) {
                 advance_stop();
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -2,12 +2,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,8 +51,9 @@
     std::uint64_t links_opened = 0;              ///< Also the number of the last opened link.
     std::map<std::string, double> split_credit;  ///< Of weighted splits, by route and service.
     bool stopping = false;  ///< The process is stopping; answers close callers' connections.
-    /// Set when the process ends too soon to finish another request.
-    bool refuses_new_requests = false;
+    /// Set while the process is stopping: the time at which it answers all requests that it still
+    /// has. No request is sent that may have no answer by then.
+    std::optional<std::chrono::steady_clock::time_point> answers_until;
 
     /// Exchanges that wait for a target, in the order in which they are dispatched again.
     std::list<exchange*> waiting;
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -568,7 +568,7 @@
 TEST_CASE("a stopping router refuses new requests as not run and closes the connection [path]") {
     path_fixture path(request_kind::non_idempotent);
     path.core.stopping = true;
-    path.core.refuses_new_requests = true;
+    path.core.answers_until = std::chrono::steady_clock::now();
     path.post("r1");
     const auto answer = path.receive("<closed>");
     CHECK(answer.find("503") != std::string::npos);
@@ -761,3 +761,92 @@
     path.sessions.front()->check_time(std::chrono::steady_clock::now() + std::chrono::seconds(2));
     CHECK(path.closed_sessions == 1);
 }
+
+TEST_CASE("a stopping router sends a request only if its answer is expected in time [path]") {
+    struct situation {
+        milliseconds time_left;
+        double known_answer_ms;  // 0: not known.
+        bool is_sent;
+    };
+    // The request lasts at most 1 s; its objective is 500 ms.
+    for (const auto& [time_left, known_answer_ms, is_sent] :
+         {situation{milliseconds(1500), 0, true}, situation{milliseconds(900), 0, false},
+          situation{milliseconds(900), 50, true}, situation{milliseconds(900), 200, false},
+          situation{milliseconds(300), 5, false}, situation{milliseconds(-50), 0, false}}) {
+        CAPTURE(time_left.count());
+        CAPTURE(known_answer_ms);
+        path_fixture path(request_kind::non_idempotent);
+        path.target.script = {good_answer};
+        path.core.state.targets["t1"]->answer_ms = known_answer_ms;
+        path.core.stopping = true;
+        path.core.answers_until = std::chrono::steady_clock::now() + time_left;
+        path.post("r1");
+        const auto answer = path.receive("<closed>");
+        CHECK(answer.find("Connection: close") != std::string::npos);
+        CHECK(answer.starts_with(is_sent ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+        CHECK((answer.find("not-run") != std::string::npos) == !is_sent);
+        CHECK(path.target.received.size() == (is_sent ? 1 : 0));
+    }
+}
+
+TEST_CASE("a request that waits in a stopping router is refused as not run in time [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.make_target_owner();
+    path.target.script = {
+        "HTTP/1.1 421 Misdirected\r\nRequest-Id: $ID\r\nContent-Length: 0\r\n\r\n"};
+    path.send(
+        "POST /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nKey: 7\r\n"
+        "Content-Length: 0\r\n\r\n");
+    path.settle();
+    REQUIRE(path.core.waiting.size() == 1);
+    path.core.state.targets["t1"]->answer_ms = 50;
+    path.core.stopping = true;
+    path.core.answers_until = std::chrono::steady_clock::now() + milliseconds(300);
+    path.core.waiting.front()->redispatch_if_waiting();
+    const auto answer = path.receive("<closed>");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("not-run") != std::string::npos);
+    CHECK(path.target.received.size() == 1);
+}
+
+TEST_CASE("a request that outlasts a stopping router gets an answer that promises nothing [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {""};
+    path.post("r1");
+    path.settle();
+    path.core.stopping = true;
+    path.sessions.front()->end_with_process();
+    const auto answer = path.receive("<closed>");
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+    CHECK(answer.find("may-have-run") != std::string::npos);
+    CHECK(answer.ends_with("<closed>"));
+}
+
+TEST_CASE("a long answer that outlasts a stopping router does not look complete [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {chunked_answer + "40000\r\n" + std::string(std::size_t{256} << 10U, 'y') +
+                          "\r\n"};
+    path.post("r1");
+    const auto start = path.receive("yyy");
+    CHECK(start.starts_with("HTTP/1.1 200"));
+    path.settle();
+    path.core.stopping = true;
+    path.sessions.front()->end_with_process();
+    CHECK(path.receive("<").ends_with("<reset>"));
+}
+
+TEST_CASE("a request that arrives too slowly for a stopping router is refused as not run [path]") {
+    path_fixture path(request_kind::upload);
+    path.core.announced_crashes.quarantined = {1};  // So that the body is awaited.
+    path.send(
+        "POST /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\n"
+        "Content-Length: 4\r\n\r\nbo");
+    path.settle();
+    path.core.stopping = true;
+    path.sessions.front()->end_with_process();
+    const auto answer = path.receive("<closed>");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("not-run") != std::string::npos);
+    CHECK(answer.ends_with("<closed>"));
+    CHECK(path.target.received.empty());
+}
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -104,9 +104,11 @@
     store.put(wire::target_prefix + target.options().id, target.store_entry());
 }
 
-void fleet_fixture::put_config(unsigned version, const std::string& orders_service) {
-    const auto route = [](const std::string& name, const std::string& kind,
-                          const std::string& service, unsigned attempts) {
+void fleet_fixture::put_config(unsigned version, const std::string& orders_service,
+                               milliseconds orders_timeout) {
+    const auto route = [&](const std::string& name, const std::string& kind,
+                           const std::string& service, unsigned attempts) {
+        const auto timeout = name == "orders" ? orders_timeout : milliseconds(2000);
         return json({{"resourceKind", "routes"},
                      {"metadata", {{"name", name}}},
                      {"spec",
@@ -114,7 +116,7 @@
                        {"prefix", "/" + name + "/"},
                        {"kind", kind},
                        {"service", service},
-                       {"timeoutMs", 2000},
+                       {"timeoutMs", timeout.count()},
                        {"targetLatencyMs", 800},
                        {"priority", 1},
                        {"maxAttempts", attempts},
@@ -249,11 +251,11 @@
         call.body = "order";
     }
     call.fields = {{wire::request_id_header, "request-" + std::to_string(next_request_++)},
-                   {wire::deadline_header, "3000"},
+                   {wire::deadline_header, std::to_string(caller_deadline.count())},
                    {wire::key_header, std::to_string(key)}};
     call.host = "desk.example";
     callers_.send(endpoint_of(routers_.at(host).address, caller_port), std::move(call),
-                  std::chrono::steady_clock::now() + std::chrono::seconds(4),
+                  std::chrono::steady_clock::now() + caller_deadline + std::chrono::seconds(1),
                   [outcome](std::error_code error, const gateway::call_answer& answer) {
                       if (!error) {
                           outcome->status = answer.head.status;
--- a/tests/platform/fleet_fixture.hpp
+++ b/tests/platform/fleet_fixture.hpp
@@ -39,7 +39,8 @@
     void write_store_entry(const target_standin& target);
     /// Writes a configuration with the routes "/status/" (idempotent, keyed) and "/orders/" (at
     /// most once).
-    void put_config(unsigned version, const std::string& orders_service = "orders");
+    void put_config(unsigned version, const std::string& orders_service = "orders",
+                    gateway::milliseconds orders_timeout = gateway::milliseconds(2000));
 
     void start_router(const std::string& host);
     /// Sends a signal to the process of a router. After `SIGKILL` waits for its end.
@@ -65,6 +66,7 @@
     /// Number of requests that ran more than once.
     [[nodiscard]] std::size_t repeated_runs() const;
 
+    gateway::milliseconds caller_deadline{3000};
     boost::asio::io_context context;
     store_standin store;
     target_history history;
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -266,3 +266,39 @@
     }
     CHECK(fleet.repeated_runs() == 0);
 }
+
+// The stop time of the fixture is 6 s.
+TEST_CASE("a stopping router serves what ends in time and answers what does not [fleet]") {
+    fleet_fixture fleet;
+    start_three_routers(fleet);
+    fleet.put_config(4, "orders", milliseconds(9000));
+    fleet.caller_deadline = milliseconds(9000);
+    for (const auto* id : {"o1", "o2"}) {
+        fleet.targets.at(id)->slow_path = "/orders/slow";
+    }
+    fleet.run_for(std::chrono::seconds(2));
+    for (int count = 0; count < 8; ++count) {
+        REQUIRE(fleet.request_and_wait("h2", "/orders/x").status == 200);
+    }
+    const auto slow = fleet.request("h2", "POST", "/orders/slow", 0);
+    fleet.run_for(milliseconds(100));
+    fleet.signal_router("h2", SIGTERM);
+    const auto began = std::chrono::steady_clock::now();
+    const auto run_to = [&](milliseconds time) {
+        fleet.run_until([&] { return std::chrono::steady_clock::now() >= began + time; });
+    };
+    run_to(milliseconds(3000));
+    // The time of this work is known; the longest time until the answer to a status request is 2 s.
+    CHECK(fleet.request_and_wait("h2", "/orders/x").status == 200);
+    CHECK(fleet.request_and_wait("h2", "/status/x", 7).status == 200);
+    run_to(milliseconds(5200));
+    CHECK(slow->status == 0);
+    const auto runs = fleet.history.runs_by_request.size();
+    CHECK(fleet.request_and_wait("h2", "/orders/x").status == 503);
+    CHECK(fleet.history.runs_by_request.size() == runs);
+    REQUIRE(fleet.run_until([&] { return fleet.has_ended("h2"); }));
+    CHECK(std::chrono::steady_clock::now() < began + std::chrono::seconds(6));
+    fleet.run_for(milliseconds(50));
+    CHECK(slow->status == 502);
+    CHECK(fleet.repeated_runs() == 0);
+}
--- a/tests/platform/target_standin.cpp
+++ b/tests/platform/target_standin.cpp
@@ -191,7 +191,9 @@
         return;
     }
     ++running_;
-    gateway::run_after(context_, options_.work_time, lifetime_, [this, head, respond] {
+    const bool is_slow = !slow_path.empty() && gateway::path_of(head) == slow_path;
+    const auto work_time = is_slow ? slow_work_time : options_.work_time;
+    gateway::run_after(context_, work_time, lifetime_, [this, head, respond] {
         --running_;
         internal_answer result{ok, "text/plain", "done by " + options_.id, {}};
         result.fields.push_back({wire::signature_header, "signed-" + options_.id});
