Expect no body of an answer to HEAD after a discarded answer

After an answer to another request had been discarded, the parser for the next answer did not know any more that the request was HEAD, and waited for the body that the Content-Length of the answer announced until the time for the request ended.

Before the fix:

path_test.cpp:854: an answer to HEAD that follows another answer is not awaited longer CHECK( answer.starts_with("HTTP/1.1 200") ) is NOT correct!

--- a/include/mimosavalve/gateway/target_link.hpp
+++ b/include/mimosavalve/gateway/target_link.hpp
@@ -66,6 +66,7 @@
     std::uint64_t sent_before_ = 0;
     /// Whether the answer being read belongs to another request.
     bool is_answer_to_other_request_ = false;
+    bool expects_body_ = true;  ///< False for answers to HEAD.
     bool answered_ = false;
     bool is_reusable_ = true;
     bool has_request_ = false;
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -40,10 +40,8 @@
     answered_ = false;
     has_request_ = true;
     input_.clear();
+    expects_body_ = expects_body;
     start_parser();
-    if (!expects_body) {
-        parser_->expect_no_body();
-    }
     connection_->set_callbacks({[this] { read(); },
                                 [this] {
                                     if (has_request_ && callbacks_.drained) {
@@ -84,6 +82,9 @@
         }
     };
     parser_ = std::make_unique<message_parser>(message_kind::answer, message_limits{}, events);
+    if (!expects_body_) {
+        parser_->expect_no_body();
+    }
 }
 
 void target_link::read() {
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -850,3 +850,14 @@
     CHECK(answer.ends_with("<closed>"));
     CHECK(path.target.received.empty());
 }
+
+TEST_CASE("an answer to HEAD that follows another answer is not awaited longer [path]") {
+    path_fixture path(request_kind::idempotent);
+    path.target.script = {
+        "HTTP/1.1 503 Full\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\n"};
+    path.send("HEAD /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\n\r\n");
+    const auto answer = path.receive("\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.find("Content-Length: 5") != std::string::npos);
+}
