Read an idle connection before it is closed for its idle time

The check for idle connections may run before the read of a request that has arrived, as after a suspension of the host. The connection was closed with the request unread, which reset it. It is read first now, as in a planned stop.

Before the fix:

path_test.cpp:866: a request that arrives before the idle check runs late gets an answer CHECK( path.receive("hello").find("200 OK") != npos ) is NOT correct!

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -208,7 +208,7 @@
     const auto max_inactivity =
         input_.empty() ? limits.idle_timeout + detail::idle_margin : limits.header_timeout;
     if (now - last_active_ > max_inactivity) {
-        close();
+        input_.empty() ? close_if_idle() : close();
     }
 }
 
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -861,3 +861,14 @@
     CHECK(answer.starts_with("HTTP/1.1 200"));
     CHECK(answer.find("Content-Length: 5") != std::string::npos);
 }
+
+// After a suspension of the host, the idle check may run before the read of what has arrived.
+TEST_CASE("a request that arrives before the idle check runs late gets an answer [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {good_answer, good_answer};
+    path.post("r1");
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+    path.post("r2");
+    path.sessions.front()->check_time(std::chrono::steady_clock::now() + std::chrono::hours(1));
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+}
