--- a/include/mimosavalve/gateway/target_link.hpp
+++ b/include/mimosavalve/gateway/target_link.hpp
@@ -47,6 +47,7 @@
     /// Whether an idle link is open, has received nothing, and has not reached `idle_until`.
     bool is_still_usable();
 
+    std::uint64_t number = 0;  ///< Distinguishes the links of this process.
     std::string target_id;
     std::chrono::steady_clock::time_point
         idle_until;  ///< Time after which the target may close the idle link.
@@ -65,6 +66,7 @@
     std::uint64_t sent_before_ = 0;
     /// Whether the answer being read belongs to another request.
     bool is_answer_to_other_request_ = false;
+    bool expects_body_ = true;  ///< False for answers to HEAD.
     bool answered_ = false;
     bool is_reusable_ = true;
     bool has_request_ = false;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -32,6 +32,9 @@
 // Time reserved for running a request after its owner is known.
 constexpr milliseconds min_time_with_owner{100};
 constexpr milliseconds default_timeout{30000};
+// A stopping router expects no answer to take longer than this multiple of the mean. Of
+// exponentially distributed times, three in ten thousand do.
+constexpr double max_answer_time_factor = 8;
 // Minimum time until the deadline for another send to be tried.
 constexpr std::int64_t min_remaining_ms = 10;
 
@@ -116,10 +119,6 @@
     const auto requested_ms =
         detail::parse_number(field_of(head_, core_.platform.headers.deadline));
     auto timeout = requested_ms ? milliseconds(*requested_ms) : detail::default_timeout;
-    if (core_.refuses_new_requests) {
-        refuse(detail::status_unavailable, "stopping");
-        return;
-    }
     if (core_.state.config.version == 0) {
         refuse(detail::status_unavailable, "no-configuration");
         return;
@@ -183,17 +182,50 @@
     const auto now = boot_clock::now();
     const choice_request request{&*route_, service_, key_, tried_targets_};
     const auto choice = choose_target(core_.state, request, now);
-    if (choice.kind == choice_kind::target) {
-        stop_waiting();
-        open_link(*choice.target);
-    } else if (choice.kind == choice_kind::none) {
+    if (choice.kind == choice_kind::none) {
         stop_waiting();
         give_up("no-target");
+    } else if (may_outlast_process(choice.target)) {
+        stop_waiting();
+        give_up("stopping");
+    } else if (choice.kind == choice_kind::target) {
+        stop_waiting();
+        open_link(*choice.target);
     } else {
         wait_or_refuse(choice);
     }
 }
 
+bool exchange::may_outlast_process(const target_state* target) const {
+    if (!core_.answers_until || answer_deadline_ <= *core_.answers_until) {
+        return false;
+    }
+    const auto answer_ms = known_answer_ms(target);
+    const milliseconds longest(
+        static_cast<std::int64_t>(answer_ms * detail::max_answer_time_factor));
+    return answer_ms <= 0 ||
+           steady::now() + std::max(route_->objective, longest) > *core_.answers_until;
+}
+
+double exchange::known_answer_ms(const target_state* target) const {
+    const auto now = boot_clock::now();
+    const auto known_time = [&](const target_state& of) {
+        return is_cold(of, now) ? 0 : std::max(of.answer_ms, of.work_ms);
+    };
+    if (target != nullptr && (known_time(*target) > 0 || is_cold(*target, now))) {
+        return known_time(*target);
+    }
+    double sum = 0;
+    std::uint32_t count = 0;
+    for (const auto& [id, other] : core_.state.targets) {
+        if (other->entry.service == service_ && known_time(*other) > 0) {
+            sum += known_time(*other);
+            ++count;
+        }
+    }
+    return count > 0 ? sum / count : 0;
+}
+
 void exchange::wait_or_refuse(const target_choice& choice) {
     auto estimate = estimate_wait();
     const auto left = route_->objective - milliseconds(age_ms());
@@ -290,7 +322,7 @@
     while (!idle.empty()) {
         auto link = std::move(idle.back());
         idle.pop_back();
-        if (link->is_still_usable()) {
+        if (can_send_on(*link)) {
             send_on(std::move(link));
             return;
         }
@@ -322,8 +354,10 @@
     const auto* target = current_target();
     const choice_request request{&*route_, service_, key_, tried_targets_};
     if (target != nullptr && is_still_eligible(core_.state, *target, request, boot_clock::now())) {
-        send_on(std::make_unique<target_link>(std::move(connection),
-                                              core_.platform.headers.request_id));
+        auto link =
+            std::make_unique<target_link>(std::move(connection), core_.platform.headers.request_id);
+        link->number = ++core_.links_opened;
+        send_on(std::move(link));
         return;
     }
     count(core_.metrics, "targets_chosen_again");
@@ -356,9 +390,15 @@
     return text + "\r\n";
 }
 
+bool exchange::can_send_on(target_link& link) const {
+    return std::find(used_links_.begin(), used_links_.end(), link.number) == used_links_.end() &&
+           link.is_still_usable();
+}
+
 void exchange::send_on(std::unique_ptr<target_link> link) {
     connector_.reset();
     link_ = std::move(link);
+    used_links_.push_back(link_->number);
     link_->target_id = target_id_;
     answer_ = {};
     answer_body_.clear();
@@ -669,6 +709,18 @@
            "timeout");
 }
 
+void exchange::end_with_process() {
+    if (done_) {
+        return;
+    }
+    if (is_streaming_) {
+        finish("stopping", answer_.status);
+        sink_.abort();
+        return;
+    }
+    give_up("stopping");
+}
+
 void exchange::cancel() {
     if (done_) {
         return;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -60,6 +60,9 @@
     /// Gives the final answer because the deadline has passed. The caller of this function has
     /// removed the exchange from `router_core::deadlines`.
     void expire();
+    /// Gives the final answer because the process ends. A request that is at a target may have run,
+    /// so its answer promises nothing.
+    void end_with_process();
 
     [[nodiscard]] bool is_done() const { return done_; }
     [[nodiscard]] bool keeps_connection_open() const { return keep_alive_; }
@@ -77,6 +80,12 @@
     void dispatch();
     /// Queues the request if it may still be answered in time, else refuses it at once.
     void wait_or_refuse(const target_choice& choice);
+    /// Whether the process is stopping and may end before the request is answered if it is sent to
+    /// `target` now; null: to any target of its service.
+    [[nodiscard]] bool may_outlast_process(const target_state* target) const;
+    /// Mean time from a send until the answer, of `target` or, if that is not known, of the targets
+    /// of the service; 0: not known. Nothing is known of a cold target: its times still change.
+    [[nodiscard]] double known_answer_ms(const target_state* target) const;
     void stop_waiting();
     /// Estimates the wait for room at the targets that may run the request.
     [[nodiscard]] wait_estimate estimate_wait() const;
@@ -85,6 +94,9 @@
     /// longer get it: then another one is chosen.
     void send_on_new(std::unique_ptr<stream> connection);
     void send_on(std::unique_ptr<target_link> link);
+    /// Whether an idle link may carry the request. A link carries a request once: a copy of the
+    /// answer to an earlier send has the same id, and would be taken for the next answer.
+    [[nodiscard]] bool can_send_on(target_link& link) const;
     void send_body();
     [[nodiscard]] std::string request_head() const;
 
@@ -132,6 +144,7 @@
     std::optional<std::uint64_t> fingerprint_;
 
     std::vector<std::string> tried_targets_;  ///< Ids of the targets that had the request.
+    std::vector<std::uint64_t> used_links_;   ///< Numbers of the links that carried the request.
     std::uint32_t attempts_ = 0;              ///< Number of sends on a connection.
     std::uint32_t connect_failures_ = 0;
     std::string target_id_;
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -15,10 +15,15 @@
 namespace {
 
 constexpr std::string_view endless = "ENDLESS";
+constexpr std::string_view repeat = "REPEAT";
+constexpr std::string_view cut = "CUT";
+constexpr std::string_view reset = "RESET";
 
 /// Target that answers each request with the next scripted text; "CLOSE" closes the connection, and
 /// an empty text sends nothing. After a text that begins with "ENDLESS", the rest of the text and
-/// then filler are sent until the connection is closed.
+/// then filler are sent until the connection is closed. A text that begins with "REPEAT" first
+/// sends the last answer once more, on the connection that carried it. After a text that begins
+/// with "CUT" or "RESET", the connection is closed or reset.
 class scripted_target {
 public:
     explicit scripted_target(boost::asio::io_context& context)
@@ -30,6 +35,8 @@
     }
 
     void drop_connections() { connections_.clear(); }
+    /// Sends a text on the connection that carried the last answer.
+    void send_unasked(const std::string& text) { last_answered_->write(text); }
 
     std::vector<std::string> script;
     std::vector<std::string> received;  ///< Received bytes of each request.
@@ -68,7 +75,16 @@
         if (mark != std::string::npos && id != std::string::npos) {
             answer.replace(mark, 3, text.substr(id + 12, text.find('\r', id) - id - 12));
         }
-        if (answer == "CLOSE") {
+        if (answer.starts_with(repeat)) {
+            answer.erase(0, repeat.size());
+            send_unasked(last_answer_);
+        }
+        if (answer.starts_with(cut) || answer.starts_with(reset)) {
+            const bool is_orderly = answer.starts_with(cut);
+            from.write(answer.substr(is_orderly ? cut.size() : reset.size()));
+            from.set_reading_enabled(false);
+            is_orderly ? from.close() : from.reset();
+        } else if (answer == "CLOSE") {
             from.set_reading_enabled(false);
             from.close();
         } else if (answer.starts_with(endless)) {
@@ -78,6 +94,8 @@
             from.write(answer.substr(endless.size()));
             send_filler(from);
         } else if (!answer.empty()) {
+            last_answered_ = &from;
+            last_answer_ = answer;
             from.write(answer);
         }
     }
@@ -90,6 +108,8 @@
     }
 
     std::vector<std::unique_ptr<stream>> connections_;
+    stream* last_answered_ = nullptr;
+    std::string last_answer_;
     listener listener_;
 };
 
@@ -152,8 +172,7 @@
              "\r\nContent-Length: 4\r\n\r\nbody");
     }
     /// Runs until the caller has received a text that contains `end`, for about 2 s at most.
-    /// Appends
-    /// "<closed>" if the connection ends.
+    /// Appends "<closed>" if the connection ends, and "<reset>" if it is reset.
     std::string receive(const std::string& end) {
         std::string text;
         for (int round = 0; round < 400 && text.find(end) == std::string::npos; ++round) {
@@ -165,14 +184,29 @@
             if (error == boost::asio::error::eof) {
                 return text + "<closed>";
             }
+            if (error == boost::asio::error::connection_reset) {
+                return text + "<reset>";
+            }
         }
         return text;
     }
+    /// Error of the caller's connection, such as a reset that arrived after its orderly end.
+    [[nodiscard]] int pending_error() {
+        int error = 0;
+        socklen_t size = sizeof error;
+        getsockopt(caller.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+        return error;
+    }
     /// Runs long enough for requests and answers to pass between sockets of one host.
     void settle() {
         context.run_for(milliseconds(30));
         context.restart();
     }
+    /// Makes the service keyed, with the target as the owner of all keys.
+    void make_target_owner() {
+        core.state.config.services["orders"].keyed = true;
+        assign(core.state.keys["orders"], {0, key_count - 1, "t1", 1, false, 1, 0});
+    }
     /// Replaces the address of the target by one on which nothing listens.
     void make_target_unreachable() {
         core.state.targets["t1"]->entry.address = "127.0.0.1:1";
@@ -202,6 +236,8 @@
     "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string good_answer =
     "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\nhello";
+const std::string full_refusal =
+    "HTTP/1.1 503 Full\r\nRequest-Id: $ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
 }  // namespace
 
@@ -231,6 +267,67 @@
     CHECK(answer.find("hello") != std::string::npos);
 }
 
+// A faulty target sends a refusal twice; the copy has the id of the request that is sent again.
+TEST_CASE("a copy of a refusal does not answer the next send of the same request [path]") {
+    for (const std::string status : {"421 Misdirected", "503 Full", "429 Full"}) {
+        CAPTURE(status);
+        path_fixture path(request_kind::non_idempotent);
+        path.make_target_owner();
+        path.core.platform.decode_load = [](std::string_view) {
+            return std::optional(target_load{0, 0, 4});
+        };
+        path.target.script = {
+            "HTTP/1.1 " + status + "\r\nRequest-Id: $ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+            std::string(repeat) + good_answer};
+        path.send(
+            "POST /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nKey: 7\r\n"
+            "Content-Length: 4\r\n\r\nbody");
+        path.settle();
+        if (!path.core.waiting.empty()) {
+            path.core.waiting.front()->redispatch_if_waiting();
+        }
+        CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+        CHECK(path.core.waiting.empty());
+        CHECK(path.target.received.size() == 2);
+        CHECK(path.target.connections == 2);
+        CHECK(path.core.state.targets["t1"]->open_connections == 1);
+    }
+}
+
+TEST_CASE("a copy of a refusal does not answer the request that follows it [path]") {
+    for (const std::string id_field : {"Request-Id: r1\r\n", ""}) {
+        for (const std::string time : {"idle", "same segment", "with the answer", "then closes"}) {
+            CAPTURE(id_field);
+            CAPTURE(time);
+            path_fixture path(request_kind::non_idempotent);
+            const std::string copy =
+                "HTTP/1.1 503 Full\r\n" + id_field + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            path.target.script = {full_refusal + (time == "same segment" ? copy : ""),
+                                  (time == "with the answer" ? copy : "") + good_answer};
+            if (time == "then closes") {
+                path.target.script.back() = copy;
+            }
+            path.post("r1");
+            CHECK(path.receive("\r\n\r\n").find("not-run") != std::string::npos);
+            if (time == "idle") {
+                path.target.send_unasked(copy);
+                path.settle();
+            }
+            path.post("r2");
+            if (time == "then closes") {
+                path.settle();
+                path.target.drop_connections();
+                const auto answer = path.receive("\r\n\r\n");
+                CHECK(answer.find("502") != std::string::npos);
+                CHECK(answer.find("may-have-run") != std::string::npos);
+            } else {
+                CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+            }
+            CHECK(path.target.received.size() == 2);
+        }
+    }
+}
+
 TEST_CASE("a target that starts to leave while its connection opens gets no request [path]") {
     path_fixture path(request_kind::non_idempotent);
     auto second = path.core.state.registry.targets.at("t1");
@@ -471,7 +568,7 @@
 TEST_CASE("a stopping router refuses new requests as not run and closes the connection [path]") {
     path_fixture path(request_kind::non_idempotent);
     path.core.stopping = true;
-    path.core.refuses_new_requests = true;
+    path.core.answers_until = std::chrono::steady_clock::now();
     path.post("r1");
     const auto answer = path.receive("<closed>");
     CHECK(answer.find("503") != std::string::npos);
@@ -563,3 +660,221 @@
     const auto answer = path.receive("yEND");
     CHECK(std::count(answer.begin(), answer.end(), 'y') == std::ptrdiff_t{8} << 20U);
 }
+
+TEST_CASE("an answer whose head is cut at any byte is not passed on [path]") {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\nContent-Length: 12\r\n\r\n";
+    for (const auto ending : {cut, reset}) {
+        for (std::size_t length = 0; length <= head.size(); ++length) {
+            CAPTURE(ending);
+            CAPTURE(length);
+            path_fixture path(request_kind::non_idempotent);
+            path.target.script = {std::string(ending) + head.substr(0, length)};
+            path.post("r1");
+            const auto answer = path.receive("\r\n\r\n");
+            CHECK(answer.starts_with("HTTP/1.1 502"));
+            CHECK(answer.find("may-have-run") != std::string::npos);
+        }
+    }
+}
+
+TEST_CASE("an answer without its whole body is not passed on [path]") {
+    const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n";
+    const std::string lf_start = "HTTP/1.1 200 OK\nRequest-Id: r1\nSignature: s\n";
+    for (const auto& text :
+         {std::string(cut) + start + "Transfer-Encoding: chunked\r\n\r\n",
+          std::string(cut) + start + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+          std::string(cut) + start + "Content-Length: 5\r\n\r\nhell",
+          std::string(reset) + start + "\r\n", std::string(reset) + start + "\r\nhell",
+          std::string(cut) + lf_start + "\n", std::string(cut) + lf_start + "\r\n",
+          std::string(cut) + lf_start + "Content-Length: 5\n\nhell",
+          std::string(cut) + start + "\nhell"}) {
+        CAPTURE(text);
+        path_fixture path(request_kind::non_idempotent);
+        path.target.script = {text};
+        path.post("r1");
+        CHECK(path.receive("\r\n\r\n").starts_with("HTTP/1.1 502"));
+    }
+}
+
+TEST_CASE("a long answer of unknown length that breaks off does not look complete [path]") {
+    for (const bool is_late : {false, true}) {
+        path_fixture path(request_kind::non_idempotent);
+        const std::string part(std::size_t{256} << 10U, 'y');
+        path.target.script = {std::string(is_late ? "" : cut) + chunked_answer + "40000\r\n" +
+                              part + "\r\n"};
+        path.post("r1");
+        const auto start = path.receive("yyy");
+        CHECK(start.starts_with("HTTP/1.1 200"));
+        CHECK(start.find("Content-Length") == std::string::npos);
+        if (is_late) {
+            path.settle();
+            path.expire_all();
+        }
+        CHECK((start + path.receive("<")).ends_with("<reset>"));
+        CHECK(path.closed_sessions == 1);
+    }
+}
+
+// Bytes that arrive after the request, unread by the router, turn a close into a reset, which may
+// destroy an answer that the caller has not received yet.
+TEST_CASE("a close after the answer does not reset a caller that still sends [path]") {
+    for (const bool is_refused : {false, true}) {
+        path_fixture path(request_kind::non_idempotent);
+        path.target.script = {good_answer};
+        path.core.stopping = !is_refused;
+        path.post("r1");
+        if (is_refused) {
+            path.send("no request\r\n\r\n");
+        }
+        path.send(std::string(std::size_t{128} << 10U, 'x'));
+        path.context.run_for(milliseconds(100));
+        path.context.restart();
+        const auto answer = path.receive("<");
+        CHECK(answer.find(is_refused ? "400 Bad Request" : "hello") != std::string::npos);
+        CHECK(answer.ends_with("<closed>"));
+        CHECK(path.pending_error() == 0);
+        path.caller.close();
+        path.settle();
+        CHECK(path.closed_sessions == 1);
+    }
+}
+
+TEST_CASE("a request that is unread when idle connections are closed gets an answer [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {good_answer, good_answer};
+    path.post("r1");
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+    path.core.stopping = true;
+    path.post("r2");
+    path.sessions.front()->close_if_idle();
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+    CHECK(path.receive("<") == "<closed>");
+}
+
+TEST_CASE("a caller that keeps its connection open after the last answer is closed [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {good_answer};
+    path.core.stopping = true;
+    path.post("r1");
+    CHECK(path.receive("<").ends_with("<closed>"));
+    path.sessions.front()->check_time(std::chrono::steady_clock::now() + std::chrono::seconds(2));
+    CHECK(path.closed_sessions == 1);
+}
+
+TEST_CASE("a stopping router sends a request only if its answer is expected in time [path]") {
+    struct situation {
+        milliseconds time_left;
+        double known_answer_ms;  // 0: not known.
+        bool is_sent;
+        bool is_cold = false;
+    };
+    // The request lasts at most 1 s; its objective is 500 ms.
+    for (const auto& [time_left, known_answer_ms, is_sent, is_cold] :
+         {situation{milliseconds(1500), 0, true}, situation{milliseconds(900), 0, false},
+          situation{milliseconds(900), 50, true}, situation{milliseconds(900), 50, false, true},
+          situation{milliseconds(1500), 50, true, true}, situation{milliseconds(900), 200, false},
+          situation{milliseconds(300), 5, false}, situation{milliseconds(-50), 0, false}}) {
+        CAPTURE(time_left.count());
+        CAPTURE(known_answer_ms);
+        CAPTURE(is_cold);
+        path_fixture path(request_kind::non_idempotent);
+        path.target.script = {good_answer};
+        path.core.state.targets["t1"]->answer_ms = known_answer_ms;
+        if (is_cold) {
+            path.core.state.targets["t1"]->cold_until = boot_clock::now() + std::chrono::seconds(9);
+        }
+        path.core.stopping = true;
+        path.core.answers_until = std::chrono::steady_clock::now() + time_left;
+        path.post("r1");
+        const auto answer = path.receive("<closed>");
+        CHECK(answer.find("Connection: close") != std::string::npos);
+        CHECK(answer.starts_with(is_sent ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+        CHECK((answer.find("not-run") != std::string::npos) == !is_sent);
+        CHECK(path.target.received.size() == (is_sent ? 1 : 0));
+    }
+}
+
+TEST_CASE("a request that waits in a stopping router is refused as not run in time [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.make_target_owner();
+    path.target.script = {
+        "HTTP/1.1 421 Misdirected\r\nRequest-Id: $ID\r\nContent-Length: 0\r\n\r\n"};
+    path.send(
+        "POST /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nKey: 7\r\n"
+        "Content-Length: 0\r\n\r\n");
+    path.settle();
+    REQUIRE(path.core.waiting.size() == 1);
+    path.core.state.targets["t1"]->answer_ms = 50;
+    path.core.stopping = true;
+    path.core.answers_until = std::chrono::steady_clock::now() + milliseconds(300);
+    path.core.waiting.front()->redispatch_if_waiting();
+    const auto answer = path.receive("<closed>");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("not-run") != std::string::npos);
+    CHECK(path.target.received.size() == 1);
+}
+
+TEST_CASE("a request that outlasts a stopping router gets an answer that promises nothing [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {""};
+    path.post("r1");
+    path.settle();
+    path.core.stopping = true;
+    path.sessions.front()->end_with_process();
+    const auto answer = path.receive("<closed>");
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+    CHECK(answer.find("may-have-run") != std::string::npos);
+    CHECK(answer.ends_with("<closed>"));
+}
+
+TEST_CASE("a long answer that outlasts a stopping router does not look complete [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {chunked_answer + "40000\r\n" + std::string(std::size_t{256} << 10U, 'y') +
+                          "\r\n"};
+    path.post("r1");
+    const auto start = path.receive("yyy");
+    CHECK(start.starts_with("HTTP/1.1 200"));
+    path.settle();
+    path.core.stopping = true;
+    path.sessions.front()->end_with_process();
+    CHECK(path.receive("<").ends_with("<reset>"));
+}
+
+TEST_CASE("a request that arrives too slowly for a stopping router is refused as not run [path]") {
+    path_fixture path(request_kind::upload);
+    path.core.announced_crashes.quarantined = {1};  // So that the body is awaited.
+    path.send(
+        "POST /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\n"
+        "Content-Length: 4\r\n\r\nbo");
+    path.settle();
+    path.core.stopping = true;
+    path.sessions.front()->end_with_process();
+    const auto answer = path.receive("<closed>");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("not-run") != std::string::npos);
+    CHECK(answer.ends_with("<closed>"));
+    CHECK(path.target.received.empty());
+}
+
+TEST_CASE("an answer to HEAD that follows another answer is not awaited longer [path]") {
+    path_fixture path(request_kind::idempotent);
+    path.target.script = {
+        "HTTP/1.1 503 Full\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\n"};
+    path.send("HEAD /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\n\r\n");
+    const auto answer = path.receive("\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.find("Content-Length: 5") != std::string::npos);
+}
+
+// After a suspension of the host, the idle check may run before the read of what has arrived.
+TEST_CASE("a request that arrives before the idle check runs late gets an answer [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {good_answer, good_answer};
+    path.post("r1");
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+    path.post("r2");
+    path.sessions.front()->check_time(std::chrono::steady_clock::now() + std::chrono::hours(1));
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+}
