--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -701,8 +701,9 @@
     for (const bool is_late : {false, true}) {
         path_fixture path(request_kind::non_idempotent);
         const std::string part(std::size_t{256} << 10U, 'y');
-        path.target.script = {std::string(is_late ? "" : cut) + chunked_answer + "40000\r\n" +
-                              part + "\r\n"};
+        std::string text(is_late ? "" : cut);
+        text.append(chunked_answer).append("40000\r\n").append(part).append("\r\n");
+        path.target.script = {text};
         path.post("r1");
         const auto start = path.receive("yyy");
         CHECK(start.starts_with("HTTP/1.1 200"));
@@ -770,28 +771,28 @@
         bool is_cold = false;
     };
     // The request lasts at most 1 s; its objective is 500 ms.
-    for (const auto& [time_left, known_answer_ms, is_sent, is_cold] :
+    for (const auto& given :
          {situation{milliseconds(1500), 0, true}, situation{milliseconds(900), 0, false},
           situation{milliseconds(900), 50, true}, situation{milliseconds(900), 50, false, true},
           situation{milliseconds(1500), 50, true, true}, situation{milliseconds(900), 200, false},
           situation{milliseconds(300), 5, false}, situation{milliseconds(-50), 0, false}}) {
-        CAPTURE(time_left.count());
-        CAPTURE(known_answer_ms);
-        CAPTURE(is_cold);
+        CAPTURE(given.time_left.count());
+        CAPTURE(given.known_answer_ms);
+        CAPTURE(given.is_cold);
         path_fixture path(request_kind::non_idempotent);
         path.target.script = {good_answer};
-        path.core.state.targets["t1"]->answer_ms = known_answer_ms;
-        if (is_cold) {
+        path.core.state.targets["t1"]->answer_ms = given.known_answer_ms;
+        if (given.is_cold) {
             path.core.state.targets["t1"]->cold_until = boot_clock::now() + std::chrono::seconds(9);
         }
         path.core.stopping = true;
-        path.core.answers_until = std::chrono::steady_clock::now() + time_left;
+        path.core.answers_until = std::chrono::steady_clock::now() + given.time_left;
         path.post("r1");
         const auto answer = path.receive("<closed>");
         CHECK(answer.find("Connection: close") != std::string::npos);
-        CHECK(answer.starts_with(is_sent ? "HTTP/1.1 200" : "HTTP/1.1 503"));
-        CHECK((answer.find("not-run") != std::string::npos) == !is_sent);
-        CHECK(path.target.received.size() == (is_sent ? 1 : 0));
+        CHECK(answer.starts_with(given.is_sent ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+        CHECK((answer.find("not-run") != std::string::npos) == !given.is_sent);
+        CHECK(path.target.received.size() == (given.is_sent ? 1 : 0));
     }
 }
 
