Let fences rise over the store's eras and stay exact as JSON numbers

A fence started at the leader's epoch times 4,096. The epoch is a revision: after the store has come back older, a new leader's fences were lower than those of the moves that the store had lost, and targets refused its grants or, worse, a former leader's grant won over them. With the era in the bits of the revision above the 40th, epoch times 4,096 rises again, but exceeds 2^53 from the second era on, and overflows from era 4,096 on; fences are sent as JSON numbers.

The first fence is now era x 2^36 + number x 4096: a store that comes back older loses fewer than 2^24 revisions, so each era starts above the former one.

The new test with the old product of the epoch:

leader_term_test.cpp:97: CHECK( first_fence((std::uint64_t{1000} << store_era_shift) + 50000) < max_exact ) is NOT correct! values: CHECK( < )

--- a/include/mimosavalve/gateway/leader_term.hpp
+++ b/include/mimosavalve/gateway/leader_term.hpp
@@ -67,4 +67,8 @@
 boot_time inherited_holds_end(const hold_times& holds, const evidence_by_host& evidence,
                               boot_time now);
 
+/// First fence of the term with this epoch (the revision of the leader's item). It is greater than
+/// all fences of earlier terms, also after the store has come back older.
+std::uint64_t first_fence(std::uint64_t epoch);
+
 }  // namespace mimosavalve::gateway
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -44,9 +44,6 @@
 constexpr milliseconds plan_interval{250};
 constexpr std::size_t moves_per_plan = 6;
 constexpr std::size_t merges_per_plan = 2;
-// The first fence of a leader is its epoch times this. A leader must assign fewer fences in its
-// term; more would overlap those of later epochs.
-constexpr std::uint64_t fences_per_epoch = 4096;
 constexpr std::uint32_t max_grant_attempts = 4;
 // Usual duration of a handover, and the maximum wait that is announced.
 constexpr milliseconds usual_handover_time{250};
@@ -94,7 +91,7 @@
     term_began_ = core_.now();
     targets_unchanged_since_ = term_began_;
     target_count_ = 0;
-    next_fence_ = term.epoch * detail::fences_per_epoch;
+    next_fence_ = first_fence(term.epoch);
     store_unavailable_ = false;
     long_holds_ = false;
     inherited_end_ = boot_time::max();
--- a/src/gateway/leader_term.cpp
+++ b/src/gateway/leader_term.cpp
@@ -3,8 +3,20 @@
 #include <algorithm>
 #include <vector>
 
+#include "mimosavalve/gateway/platform_port.hpp"
+
 namespace mimosavalve::gateway {
 
+namespace detail {
+
+// A leader must assign fewer fences in its term; more would overlap those of later epochs.
+constexpr std::uint64_t fences_per_epoch = 4096;
+// A store that comes back older loses fewer than 2^24 revisions, so fences rise over eras. Fences
+// are sent as JSON numbers, which are exact up to 2^53.
+constexpr unsigned fence_era_shift = 36;
+
+}  // namespace detail
+
 std::optional<boot_time> lease_without_store(const router_instances& recorded,
                                              const evidence_by_host& evidence) {
     std::vector<boot_time> confirmed;
@@ -57,4 +69,10 @@
     return end;
 }
 
+std::uint64_t first_fence(std::uint64_t epoch) {
+    const auto era = store_era_of(epoch);
+    const auto number = epoch - (era << store_era_shift);
+    return (era << detail::fence_era_shift) + number * detail::fences_per_epoch;
+}
+
 }  // namespace mimosavalve::gateway
--- a/tests/gateway/leader_term_test.cpp
+++ b/tests/gateway/leader_term_test.cpp
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include "mimosavalve/gateway/leader_term.hpp"
+#include "mimosavalve/gateway/platform_port.hpp"
 
 using namespace mimosavalve::gateway;
 using std::chrono::seconds;
@@ -80,6 +81,22 @@
     }));
 }
 
+TEST_CASE("fences rise although the store's revisions went back [leader_term]") {
+    const auto epoch = [](std::uint64_t era, std::uint64_t number) {
+        return (era << store_era_shift) + number;
+    };
+    CHECK(first_fence(5) == 5 * 4096);
+    CHECK(first_fence(epoch(0, 6)) > first_fence(epoch(0, 5)));
+    CHECK(first_fence(epoch(1, 5)) > first_fence(epoch(0, 1U << 24U)));
+    CHECK(first_fence(epoch(3, 20000000)) > first_fence(epoch(2, 20000000 + (1U << 23U))));
+}
+
+// JSON numbers are exact only up to 2^53.
+TEST_CASE("fences stay exact as JSON numbers when the store comes back older often [leader_term]") {
+    constexpr std::uint64_t max_exact = std::uint64_t{1} << 53U;
+    CHECK(first_fence((std::uint64_t{1000} << store_era_shift) + 50000) < max_exact);
+}
+
 TEST_CASE(
     "long holds need confirmation by more than half of the recorded instances [leader_term]") {
     evidence_by_host evidence;
