Follow no leader whose item is from before the store came back older

The item that names the leader comes back with the copy: the leader that it names may have ended long ago, or have been replaced by one whose claim the store has lost. Routers followed it, and a router whose item this was not stepped aside for it. If its lease came back without an end, nobody was ever elected.

The item now holds the era of the store in which the leader was elected (the era of its lease). In a later era it names no leader: routers keep the leader that they know, and a candidate replaces the item under the condition of its revision. Since a replaced item keeps the revision of its creation, the epoch is now the item's last revision; the leader writes its item once, so both are the same otherwise. An item without an era, of an earlier version, counts as before.

--- a/include/mimosavalve/gateway/leader_term.hpp
+++ b/include/mimosavalve/gateway/leader_term.hpp
@@ -67,6 +67,11 @@
 boot_time inherited_holds_end(const hold_times& holds, const evidence_by_host& evidence,
                               boot_time now);
 
+/// Whether the item with this revision, which a leader wrote to the store, names no leader any
+/// more: the store has come back older since the leader was elected, so the leader's lease may be
+/// gone, and other leaders may have been elected and forgotten.
+bool is_stale(const leader_identity& leader, std::uint64_t revision);
+
 /// First fence of the term with this epoch (the revision of the leader's item). It is greater than
 /// all fences of earlier terms, also after the store has come back older.
 std::uint64_t first_fence(std::uint64_t epoch);
--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -90,6 +90,9 @@
     std::string address;
     std::uint64_t instance = 0;
     std::uint64_t epoch = 0;  ///< 0 in the store, where the revision of the item is the epoch.
+    /// Era of the store in which the leader was elected (see `store_era_of`); not set by earlier
+    /// versions of the program.
+    std::optional<std::uint64_t> store_era = std::nullopt;
 };
 std::string encode(const leader_identity& message);
 std::optional<leader_identity> decode_leader_identity(std::string_view bytes);
--- a/src/gateway/leader_election.cpp
+++ b/src/gateway/leader_election.cpp
@@ -4,6 +4,7 @@
 
 #include "control_timing.hpp"
 #include "mimosavalve/core/error.hpp"
+#include "mimosavalve/gateway/leader_term.hpp"
 
 namespace mimosavalve::gateway {
 
@@ -32,11 +33,12 @@
     : core_(core),
       fleet_(fleet),
       handlers_(std::move(handlers)),
-      follower_(core, fleet, "leader",
-                {[this](const store_items& items) {
-                     on_item(items.items.empty() ? store_item{} : items.items.front());
-                 },
-                 [this](const store_items& items) { on_item(items.items.back()); }}) {}
+      follower_(
+          core, fleet, "leader",
+          {[this](const store_items& items) {
+               on_item(items.items.empty() ? store_item{} : items.items.front(), items.revision);
+           },
+           [this](const store_items& items) { on_item(items.items.back(), items.revision); }}) {}
 
 void leader_election::start() {
     follower_.start(key());
@@ -46,7 +48,7 @@
     if (fleet_.leading) {
         renew_lease(now);
     }
-    if (fleet_.leader.epoch == 0 && follower_.revision() != 0) {
+    if ((fleet_.leader.epoch == 0 || stale_item_) && follower_.revision() != 0) {
         start_candidacy();
     }
 }
@@ -55,7 +57,8 @@
     return std::max(detail::leader_lease_time, core_.settings.min_lease);
 }
 
-void leader_election::on_item(const store_item& item) {
+void leader_election::on_item(const store_item& item, std::uint64_t /*store_revision*/) {
+    stale_item_.reset();
     if (item.revision == 0) {
         if (fleet_.leader.epoch != 0) {
             core_.log.write_always("leader_gone", {{"host", fleet_.leader.host}});
@@ -72,7 +75,14 @@
         // unreadable item exists.
         leader.emplace();
     }
-    leader->epoch = item.created;
+    if (is_stale(*leader, item.revision)) {
+        core_.log.write_always("leader_stale", {{"host", leader->host}});
+        stale_item_ = item.revision;
+        start_candidacy();
+        return;
+    }
+    // A candidate may have replaced a stale item, so its creation says nothing.
+    leader->epoch = item.revision;
     set_leader(*leader);
 }
 
@@ -94,6 +104,7 @@
     }
     fleet_.newest_epoch = leader.epoch;
     fleet_.leader = leader;
+    stale_item_.reset();
     if (leader.instance != fleet_.instance) {
         step_down("another leader is on record");
     }
@@ -107,7 +118,7 @@
     is_candidate_ = true;
     next_candidacy_ = core_.now() + detail::candidacy_interval;
     run_after(core_.context, detail::random_delay(), life_, [this] {
-        if (fleet_.leader.epoch != 0 || fleet_.stopping) {
+        if ((fleet_.leader.epoch != 0 && !stale_item_) || fleet_.stopping) {
             is_candidate_ = false;
         } else {
             open_lease();
@@ -130,9 +141,10 @@
 }
 
 void leader_election::claim_leadership(std::uint64_t lease, boot_time valid_until) {
-    const leader_identity own{core_.settings.host, core_.settings.peer_address, fleet_.instance, 0};
+    const leader_identity own{core_.settings.host, core_.settings.peer_address, fleet_.instance, 0,
+                              store_era_of(lease)};
     store_batch batch;
-    batch.conditions = {{key(), 0}};
+    batch.conditions = {{key(), stale_item_.value_or(0)}};
     batch.writes = {{key(), encode(own), lease}};
     core_.platform.store.write(
         batch, detail::deadline_in(detail::store_call_time),
@@ -140,9 +152,10 @@
             is_candidate_ = false;
             // After an error, the watch reports the leader. If the write took effect all the same,
             // this router does not act as leader, and the lease expires.
-            if (error) {
+            if (error || is_stale(own, revision)) {
                 return;
             }
+            stale_item_.reset();
             lease_ = lease;
             lease_until_ = valid_until;
             next_renewal_ = core_.now() + detail::lease_renewal_interval;
--- a/src/gateway/leader_election.hpp
+++ b/src/gateway/leader_election.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string_view>
 
 #include "store_follower.hpp"
@@ -9,7 +10,7 @@
 
 /// Follows which router is the leader, and stands for election when there is none. The leader is
 /// the router that has written the item `leader` in the store under a lease; the revision of the
-/// item is the leader's epoch.
+/// item is the leader's epoch. An item from before the store came back older names no leader.
 class leader_election {
 public:
     struct callbacks {
@@ -36,7 +37,8 @@
     [[nodiscard]] std::string key() const { return core_.platform.keys.fleet + "leader"; }
 
 private:
-    void on_item(const store_item& item);
+    /// Handles the leader's item as it was at this revision of the store.
+    void on_item(const store_item& item, std::uint64_t store_revision);
     void set_leader(const leader_identity& leader);
     void start_candidacy();
     void open_lease();
@@ -49,6 +51,8 @@
     fleet_state& fleet_;
     callbacks handlers_;
     store_follower follower_;
+    /// Revision of a leader's item that names no leader, and that a candidate replaces.
+    std::optional<std::uint64_t> stale_item_;
     bool is_candidate_ = false;
     boot_time next_candidacy_;
     std::uint64_t lease_ = 0;
--- a/src/gateway/leader_term.cpp
+++ b/src/gateway/leader_term.cpp
@@ -69,6 +69,10 @@
     return end;
 }
 
+bool is_stale(const leader_identity& leader, std::uint64_t revision) {
+    return leader.store_era && *leader.store_era < store_era_of(revision);
+}
+
 std::uint64_t first_fence(std::uint64_t epoch) {
     const auto era = store_era_of(epoch);
     const auto number = epoch - (era << store_era_shift);
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -246,10 +246,14 @@
 }
 
 std::string encode(const leader_identity& message) {
-    return detail::to_bytes({{"host", message.host},
-                             {"address", message.address},
-                             {"run", message.instance},
-                             {"epoch", message.epoch}});
+    detail::json body = {{"host", message.host},
+                         {"address", message.address},
+                         {"run", message.instance},
+                         {"epoch", message.epoch}};
+    if (message.store_era) {
+        body["era"] = *message.store_era;
+    }
+    return detail::to_bytes(body);
 }
 
 std::optional<leader_identity> decode_leader_identity(std::string_view bytes) {
@@ -260,6 +264,9 @@
         out.address = body.at("address");
         out.instance = body.at("run");
         out.epoch = body.at("epoch");
+        if (body.contains("era")) {
+            out.store_era = body.at("era").get<std::uint64_t>();
+        }
         return out;
     } catch (const detail::json::exception&) {
         return std::nullopt;
