Grant no keys by a record that may have lost its last moves

Callers saw keys with two owners (OWNER) whenever the store came back older while the leader was frozen: the successor renewed grants of the recorded division at once, while holds of the moves that the store had lost were still in force.

The record of the owners and that of the routers now contain the epoch of the leader that wrote them. A record of an earlier era of the store is not relied on, nor the absence of a record when this router knows owners with fences or has seen that the store came back. Until the holds of all earlier leaders have ended, no grant and no release is sent for these keys, and they are marked as moving with the time that remains, so that routers refuse requests at once. Then all ranges are recorded and granted with new fences: to the owner in the record, or in this router's own map if its fences are higher, if that target serves; else they are assigned as keys without an owner.

After such a return the claim does not wait for the predecessor's lease, so the inherited holds count from the end of a whole lease after the takeover if that is later than the confirmation time.

The conditions of a write that was sent in an earlier era can hold by accident, since the store gives out revisions again. Such a record is overwritten, but not adopted.

`leader_loaded` logs the number of outdated records, `leader_took_over` whether the routers' record is current, `store_era` each new era.

--- a/include/mimosavalve/gateway/leader_term.hpp
+++ b/include/mimosavalve/gateway/leader_term.hpp
@@ -64,14 +64,21 @@
 
 /// Latest time until which targets may hold keys that earlier leaders granted, for a new leader
 /// that has taken over at `now`. The hold times include the margins for clock drift and transit.
+/// `lease_left`: time for which the predecessor may still count its lease as valid. It is not 0
+/// when the store has come back older, since a successor does not wait for the lease's end then.
 boot_time inherited_holds_end(const hold_times& holds, const evidence_by_host& evidence,
-                              boot_time now);
+                              boot_time now, milliseconds lease_left = milliseconds(0));
 
 /// Whether the item with this revision, which a leader wrote to the store, names no leader any
 /// more: the store has come back older since the leader was elected, so the leader's lease may be
 /// gone, and other leaders may have been elected and forgotten.
 bool is_stale(const leader_identity& leader, std::uint64_t revision);
 
+/// Whether a leader may rely on a record that a leader of another epoch wrote. A record of an
+/// earlier era of the store may lack what was written last before the store came back older.
+/// Records of earlier versions of the program have no epoch (0) and count as current.
+bool is_current(std::uint64_t record_epoch, std::uint64_t epoch);
+
 /// First fence of the term with this epoch (the revision of the leader's item). It is greater than
 /// all fences of earlier terms, also after the store has come back older.
 std::uint64_t first_fence(std::uint64_t epoch);
--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -108,11 +108,28 @@
     bool operator==(const router_instance&) const = default;
 };
 using router_instances = std::map<std::string, router_instance>;  ///< By host.
-std::string encode(const router_instances& instances);
-std::optional<router_instances> decode_router_instances(std::string_view bytes);
 
-/// Form in which the owners of one service are recorded in the store.
+/// The leader's record of router instances in the store.
+struct router_record {
+    router_instances instances;
+    /// Epoch of the leader that wrote it; 0 if it was an earlier version of the program.
+    std::uint64_t epoch = 0;
+};
+std::string encode(const router_record& record);
+std::optional<router_record> decode_router_record(std::string_view bytes);
+
+/// The leader's record of the owners of one service in the store.
+struct key_record {
+    key_map owners;
+    std::uint64_t epoch = 0;  ///< As in `router_record`.
+
+    bool operator==(const key_record&) const = default;
+};
+std::string encode(const key_record& record);
+std::optional<key_record> decode_key_record(std::string_view bytes);
+/// Record as earlier versions of the program write it, without an epoch.
 std::string encode(const key_map& map);
+/// Owners of a record.
 std::optional<key_map> decode_key_map(std::string_view bytes);
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/control_timing.hpp
+++ b/src/gateway/control_timing.hpp
@@ -16,6 +16,14 @@
 constexpr milliseconds min_pause{200};
 constexpr milliseconds max_pause{1200};
 
+// The leader's lease ends this long after its last renewal has reached the store, unless the store
+// grants only longer ones; holds of keys outlast it.
+constexpr milliseconds min_leader_lease{1200};
+
+constexpr milliseconds leader_lease_time(milliseconds min_of_store) {
+    return std::max(min_leader_lease, min_of_store);
+}
+
 inline call_deadline deadline_in(milliseconds time) {
     return std::chrono::steady_clock::now() + time;
 }
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -113,7 +113,8 @@
     inherited_end_applied_ = false;
     lease_.begin();
     server_.begin();
-    decider_.begin({fleet_.leader.epoch, election_.key(), election_.lease_until()});
+    decider_.begin(
+        {fleet_.leader.epoch, election_.key(), election_.lease_until(), fleet_.store_came_back});
     registry_.make_due();
 }
 
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -11,4 +11,18 @@
     fleet.store_responsive = good;
 }
 
+void record_store_era(router_core& core, fleet_state& fleet, std::uint64_t revision) {
+    const auto era = store_era_of(revision);
+    if (fleet.store_era && era <= *fleet.store_era) {
+        return;
+    }
+    if (era > 0) {
+        core.log.write_always("store_era",
+                              {{"old", static_cast<std::int64_t>(fleet.store_era.value_or(0))},
+                               {"new", static_cast<std::int64_t>(era)}});
+    }
+    fleet.store_came_back = fleet.store_came_back || fleet.store_era.has_value();
+    fleet.store_era = era;
+}
+
 }  // namespace mimosavalve::gateway
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -20,6 +20,10 @@
     std::uint64_t newest_epoch = 0;  ///< Highest epoch of any leader that this router has received.
     bool store_responsive = true;    ///< Whether the last call to the store was answered.
     boot_time store_lost_at;         ///< Since when it is not responsive.
+    /// Latest era of the store that this router has seen.
+    std::optional<std::uint64_t> store_era;
+    /// Whether this router has seen that the store came back older.
+    bool store_came_back = false;
     /// When this router last confirmed to any leader that it has received the announcement of long
     /// holds.
     std::optional<boot_time> long_holds_reported_at;
@@ -28,4 +32,7 @@
 /// Records whether a call to the store was answered, and logs each change. `call` is for the log.
 void record_store_call(router_core& core, fleet_state& fleet, bool good, std::string_view call);
 
+/// Records the era of a revision or lease that the store has given out, and logs each new one.
+void record_store_era(router_core& core, fleet_state& fleet, std::uint64_t revision);
+
 }  // namespace mimosavalve::gateway
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -49,6 +49,14 @@
 constexpr milliseconds usual_handover_time{250};
 constexpr milliseconds max_announced_wait{60000};
 
+std::uint64_t highest_fence(const key_map& map) {
+    std::uint64_t fence = 0;
+    for (const auto& segment : map.segments) {
+        fence = std::max(fence, segment.fence);
+    }
+    return fence;
+}
+
 milliseconds with_margin(milliseconds hold) {
     return milliseconds(
                static_cast<std::int64_t>(static_cast<double>(hold.count()) * clock_margin)) +
@@ -134,29 +142,125 @@
                      if (state.loaded) {
                          continue;
                      }
-                     const auto map = decode_key_map(item.value);
+                     const auto record = decode_key_record(item.value);
                      state.revision = item.revision;
                      state.loaded = true;
-                     if (map) {
-                         state.recorded = *map;
-                         core_.state.keys.insert_or_assign(name, *map);
+                     if (record) {
+                         use_record(name, state, record);
                      } else {
                          // The service counts as one without owners.
                          core_.log.write_always("record_unreadable", {{"key", item.key}});
                      }
                  }
                  for (const auto& [name, kind] : core_.state.config.services) {
-                     if (kind.keyed) {
+                     if (kind.keyed && !services_[name].loaded) {
                          services_[name].loaded = true;
+                         use_record(name, services_[name], std::nullopt);
                      }
                  }
-                 core_.log.write_always(
-                     "leader_loaded", {{"epoch", static_cast<std::int64_t>(current_term_.epoch)},
-                                       {"records", static_cast<std::int64_t>(items.items.size())}});
+                 const auto outdated =
+                     std::count_if(services_.begin(), services_.end(),
+                                   [](const auto& named) { return named.second.outdated; });
+                 core_.log.write_always("leader_loaded",
+                                        {{"epoch", static_cast<std::int64_t>(current_term_.epoch)},
+                                         {"records", static_cast<std::int64_t>(items.items.size())},
+                                         {"outdated", static_cast<std::int64_t>(outdated)}});
                  changed_();
              }));
 }
 
+void key_decider::use_record(const std::string& name, service_state& state,
+                             const std::optional<key_record>& record) {
+    if (record && is_current(record->epoch, current_term_.epoch)) {
+        state.recorded = record->owners;
+        core_.state.keys.insert_or_assign(name, record->owners);
+        return;
+    }
+    const auto known = core_.state.keys.find(name);
+    const auto known_fence =
+        known == core_.state.keys.end() ? 0 : detail::highest_fence(known->second);
+    if (!record && known_fence == 0 && !current_term_.store_came_back) {
+        return;  // The service has had no owners.
+    }
+    state.outdated = true;
+    if (record && detail::highest_fence(record->owners) >= known_fence) {
+        state.recorded = record->owners;
+    } else if (known_fence != 0) {
+        state.recorded = known->second;
+    }
+    for (auto& segment : state.recorded.segments) {
+        segment.moving = false;
+        segment.wait_ms = 0;
+    }
+    join_equal(state.recorded);
+    announce_outdated(name, state, core_.now());
+}
+
+void key_decider::announce_outdated(const std::string& name, const service_state& state,
+                                    boot_time now) {
+    // Until the leader has taken over, the inherited end is known only to be later than this.
+    const auto until = inherited_end_ == boot_time::max()
+                           ? now + confirmation_time + hold_bounds(core_.settings.bounds).normal
+                           : std::min(inherited_end_, now + detail::max_announced_wait);
+    auto marked = state.recorded;
+    for (auto& segment : marked.segments) {
+        segment.moving = !segment.owner.empty();
+        segment.wait_ms =
+            static_cast<std::uint32_t>(std::max<std::int64_t>(milliseconds_until(until, now), 0));
+    }
+    core_.state.keys.insert_or_assign(name, std::move(marked));
+    core_.state.keys_received_at[name] = now;
+    changed_();
+}
+
+void key_decider::replace_outdated(const std::string& name, service_state& state, boot_time now) {
+    if (now < inherited_end_ || store_unavailable_) {
+        return;
+    }
+    const auto candidates = candidates_of(name, now);
+    if (candidates.empty()) {
+        return;
+    }
+    state.outdated = false;
+    std::vector<planned_move> kept;
+    auto marked = state.recorded;
+    for (auto& segment : marked.segments) {
+        const bool owner_serves =
+            std::any_of(candidates.begin(), candidates.end(), [&](const key_candidate& candidate) {
+                return candidate.id == segment.owner &&
+                       candidate.instance == segment.owner_instance;
+            });
+        if (owner_serves) {
+            segment.moving = true;
+            segment.wait_ms = static_cast<std::uint32_t>(detail::usual_handover_time.count());
+            kept.push_back({segment.first, segment.last, segment.owner, segment.owner_instance});
+        } else {
+            segment.owner.clear();
+            segment.owner_instance = 0;
+        }
+    }
+    state.recorded = marked;
+    for (auto& segment : state.recorded.segments) {
+        segment.moving = false;
+        segment.wait_ms = 0;
+    }
+    core_.state.keys.insert_or_assign(name, std::move(marked));
+    core_.state.keys_received_at[name] = now;
+    for (const auto& move : kept) {
+        start_move(name, state, move, now);
+    }
+    changed_();
+}
+
+void key_decider::set_inherited_end(boot_time end) {
+    inherited_end_ = end;
+    for (const auto& [name, state] : services_) {
+        if (state.outdated) {
+            announce_outdated(name, state, core_.now());
+        }
+    }
+}
+
 void key_decider::add_loads(const std::map<std::string, key_load>& loads) {
     const auto now = core_.now();
     for (const auto& [name, load] : loads) {
@@ -223,6 +327,12 @@
             continue;
         }
         decay(state.rates, now);
+        if (state.outdated) {
+            replace_outdated(name, state, now);
+        }
+        if (state.outdated) {
+            continue;
+        }
         plan(name, state, now);
         for (auto& move : state.moves) {
             advance(name, state, move, now);
@@ -472,7 +582,7 @@
     store_batch batch;
     batch.conditions = {{current_term_.key, current_term_.epoch},
                         {record_key(name), state.revision}};
-    batch.writes = {{record_key(name), encode(next), 0}};
+    batch.writes = {{record_key(name), encode(key_record{next, current_term_.epoch}), 0}};
     core_.platform.store.write(
         batch, detail::deadline_in(detail::store_call_time),
         term_life_.guard([this, name, next](std::error_code error, std::uint64_t revision) {
@@ -514,7 +624,7 @@
         term_life_.guard([this, name, written](std::error_code error, const store_item& item,
                                                std::uint64_t /*revision*/) {
             auto& state = services_[name];
-            const auto map = decode_key_map(item.value);
+            const auto record = decode_key_record(item.value);
             if (error && error != errc::not_found) {
                 if (may_act(core_.now())) {
                     check_written_owners(name, written);
@@ -522,16 +632,20 @@
                 }
                 // Still unconfirmed, and treated as refused: the condition of the next write fails
                 // if this one took effect.
-            } else if (map && *map == written) {
+            } else if (record == key_record{written, current_term_.epoch}) {
                 on_owners_written(name, written, {}, item.revision);
                 return;
-            } else if (item.revision != state.revision && map) {
+            } else if (item.revision != state.revision && record) {
                 // An earlier write of this leader took effect late. If another leader wrote this,
                 // the condition on the leader's item makes every write of this leader fail.
                 core_.log.write_always(
                     "record_adopted",
                     {{"service", name}, {"revision", static_cast<std::int64_t>(item.revision)}});
-                state.recorded = *map;
+                // A write of an earlier era may take effect by accident, since the store gives out
+                // revisions again.
+                if (is_current(record->epoch, current_term_.epoch)) {
+                    state.recorded = record->owners;
+                }
                 state.revision = item.revision;
             }
             on_owners_written(name, written, make_error_code(errc::store_refused), 0);
@@ -649,7 +763,7 @@
     for (auto& [name, state] : services_) {
         const auto map = core_.state.keys.find(name);
         // The map may be out of date until the record has been read.
-        if (map == core_.state.keys.end() || !state.loaded) {
+        if (map == core_.state.keys.end() || !state.loaded || state.outdated) {
             continue;
         }
         std::erase_if(state.next_renewals, [&](const auto& renewal) {
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -4,12 +4,14 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "lifetime.hpp"
 #include "mimosavalve/gateway/key_plan.hpp"
 #include "mimosavalve/gateway/leader_term.hpp"
+#include "mimosavalve/gateway/peer_messages.hpp"
 #include "mimosavalve/gateway/platform_port.hpp"
 #include "router_core.hpp"
 
@@ -20,6 +22,8 @@
     std::uint64_t epoch = 0;  ///< Revision of the leader's item; increases with each leader.
     std::string key;          ///< Store key of the leader's item.
     boot_time valid_until;    ///< The lease is guaranteed to last until then.
+    /// Whether the store is known to have come back older, so that it may have lost whole records.
+    bool store_came_back = false;
 };
 
 /// Assigns keys to targets while this router is the leader. A new owner is recorded in the store
@@ -37,7 +41,7 @@
     /// Sets the latest end of holds that earlier leaders granted. No key leaves its owner before:
     /// an earlier leader that cannot reach the store may renew the grant until then, and the target
     /// does not refuse such a renewal after a release.
-    void set_inherited_end(boot_time end) { inherited_end_ = end; }
+    void set_inherited_end(boot_time end);
     /// Ends the term. Answers to calls of the term are ignored.
     void end();
 
@@ -80,6 +84,9 @@
         std::uint64_t revision = 0;  ///< Revision of the record; 0: there is none.
         bool loaded = false;
         bool writing = false;
+        /// The record may lack the last moves, since the store has come back older. No order is
+        /// sent by it.
+        bool outdated = false;
         key_rates rates;
         std::list<running_move> moves;
         std::map<std::uint32_t, boot_time> next_renewals;  ///< By first key of a range.
@@ -105,6 +112,13 @@
     };
 
     void load_records();
+    /// Takes over the record of a service at the beginning of the term; nothing: there is none.
+    void use_record(const std::string& name, service_state& state,
+                    const std::optional<key_record>& record);
+    /// Marks the keys of an outdated record as moving until the inherited end.
+    void announce_outdated(const std::string& name, const service_state& state, boot_time now);
+    /// Assigns new fences by an outdated record once the holds of earlier leaders have ended.
+    void replace_outdated(const std::string& name, service_state& state, boot_time now);
     void plan(const std::string& name, service_state& state, boot_time now);
     void start_move(const std::string& name, service_state& state, const planned_move& planned,
                     boot_time now);
--- a/src/gateway/leader_election.cpp
+++ b/src/gateway/leader_election.cpp
@@ -10,9 +10,6 @@
 
 namespace detail {
 
-// The leader's lease ends this long after its last renewal has reached the store; holds of keys
-// outlast it.
-constexpr milliseconds leader_lease_time{1200};
 constexpr milliseconds lease_renewal_interval{350};
 // The leader stops acting this long before the store may end its lease.
 constexpr milliseconds lease_margin{150};
@@ -54,10 +51,11 @@
 }
 
 milliseconds leader_election::lease_time() const {
-    return std::max(detail::leader_lease_time, core_.settings.min_lease);
+    return detail::leader_lease_time(core_.settings.min_lease);
 }
 
-void leader_election::on_item(const store_item& item, std::uint64_t /*store_revision*/) {
+void leader_election::on_item(const store_item& item, std::uint64_t store_revision) {
+    record_store_era(core_, fleet_, store_revision);
     stale_item_.reset();
     if (item.revision == 0) {
         if (fleet_.leader.epoch != 0) {
@@ -77,6 +75,7 @@
     }
     if (is_stale(*leader, item.revision)) {
         core_.log.write_always("leader_stale", {{"host", leader->host}});
+        fleet_.store_came_back = true;
         stale_item_ = item.revision;
         start_candidacy();
         return;
--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -30,6 +30,7 @@
     recorded_.clear();
     pending_.reset();
     loaded_ = false;
+    record_current_ = false;
     call_in_flight_ = false;
     inherited_end_.reset();
     may_act_ = true;
@@ -66,13 +67,16 @@
                 record_store_call(core_, fleet_, false, "read routers");
                 return;  // `tick` retries.
             }
+            // Without a record there is no predecessor, unless the store has lost it.
+            record_current_ = !fleet_.store_came_back;
             if (!error) {
-                auto instances = decode_router_instances(item.value);
+                auto record = decode_router_record(item.value);
                 // An unreadable record counts as one without routers.
-                if (!instances) {
+                if (!record) {
                     core_.log.write_always("record_unreadable", {{"key", key()}});
                 }
-                recorded_ = std::move(instances).value_or(router_instances{});
+                record_current_ = record && is_current(record->epoch, fleet_.leader.epoch);
+                recorded_ = std::move(record).value_or(router_record{}).instances;
             }
             loaded_ = true;
         }));
@@ -83,10 +87,14 @@
     if (!has_taken_over(recorded_, evidence)) {
         return;
     }
-    inherited_end_ =
-        inherited_holds_end(key_decider::hold_bounds(core_.settings.bounds), evidence, now);
+    // After the store has come back older, the claim did not wait for the predecessor's lease.
+    const auto lease_left =
+        record_current_ ? milliseconds(0) : detail::leader_lease_time(core_.settings.min_lease);
+    inherited_end_ = inherited_holds_end(key_decider::hold_bounds(core_.settings.bounds), evidence,
+                                         now, lease_left);
     core_.log.write_always("leader_took_over",
                            {{"runs_recorded", static_cast<std::int64_t>(recorded_.size())},
+                            {"record_current", std::int64_t{record_current_}},
                             {"inherited_holds_ms", milliseconds_until(*inherited_end_, now)}});
 }
 
@@ -131,7 +139,7 @@
     call_in_flight_ = true;
     store_batch batch;
     batch.conditions = {{core_.platform.keys.fleet + "leader", fleet_.leader.epoch}};
-    batch.writes = {{key(), encode(current), 0}};
+    batch.writes = {{key(), encode(router_record{current, fleet_.leader.epoch}), 0}};
     core_.platform.store.write(
         batch, detail::deadline_in(detail::store_call_time),
         term_life_.guard([this](std::error_code error, std::uint64_t) {
--- a/src/gateway/leader_lease.hpp
+++ b/src/gateway/leader_lease.hpp
@@ -61,6 +61,7 @@
     /// Record that is being written, or whose write failed and may have taken effect.
     std::optional<router_instances> pending_;
     bool loaded_ = false;
+    bool record_current_ = false;  ///< The record that was read is of this era of the store.
     bool call_in_flight_ = false;
     boot_time next_record_;
     boot_time next_announcement_;
--- a/src/gateway/leader_term.cpp
+++ b/src/gateway/leader_term.cpp
@@ -59,8 +59,8 @@
 }
 
 boot_time inherited_holds_end(const hold_times& holds, const evidence_by_host& evidence,
-                              boot_time now) {
-    auto end = now + confirmation_time + holds.normal;
+                              boot_time now, milliseconds lease_left) {
+    auto end = now + std::max(confirmation_time, lease_left) + holds.normal;
     for (const auto& [host, router] : evidence) {
         if (router.long_holds_reported_at) {
             end = std::max(end, *router.long_holds_reported_at + confirmation_time + holds.max);
@@ -73,6 +73,10 @@
     return leader.store_era && *leader.store_era < store_era_of(revision);
 }
 
+bool is_current(std::uint64_t record_epoch, std::uint64_t epoch) {
+    return record_epoch == 0 || store_era_of(record_epoch) == store_era_of(epoch);
+}
+
 std::uint64_t first_fence(std::uint64_t epoch) {
     const auto era = store_era_of(epoch);
     const auto number = epoch - (era << store_era_shift);
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -273,21 +273,25 @@
     }
 }
 
-std::string encode(const router_instances& instances) {
+std::string encode(const router_record& record) {
     auto body = detail::json::object();
-    for (const auto& [host, instance] : instances) {
-        body[host] = {instance.id, instance.address};
+    for (const auto& [host, instance] : record.instances) {
+        body[host] = {instance.id, instance.address, record.epoch};
     }
     return detail::to_bytes(body);
 }
 
-std::optional<router_instances> decode_router_instances(std::string_view bytes) {
+std::optional<router_record> decode_router_record(std::string_view bytes) {
+    constexpr std::size_t epoch_at = 2;
     try {
         const auto body = detail::from_bytes(bytes);
-        router_instances out;
+        router_record out;
         for (const auto& [host, value] : body.items()) {
-            out.emplace(host, router_instance(value.at(0).get<std::uint64_t>(),
-                                              value.at(1).get<std::string>()));
+            out.instances.emplace(host, router_instance(value.at(0).get<std::uint64_t>(),
+                                                        value.at(1).get<std::string>()));
+            if (value.size() > epoch_at) {
+                out.epoch = value.at(epoch_at);
+            }
         }
         return out;
     } catch (const detail::json::exception&) {
@@ -295,17 +299,37 @@
     }
 }
 
-std::string encode(const key_map& map) {
-    return detail::to_bytes(detail::segments_to_json(map.segments));
+std::string encode(const key_record& record) {
+    auto body = detail::segments_to_json(record.owners.segments);
+    // Earlier versions of the program ignore further values of a segment.
+    body.at(0).push_back(record.epoch);
+    return detail::to_bytes(body);
 }
 
-std::optional<key_map> decode_key_map(std::string_view bytes) {
+std::optional<key_record> decode_key_record(std::string_view bytes) {
+    constexpr std::size_t epoch_at = 7;
     try {
-        key_map map{detail::segments_from_json(detail::from_bytes(bytes))};
-        return problem_of(map).empty() ? std::optional(std::move(map)) : std::nullopt;
+        const auto body = detail::from_bytes(bytes);
+        key_record out{{detail::segments_from_json(body)}, 0};
+        if (!problem_of(out.owners).empty()) {
+            return std::nullopt;
+        }
+        if (body.at(0).size() > epoch_at) {
+            out.epoch = body.at(0).at(epoch_at);
+        }
+        return out;
     } catch (const detail::json::exception&) {
         return std::nullopt;
     }
 }
 
+std::string encode(const key_map& map) {
+    return detail::to_bytes(detail::segments_to_json(map.segments));
+}
+
+std::optional<key_map> decode_key_map(std::string_view bytes) {
+    auto record = decode_key_record(bytes);
+    return record ? std::optional(std::move(record->owners)) : std::nullopt;
+}
+
 }  // namespace mimosavalve::gateway
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -87,6 +87,7 @@
             now + (must_list_ ? std::max(pause_, detail::outage_listing_interval) : pause_);
         return;
     }
+    record_store_era(core_, fleet_, items.revision);
     pause_ = {};
     if (kind == read_kind::changes && must_list_) {
         next_read_ = now;
--- a/tests/gateway/decider_fixture.hpp
+++ b/tests/gateway/decider_fixture.hpp
@@ -125,7 +125,7 @@
         update_targets(core.state, now);
     }
     void lead(std::uint64_t epoch = 5) {
-        decider.begin({epoch, "own/leader", now + std::chrono::hours(1)});
+        decider.begin({epoch, "own/leader", now + std::chrono::hours(1), store_came_back});
         decider.set_inherited_end(now);
     }
     /// Advances the clock in steps of the decider, and delivers answers.
@@ -157,9 +157,36 @@
         }
         return count;
     }
-    void record(const key_map& map) {
+    /// `epoch`: of the leader that wrote the record; 0: an earlier version of the program.
+    void record(const key_map& map, std::uint64_t epoch = 0) {
         ++revision;
-        stored["own/keys/status"] = {"own/keys/status", encode(map), revision, revision, 0};
+        stored["own/keys/status"] = {"own/keys/status",
+                                     epoch == 0 ? encode(map) : encode(key_record{map, epoch}),
+                                     revision, revision, 0};
+    }
+    /// Records a new leader in the store; returns its epoch.
+    std::uint64_t elect() {
+        ++revision;
+        stored["own/leader"] = {"own/leader", "", revision, revision, 0};
+        return revision;
+    }
+    void take_copy() {
+        copy_ = stored;
+        copy_revision_ = revision;
+    }
+    /// The store comes back with the content of the copy, in a new era.
+    void restore_copy() {
+        const auto era = store_era_of(revision) + 1;
+        const auto moved = [era](std::uint64_t at) {
+            return (era << store_era_shift) + at - (store_era_of(at) << store_era_shift);
+        };
+        stored = copy_;
+        for (auto& [key, item] : stored) {
+            item.revision = moved(item.revision);
+            item.created = moved(item.created);
+        }
+        revision = moved(copy_revision_);
+        store_came_back = true;
     }
 
     boost::asio::io_context context;
@@ -172,6 +199,7 @@
     int writes = 0;
     int lose_write_answers = 0;
     bool store_unavailable = false;  ///< Reads and writes have no effect and fail.
+    bool store_came_back = false;    ///< Whether leaders know that the store came back older.
     bool delay_lists = false;
     std::vector<metadata_store::items_handler> delayed_lists;
     std::vector<received_order> orders;
@@ -206,6 +234,8 @@
     }
 
     std::deque<std::function<void()>> answers_;
+    std::map<std::string, store_item> copy_;
+    std::uint64_t copy_revision_ = 0;
 };
 
 }  // namespace mimosavalve::gateway::testing
--- a/tests/gateway/decider_model_test.cpp
+++ b/tests/gateway/decider_model_test.cpp
@@ -45,7 +45,9 @@
             targets[id];
             fleet.add_target(id);
         }
-        fleet.lead();
+        fleet.take_copy();
+        epoch_ = fleet.elect();
+        fleet.lead(epoch_);
     }
 
     void advance_time(milliseconds time) {
@@ -72,8 +74,21 @@
     /// transit may still take effect.
     void change_leader() {
         fleet.decider.end();
-        ++epoch_;
-        fleet.stored["own/leader"] = {"own/leader", "", epoch_, epoch_, 0};
+        epoch_ = fleet.elect();
+        fleet.lead(epoch_);
+        fleet.decider.set_inherited_end(
+            fleet.now + key_decider::hold_bounds(fleet.core.settings.bounds).normal);
+    }
+    /// The store comes back older, and another router becomes the leader. It may know owners that
+    /// the record does not have any more.
+    void restore_store(bool knows_owners) {
+        fleet.decider.end();
+        fleet.restore_copy();
+        fleet.store_unavailable = false;
+        if (!knows_owners) {
+            fleet.core.state.keys.clear();
+        }
+        epoch_ = fleet.elect();
         fleet.lead(epoch_);
         fleet.decider.set_inherited_end(
             fleet.now + key_decider::hold_bounds(fleet.core.settings.bounds).normal);
@@ -196,7 +211,7 @@
 
 void run_step(model& history) {
     const auto id = *rc::gen::element<std::string>("a", "b", "c", "d");
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 14)) {
         case 0:
         case 1:
             history.targets.at(id).mode =
@@ -228,6 +243,12 @@
         case 8:
             history.fleet.lose_write_answers = 1;
             break;
+        case 10:
+            history.fleet.take_copy();
+            break;
+        case 11:
+            history.restore_store(*rc::gen::arbitrary<bool>());
+            break;
         case 9: {
             const bool lost = !history.fleet.store_unavailable;
             history.fleet.store_unavailable = lost;
--- a/tests/gateway/key_decider_test.cpp
+++ b/tests/gateway/key_decider_test.cpp
@@ -423,6 +423,138 @@
     CHECK(segment_of(*recorded, 50000).owner == "b");
 }
 
+TEST_CASE(
+    "a new leader does not grant by a record that may have lost its last moves [decider][era]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    fleet.record(owned_by("a", 7), fleet.elect());
+    fleet.take_copy();
+    fleet.restore_copy();
+    const auto epoch = fleet.elect();
+    fleet.decider.begin({epoch, "own/leader", fleet.now + std::chrono::hours(1), true});
+    fleet.advance_time(std::chrono::seconds(1));
+    CHECK(fleet.orders.empty());
+    CHECK(segment_of(fleet.core.state.keys.at("status"), 0).moving);
+    fleet.decider.set_inherited_end(fleet.now + std::chrono::seconds(2));
+    CHECK(segment_of(fleet.core.state.keys.at("status"), 0).wait_ms == 2000);
+    fleet.advance_time(milliseconds(1900));
+    CHECK(fleet.orders.empty());
+    fleet.advance_time(milliseconds(400));
+    CHECK(fleet.count_orders(true, "b") == 0);
+    REQUIRE(fleet.count_orders(true, "a") > 0);
+    CHECK(fleet.orders.front().keys.fence >= first_fence(epoch));
+    CHECK_FALSE(segment_of(fleet.core.state.keys.at("status"), 0).moving);
+    const auto recorded = decode_key_record(fleet.stored.at("own/keys/status").value);
+    REQUIRE(recorded);
+    CHECK(recorded->epoch == epoch);
+    CHECK(segment_of(recorded->owners, 0).fence >= first_fence(epoch));
+}
+
+TEST_CASE("a new leader renews grants by a record of its own era at once [decider][era]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.take_copy();
+    fleet.restore_copy();
+    fleet.record(owned_by("a", 7), fleet.elect());
+    fleet.lead(fleet.elect());
+    fleet.advance_time(milliseconds(100));
+    CHECK(fleet.count_orders(true, "a") > 0);
+}
+
+TEST_CASE(
+    "keys stay with their last owner when the record has lost its last moves and the new leader "
+    "knows them [decider][era]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    fleet.record(owned_by("a", 7), fleet.elect());
+    fleet.take_copy();
+    fleet.restore_copy();
+    fleet.core.state.keys["status"] = owned_by("b", 8);
+    fleet.lead(fleet.elect());
+    fleet.advance_time(std::chrono::seconds(1));
+    CHECK(fleet.count_orders(true, "a") == 0);
+    CHECK(fleet.count_orders(true, "b") > 0);
+    CHECK(fleet.owner_of(0) == "b");
+}
+
+TEST_CASE("a record that the store has lost is written again [decider][era]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    fleet.take_copy();
+    fleet.restore_copy();
+    fleet.core.state.keys["status"] = owned_by("b", 8);
+    fleet.decider.begin({fleet.elect(), "own/leader", fleet.now + std::chrono::hours(1), true});
+    fleet.advance_time(std::chrono::seconds(5));
+    CHECK(fleet.orders.empty());
+    fleet.decider.set_inherited_end(fleet.now);
+    fleet.advance_time(milliseconds(300));
+    CHECK(fleet.owner_of(0) == "b");
+    CHECK(fleet.count_orders(true, "a") == 0);
+    REQUIRE(fleet.stored.contains("own/keys/status"));
+    CHECK(decode_key_map(fleet.stored.at("own/keys/status").value)->segments.front().owner == "b");
+}
+
+TEST_CASE(
+    "keys without a record are not assigned while a forgotten grant may be in force "
+    "[decider][era]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.take_copy();
+    fleet.restore_copy();
+    fleet.decider.begin({fleet.elect(), "own/leader", fleet.now + std::chrono::hours(1), true});
+    fleet.advance_time(std::chrono::seconds(5));
+    CHECK(fleet.orders.empty());
+    fleet.decider.set_inherited_end(fleet.now);
+    fleet.advance_time(milliseconds(300));
+    CHECK(fleet.owner_of(0) == "a");
+    CHECK(fleet.count_orders(true, "a") > 0);
+}
+
+TEST_CASE(
+    "keys of a target that ended are assigned anew when the record is outdated [decider][era]") {
+    decider_fixture fleet;
+    fleet.add_target("b");
+    fleet.record(owned_by("a", 7), fleet.elect());
+    fleet.take_copy();
+    fleet.restore_copy();
+    fleet.lead(fleet.elect());
+    fleet.advance_time(std::chrono::seconds(1));
+    CHECK(fleet.owner_of(0) == "b");
+    CHECK(fleet.count_orders(true, "b") > 0);
+}
+
+// The store gives out revisions again, so the conditions of a late write can hold by accident.
+TEST_CASE("a write of an earlier era that takes effect late is not adopted [decider][era]") {
+    decider_fixture fleet;
+    for (const auto* id : {"a", "b", "c"}) {
+        fleet.add_target(id);
+    }
+    key_map map = owned_by("a", 7);
+    assign(map, {40000, key_count - 1, "c", 8, false, 1, 0});
+    const auto former_epoch = fleet.elect();
+    fleet.record(map, former_epoch);
+    fleet.take_copy();
+    fleet.restore_copy();
+    const auto epoch = fleet.elect();
+    fleet.lead(epoch);
+    fleet.advance_time(std::chrono::seconds(1));
+    fleet.record(owned_by("z", 9), former_epoch);
+    fleet.core.state.registry.targets["a"].leaving = true;
+    update_targets(fleet.core.state, fleet.now);
+    const auto recorded = [&] {
+        return decode_key_record(fleet.stored.at("own/keys/status").value).value_or(key_record());
+    };
+    for (int step = 0; step < 20 && recorded().epoch != epoch; ++step) {
+        fleet.advance_time(key_decider::tick_time);
+    }
+    CHECK(recorded().epoch == epoch);
+    CHECK(segment_of(recorded().owners, 0).owner != "z");
+    CHECK(segment_of(recorded().owners, 50000).owner == "c");
+}
+
 TEST_CASE("a write that took effect after the record was read is adopted [decider]") {
     decider_fixture fleet;
     fleet.add_target("a");
