Keep a term that routers have confirmed when the store answers again

While the store is lost, a leader's term lasts as long as more than half of the recorded routers confirm it. As soon as the leader reached the store again, this end was dropped, and the term ended with the lease, which was over: the leader waited until it could renew the lease. If the store has come back older there is nothing to renew, and the term could never be continued.

The confirmed end stays valid: each confirmation proves that the router followed this leader at that time, and a successor counts the confirmation time from the time at which more than half of the same routers follow it.

The new test against the old code:

leader_lease_test.cpp:56: CHECK( leader.lease.valid_until() == confirmed ) is NOT correct!

--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -34,6 +34,7 @@
     call_in_flight_ = false;
     inherited_end_.reset();
     may_act_ = true;
+    confirmed_until_ = {};
     confirmed_by_routers_ = false;
     may_grant_long_holds_ = false;
 }
@@ -175,8 +176,10 @@
                                {{"on", std::int64_t{confirmed_by_routers_}}});
     }
     // A leader with neither a valid lease nor confirmation keeps its role and waits for the store,
-    // where its lease may have been paused.
-    valid_until_ = std::max(lease_until, by_routers.value_or(lease_until));
+    // where its lease may have been paused. What routers have confirmed stays valid when the store
+    // is available again: a successor counts `confirmation_time` from its own takeover.
+    confirmed_until_ = std::max(confirmed_until_, by_routers.value_or(boot_time{}));
+    valid_until_ = std::max(lease_until, confirmed_until_);
     const bool acts = now < valid_until_;
     if (acts != may_act_) {
         core_.log.write_always(acts ? "leader_acts" : "leader_waits",
--- a/src/gateway/leader_lease.hpp
+++ b/src/gateway/leader_lease.hpp
@@ -67,6 +67,7 @@
     boot_time next_announcement_;
     std::optional<boot_time> inherited_end_;
     boot_time valid_until_;
+    boot_time confirmed_until_;  ///< Latest end of the term that routers have confirmed.
     bool may_act_ = true;
     bool confirmed_by_routers_ = false;  ///< The store is lost, and routers confirm the term.
     bool may_grant_long_holds_ = false;
--- /dev/null
+++ b/tests/gateway/leader_lease_test.cpp
@@ -0,0 +1,57 @@
+#include <doctest/doctest.h>
+#include <fcntl.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include "gateway/leader_lease.hpp"
+#include "mimosavalve/core/error.hpp"
+
+using namespace mimosavalve;
+using namespace mimosavalve::gateway;
+using std::chrono::seconds;
+
+namespace {
+
+/// Lease of the leader on "h1" whose record of routers has "h1" to "h3".
+struct lease_fixture {
+    lease_fixture() : log(open("/dev/null", O_WRONLY | O_CLOEXEC)), core(context, {}, log) {
+        core.now = [this] { return now; };
+        core.platform.store.read = [this](const std::string&, call_deadline,
+                                          const metadata_store::item_handler& done) {
+            done({}, {"routers", encode(stored), 1, 1, 0}, 1);
+        };
+        fleet.leading = true;
+        fleet.leader.epoch = stored.epoch;
+    }
+    void tick() { lease.tick(now, lease_until); }
+
+    boost::asio::io_context context;
+    observe::decision_log log;
+    boot_time now{seconds(1000)};
+    boot_time lease_until = now + milliseconds(500);
+    router_core core;
+    fleet_state fleet;
+    call_client calls{context};
+    router_record stored{{{"h1", 1}, {"h2", 2}, {"h3", 3}}, 7};
+    evidence_by_host evidence;
+    leader_lease lease{core, fleet, calls, [this](boot_time) { return evidence; },
+                       [](boot_time) { return router_instances(); }};
+};
+
+}  // namespace
+
+TEST_CASE("a term that routers have confirmed does not end when the store answers [leader_lease]") {
+    lease_fixture leader;
+    leader.lease.begin();
+    leader.tick();
+    leader.now += seconds(1);
+    leader.fleet.store_responsive = false;
+    leader.evidence["h1"] = {1, leader.now, leader.now, {}, std::nullopt};
+    leader.evidence["h2"] = {2, leader.now, leader.now, {}, std::nullopt};
+    leader.tick();
+    const auto confirmed = leader.now + confirmation_time;
+    REQUIRE(leader.lease.valid_until() == confirmed);
+    leader.fleet.store_responsive = true;
+    leader.tick();
+    CHECK(leader.lease.valid_until() == confirmed);
+}
