Continue the leader's term when the store comes back older

When the store came back older, the leader's lease was gone, so it stepped down. Its successor, or itself after another election, may not rely on the record any more, and grants nothing until all earlier holds have ended: callers were refused for seconds although the leader knew all owners and its term was still valid.

The leader notices the new era of the store (its renewal fails, or any revision is of a later era), reads its item, opens a lease and replaces the item under the condition of its revision, or creates it if the store has lost it. Other candidates wait 0.5 s longer after a change of era. The leader acts only while its former term is valid. If the claim is answered before its end, the term is continued under the new epoch: owners, holds, grants in flight, moves, quotas and findings are kept, and the owners and the routers are recorded again. If the store names a leader of the new era, or only the lease has ended, it steps down as before; if its term has ended, an ordinary new term begins.

Another leader may have been elected, and be forgotten, just before the store came back. So keys leave an owner that serves, and keys without an owner are assigned, only after a new inherited end, for which more than half of the routers of both the record in the store and the last one must follow the new epoch; a move that was ready to be recorded waits for it too. If another leader of the new era has written owners meanwhile, they are not continued but assigned anew after all holds.

Followers that the leader knows are told the new epoch at once.

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -48,10 +48,12 @@
                  {[this] { state_changed(); },
                   [this] { registry_.set_evacuated(operators_.evacuated()); }}),
       election_(core, fleet_,
-                {[this] { client_.make_due(); }, [this] { begin_term(); }, [this] { end_term(); },
+                {[this] { client_.make_due(); }, [this] { begin_term(); },
+                 [this] { continue_term(); }, [this] { end_term(); },
                  [this](std::error_code error) {
                      decider_.set_store_unavailable(static_cast<bool>(error));
-                 }}),
+                 },
+                 [this] { return lease_.valid_until(); }}),
       lease_(
           core, fleet_, calls, [this](boot_time now) { return server_.evidence(now); },
           [this](boot_time now) { return server_.recent_followers(now); }) {
@@ -98,8 +100,7 @@
 
 void fleet_control::lead(boot_time now) {
     lease_.tick(now, election_.lease_until());
-    if (lease_.inherited_end() && !inherited_end_applied_) {
-        inherited_end_applied_ = true;
+    if (lease_.inherited_end()) {
         decider_.set_inherited_end(*lease_.inherited_end());
     }
     decider_.set_long_holds(lease_.may_grant_long_holds());
@@ -110,7 +111,6 @@
 }
 
 void fleet_control::begin_term() {
-    inherited_end_applied_ = false;
     lease_.begin();
     server_.begin();
     decider_.begin(
@@ -118,6 +118,14 @@
     registry_.make_due();
 }
 
+void fleet_control::continue_term() {
+    server_.continue_term();
+    lease_.continue_term();
+    decider_.continue_term(
+        {fleet_.leader.epoch, election_.key(), election_.lease_until(), fleet_.store_came_back});
+    registry_.make_due();
+}
+
 void fleet_control::end_term() {
     decider_.end();
     server_.end();
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -37,6 +37,7 @@
     [[nodiscard]] bool must_read_registry(boot_time now) const;
     void lead(boot_time now);
     void begin_term();
+    void continue_term();
     void end_term();
     void apply_reply(const sync_reply& reply);
     void read_key_records(boot_time now);
@@ -51,7 +52,6 @@
     operator_items operators_;
     leader_election election_;
     leader_lease lease_;
-    bool inherited_end_applied_ = false;
     boot_time next_records_;
     lifetime life_;
 };
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -102,18 +102,54 @@
     next_fence_ = first_fence(term.epoch);
     store_unavailable_ = false;
     long_holds_ = false;
+    continued_ = false;
     inherited_end_ = boot_time::max();
+    own_holds_end_ = {};
     services_.clear();
     holds_by_target_.clear();
     term_life_.cancel_handlers();
+    epoch_life_.cancel_handlers();
     load_records();
 }
 
+void key_decider::continue_term(const leadership& term) {
+    current_term_ = term;
+    next_fence_ = first_fence(term.epoch);
+    store_unavailable_ = false;
+    continued_ = true;
+    // Another leader may have been elected just before the store came back.
+    inherited_end_ = boot_time::max();
+    epoch_life_.cancel_handlers();
+    for (auto& [name, state] : services_) {
+        state.writing = false;
+        state.revision_lost = state.loaded;
+        state.must_record = state.loaded && !state.outdated;
+        // Keys without an owner are planned again after the inherited end.
+        state.moves.remove_if([](const running_move& move) {
+            return move.old_owner.empty() && move.phase < move_phase::granting;
+        });
+        for (auto& move : state.moves) {
+            if (move.phase == move_phase::recording) {
+                move.phase = move_phase::ready;
+            }
+            if (move.phase == move_phase::ready && move.old_owner != move.keys.owner) {
+                move.phase = move_phase::releasing;
+            }
+            move.next_attempt = {};
+        }
+        if (state.outdated) {
+            announce_outdated(name, state, core_.now());
+        }
+    }
+    load_revisions();
+}
+
 void key_decider::end() {
     active_ = false;
     services_.clear();
     holds_by_target_.clear();
     term_life_.cancel_handlers();
+    epoch_life_.cancel_handlers();
 }
 
 void key_decider::set_long_holds(bool on) {
@@ -129,7 +165,7 @@
     loading_ = true;
     const auto prefix = record_key("");
     list_all(core_.platform.store, prefix, detail::store_call_time,
-             term_life_.guard([this, prefix](std::error_code error, const store_items& items) {
+             epoch_life_.guard([this, prefix](std::error_code error, const store_items& items) {
                  loading_ = false;
                  if (error) {
                      return;  // `tick` retries.
@@ -169,9 +205,48 @@
              }));
 }
 
+void key_decider::load_revisions() {
+    loading_ = true;
+    list_all(core_.platform.store, record_key(""), detail::store_call_time,
+             epoch_life_.guard([this](std::error_code error, const store_items& items) {
+                 loading_ = false;
+                 if (!error) {
+                     use_revisions(items);  // After an error, `tick` retries.
+                 }
+             }));
+}
+
+void key_decider::use_revisions(const store_items& items) {
+    const auto prefix_size = record_key("").size();
+    std::map<std::string, std::uint64_t> revisions;
+    for (const auto& item : items.items) {
+        revisions.emplace(item.key.substr(prefix_size), item.revision);
+        const auto record = decode_key_record(item.value);
+        // A leader that was elected and ended meanwhile may have granted keys by it.
+        if (record && store_era_of(record->epoch) == store_era_of(current_term_.epoch)) {
+            boot_time held;
+            for (const auto& [id, target] : holds_by_target_) {
+                held = std::max(held, held_until(target));
+            }
+            begin(current_term_);
+            own_holds_end_ = held;
+            return;
+        }
+    }
+    for (auto& [name, state] : services_) {
+        if (state.revision_lost) {
+            const auto found = revisions.find(name);
+            state.revision = found == revisions.end() ? 0 : found->second;
+            state.revision_lost = false;
+        }
+    }
+}
+
 void key_decider::use_record(const std::string& name, service_state& state,
                              const std::optional<key_record>& record) {
-    if (record && is_current(record->epoch, current_term_.epoch)) {
+    const bool relies_on_record =
+        record && is_current(record->epoch, current_term_.epoch) && own_holds_end_ == boot_time{};
+    if (relies_on_record) {
         state.recorded = record->owners;
         core_.state.keys.insert_or_assign(name, record->owners);
         return;
@@ -253,6 +328,10 @@
 }
 
 void key_decider::set_inherited_end(boot_time end) {
+    end = std::max(end, own_holds_end_);
+    if (end == inherited_end_) {
+        return;
+    }
     inherited_end_ = end;
     for (const auto& [name, state] : services_) {
         if (state.outdated) {
@@ -311,6 +390,10 @@
     if (!may_act(now)) {
         return;
     }
+    if (!loading_ && std::any_of(services_.begin(), services_.end(),
+                                 [](const auto& named) { return named.second.revision_lost; })) {
+        load_revisions();
+    }
     if (core_.state.targets.size() != target_count_) {
         target_count_ = core_.state.targets.size();
         targets_unchanged_since_ = now;
@@ -391,6 +474,9 @@
     if (old.owner != planned.to && old_serves && now < inherited_end_) {
         return;  // The owner serves until its keys may move to another target.
     }
+    if (old.owner.empty() && continued_ && now < inherited_end_) {
+        return;  // A leader that the store has forgotten may have granted the keys.
+    }
     running_move move;
     move.service = name;
     move.keys = {planned.first, planned.last, planned.to,
@@ -562,11 +648,11 @@
 }
 
 void key_decider::write_owners(const std::string& name, service_state& state, boot_time now) {
-    if (state.writing || !may_act(now)) {
+    if (state.writing || state.revision_lost || !may_act(now)) {
         return;
     }
     auto next = state.recorded;
-    bool any = false;
+    bool any = state.must_record && now >= state.next_record;
     for (auto& move : state.moves) {
         if (move.phase != move_phase::ready || now < move.next_attempt) {
             continue;
@@ -585,7 +671,7 @@
     batch.writes = {{record_key(name), encode(key_record{next, current_term_.epoch}), 0}};
     core_.platform.store.write(
         batch, detail::deadline_in(detail::store_call_time),
-        term_life_.guard([this, name, next](std::error_code error, std::uint64_t revision) {
+        epoch_life_.guard([this, name, next](std::error_code error, std::uint64_t revision) {
             on_owners_written(name, next, error, revision);
         }));
 }
@@ -599,12 +685,14 @@
         check_written_owners(name, written);
         return;
     }
+    const auto now = core_.now();
     state.writing = false;
     if (!error) {
         state.recorded = written;
         state.revision = revision;
+        state.must_record = false;
     }
-    const auto now = core_.now();
+    state.next_record = now + detail::retry_interval;
     for (auto& move : state.moves) {
         if (move.phase == move_phase::recording) {
             move.phase = error ? move_phase::ready : move_phase::granting;
@@ -621,8 +709,8 @@
 void key_decider::check_written_owners(const std::string& name, const key_map& written) {
     core_.platform.store.read(
         record_key(name), detail::deadline_in(detail::store_call_time),
-        term_life_.guard([this, name, written](std::error_code error, const store_item& item,
-                                               std::uint64_t /*revision*/) {
+        epoch_life_.guard([this, name, written](std::error_code error, const store_item& item,
+                                                std::uint64_t /*revision*/) {
             auto& state = services_[name];
             const auto record = decode_key_record(item.value);
             if (error && error != errc::not_found) {
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -36,6 +36,9 @@
 
     /// Begins a term. Reads the recorded owners first.
     void begin(const leadership& term);
+    /// Continues the term under a new epoch, after the store has come back older: owners, holds and
+    /// moves are kept, and the owners are recorded again.
+    void continue_term(const leadership& term);
     /// Sets the new end of the current term.
     void extend(boot_time valid_until) { current_term_.valid_until = valid_until; }
     /// Sets the latest end of holds that earlier leaders granted. No key leaves its owner before:
@@ -87,6 +90,10 @@
         /// The record may lack the last moves, since the store has come back older. No order is
         /// sent by it.
         bool outdated = false;
+        /// The store has come back older, so `revision` has to be read again.
+        bool revision_lost = false;
+        bool must_record = false;  ///< The owners have to be recorded although no move is ready.
+        boot_time next_record;     ///< Earliest time to do so.
         key_rates rates;
         std::list<running_move> moves;
         std::map<std::uint32_t, boot_time> next_renewals;  ///< By first key of a range.
@@ -112,6 +119,9 @@
     };
 
     void load_records();
+    /// Reads the revisions of the records in a continued term.
+    void load_revisions();
+    void use_revisions(const store_items& items);
     /// Takes over the record of a service at the beginning of the term; nothing: there is none.
     void use_record(const std::string& name, service_state& state,
                     const std::optional<key_record>& record);
@@ -168,7 +178,11 @@
     bool store_unavailable_ = false;
     bool long_holds_ = false;
     boot_time inherited_end_ = boot_time::max();
+    /// Latest end of own holds from before the term, if the term could not be continued by them;
+    /// else `boot_time{}`.
+    boot_time own_holds_end_;
     bool loading_ = false;
+    bool continued_ = false;  ///< The term has been continued.
     boot_time term_began_;
     boot_time targets_unchanged_since_;
     std::size_t target_count_ = 0;
@@ -177,6 +191,7 @@
     std::map<std::string, service_state> services_;
     std::map<std::string, target_holds> holds_by_target_;  ///< By target id.
     lifetime term_life_;
+    lifetime epoch_life_;  ///< Of calls to the store, which depend on the epoch.
 };
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/leader_election.cpp
+++ b/src/gateway/leader_election.cpp
@@ -18,6 +18,10 @@
 // Minimum time between candidacies; in this time the watch reports the new leader.
 constexpr milliseconds candidacy_interval{600};
 
+// After the store has come back older, other candidates wait this much longer than the leader,
+// which notices it at its next renewal of the lease.
+constexpr milliseconds leader_first_delay{500};
+
 milliseconds random_delay() {
     static std::minstd_rand source{std::random_device{}()};
     return milliseconds(
@@ -42,10 +46,12 @@
 }
 
 void leader_election::tick(boot_time now) {
-    if (fleet_.leading) {
+    if (fleet_.leading && has_new_era()) {
+        stand_again(now);
+    } else if (fleet_.leading) {
         renew_lease(now);
     }
-    if ((fleet_.leader.epoch == 0 || stale_item_) && follower_.revision() != 0) {
+    if ((fleet_.leader.epoch == 0 || vacancy_) && follower_.revision() != 0) {
         start_candidacy();
     }
 }
@@ -56,7 +62,11 @@
 
 void leader_election::on_item(const store_item& item, std::uint64_t store_revision) {
     record_store_era(core_, fleet_, store_revision);
-    stale_item_.reset();
+    vacancy_.reset();
+    if (item.revision == 0 && fleet_.leader.epoch != 0 && has_new_era()) {
+        on_vacancy(0);
+        return;
+    }
     if (item.revision == 0) {
         if (fleet_.leader.epoch != 0) {
             core_.log.write_always("leader_gone", {{"host", fleet_.leader.host}});
@@ -76,15 +86,27 @@
     if (is_stale(*leader, item.revision)) {
         core_.log.write_always("leader_stale", {{"host", leader->host}});
         fleet_.store_came_back = true;
-        stale_item_ = item.revision;
-        start_candidacy();
+        on_vacancy(item.revision);
         return;
     }
     // A candidate may have replaced a stale item, so its creation says nothing.
     leader->epoch = item.revision;
+    if (fleet_.leading && leader->instance == fleet_.instance) {
+        return;  // The answer to the claim reports it.
+    }
     set_leader(*leader);
 }
 
+void leader_election::on_vacancy(std::uint64_t revision) {
+    // The known leader is followed until the store names another: its term may still be valid.
+    vacancy_ = revision;
+    start_candidacy();
+}
+
+bool leader_election::has_new_era() const {
+    return fleet_.store_era.value_or(0) > store_era_of(fleet_.leader.epoch);
+}
+
 void leader_election::on_announcement(const leader_identity& leader) {
     // An announcement that was long in transit may be of a leader whose term has ended.
     if (leader.epoch > fleet_.newest_epoch) {
@@ -103,7 +125,7 @@
     }
     fleet_.newest_epoch = leader.epoch;
     fleet_.leader = leader;
-    stale_item_.reset();
+    vacancy_.reset();
     if (leader.instance != fleet_.instance) {
         step_down("another leader is on record");
     }
@@ -116,8 +138,10 @@
     }
     is_candidate_ = true;
     next_candidacy_ = core_.now() + detail::candidacy_interval;
-    run_after(core_.context, detail::random_delay(), life_, [this] {
-        if ((fleet_.leader.epoch != 0 && !stale_item_) || fleet_.stopping) {
+    const auto delay =
+        vacancy_ ? detail::leader_first_delay + detail::random_delay() : detail::random_delay();
+    run_after(core_.context, delay, life_, [this] {
+        if ((fleet_.leader.epoch != 0 && !vacancy_) || fleet_.stopping) {
             is_candidate_ = false;
         } else {
             open_lease();
@@ -125,6 +149,52 @@
     });
 }
 
+void leader_election::stand_again(boot_time now) {
+    if (is_candidate_ || now < next_candidacy_) {
+        return;
+    }
+    if (fleet_.stopping || now >= handlers_.term_valid_until()) {
+        step_down("the store has come back older");
+        fleet_.leader = {};
+        return;
+    }
+    is_candidate_ = true;
+    // Only a failed attempt is followed by another one.
+    next_candidacy_ = now + detail::min_pause;
+    core_.platform.store.read(
+        key(), detail::deadline_in(detail::store_call_time),
+        life_.guard([this](std::error_code error, const store_item& item, std::uint64_t revision) {
+            is_candidate_ = false;
+            if (!fleet_.leading) {
+                return;
+            }
+            record_store_call(core_, fleet_, !error || error == errc::not_found, "read leader");
+            if (!error || error == errc::not_found) {
+                record_store_era(core_, fleet_, revision);
+                on_own_item(error, item);
+            }
+        }));
+}
+
+void leader_election::on_own_item(std::error_code error, const store_item& item) {
+    if (!has_new_era()) {
+        step_down("lease ended in the store");
+        fleet_.leader = {};
+        return;
+    }
+    const auto leader = error ? std::nullopt : decode_leader_identity(item.value);
+    if (error || (leader && is_stale(*leader, item.revision))) {
+        vacancy_ = item.revision;
+        is_candidate_ = true;
+        open_lease();
+    } else if (leader && leader->instance == fleet_.instance && item.lease == claimed_lease_) {
+        // The answer to the claim was lost.
+        begin_term(claimed_lease_, claimed_until_, item.revision);
+    } else {
+        on_item(item, item.revision);
+    }
+}
+
 void leader_election::open_lease() {
     const auto until = core_.now() + lease_time() - detail::lease_margin;
     core_.platform.store.grant_lease(
@@ -135,6 +205,7 @@
                 record_store_call(core_, fleet_, false, "open lease");
                 return;
             }
+            record_store_era(core_, fleet_, lease);
             claim_leadership(lease, until);
         }));
 }
@@ -142,8 +213,10 @@
 void leader_election::claim_leadership(std::uint64_t lease, boot_time valid_until) {
     const leader_identity own{core_.settings.host, core_.settings.peer_address, fleet_.instance, 0,
                               store_era_of(lease)};
+    claimed_lease_ = lease;
+    claimed_until_ = valid_until;
     store_batch batch;
-    batch.conditions = {{key(), stale_item_.value_or(0)}};
+    batch.conditions = {{key(), vacancy_.value_or(0)}};
     batch.writes = {{key(), encode(own), lease}};
     core_.platform.store.write(
         batch, detail::deadline_in(detail::store_call_time),
@@ -151,24 +224,40 @@
             is_candidate_ = false;
             // After an error, the watch reports the leader. If the write took effect all the same,
             // this router does not act as leader, and the lease expires.
-            if (error || is_stale(own, revision)) {
-                return;
+            if (!error && !is_stale(own, revision)) {
+                begin_term(lease, valid_until, revision);
             }
-            stale_item_.reset();
-            lease_ = lease;
-            lease_until_ = valid_until;
-            next_renewal_ = core_.now() + detail::lease_renewal_interval;
-            fleet_.leading = true;
-            fleet_.leader = own;
-            fleet_.leader.epoch = revision;
-            fleet_.newest_epoch = std::max(fleet_.newest_epoch, revision);
-            core_.log.write_always("leader_began",
-                                   {{"epoch", static_cast<std::int64_t>(revision)}});
-            count(core_.metrics, "terms_as_leader");
-            handlers_.term_began();
         }));
 }
 
+void leader_election::begin_term(std::uint64_t lease, boot_time valid_until, std::uint64_t epoch) {
+    const bool was_leading = fleet_.leading;
+    const bool continues = was_leading && core_.now() < handlers_.term_valid_until();
+    if (was_leading && !continues) {
+        step_down("the store has come back older");
+    }
+    const auto former_epoch = fleet_.leader.epoch;
+    vacancy_.reset();
+    lease_ = lease;
+    lease_until_ = valid_until;
+    next_renewal_ = core_.now() + detail::lease_renewal_interval;
+    fleet_.leading = true;
+    fleet_.leader = {core_.settings.host, core_.settings.peer_address, fleet_.instance, epoch,
+                     store_era_of(lease)};
+    fleet_.newest_epoch = std::max(fleet_.newest_epoch, epoch);
+    if (continues) {
+        core_.log.write_always("term_continued",
+                               {{"epoch", static_cast<std::int64_t>(epoch)},
+                                {"former_epoch", static_cast<std::int64_t>(former_epoch)}});
+        count(core_.metrics, "terms_continued");
+        handlers_.term_continued();
+        return;
+    }
+    core_.log.write_always("leader_began", {{"epoch", static_cast<std::int64_t>(epoch)}});
+    count(core_.metrics, "terms_as_leader");
+    handlers_.term_began();
+}
+
 void leader_election::step_down(std::string_view why) {
     if (!fleet_.leading) {
         return;
@@ -198,8 +287,8 @@
             if (!error && !fleet_.stopping) {
                 lease_until_ = std::max(lease_until_, now + lease_time() - detail::lease_margin);
             } else if (error == errc::store_lease_expired) {
-                step_down("lease ended in the store");
-                fleet_.leader = {};
+                // Either only the lease has ended, or the store has come back older.
+                stand_again(core_.now());
             }
         }));
 }
--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -39,6 +39,18 @@
     may_grant_long_holds_ = false;
 }
 
+void leader_lease::continue_term() {
+    // A successor would read the record that the store has now, and one that was elected just
+    // before the store came back has read the last one, so both count until the next one is
+    // written.
+    auto last_record = std::move(recorded_);
+    begin();
+    pending_ = std::move(last_record);
+    next_record_ = {};
+    next_announcement_ = {};
+    announce_leader(core_.now());
+}
+
 void leader_lease::tick(boot_time now, boot_time lease_until) {
     if (!loaded_) {
         load();
@@ -85,7 +97,8 @@
 
 void leader_lease::take_over(boot_time now) {
     const auto evidence = evidence_(now);
-    if (!has_taken_over(recorded_, evidence)) {
+    if (!has_taken_over(recorded_, evidence) ||
+        (pending_ && !has_taken_over(*pending_, evidence))) {
         return;
     }
     // After the store has come back older, the claim did not wait for the predecessor's lease.
@@ -109,7 +122,11 @@
     next_announcement_ = now + detail::announcement_interval;
     const auto body = encode(fleet_.leader);
     const auto evidence = evidence_(now);
-    for (const auto& [host, instance] : recorded_) {
+    auto receivers = recorded_;
+    if (pending_) {
+        receivers.insert(pending_->begin(), pending_->end());
+    }
+    for (const auto& [host, instance] : receivers) {
         const auto to = parse_endpoint(instance.address);
         if (!to || evidence.contains(host)) {
             continue;
--- a/src/gateway/leader_lease.hpp
+++ b/src/gateway/leader_lease.hpp
@@ -23,6 +23,8 @@
 
     /// Begins a new term.
     void begin();
+    /// Continues the term under a new epoch, after the store has come back older.
+    void continue_term();
     /// Evaluates the evidence. `lease_until`: end of the lease in the store.
     void tick(boot_time now, boot_time lease_until);
 
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -66,6 +66,13 @@
     }
 }
 
+void sync_server::continue_term() {
+    for (auto& [host, router] : followers_) {
+        router.is_current = false;
+    }
+    end();
+}
+
 void sync_server::end() {
     constexpr unsigned unavailable = 503;
     for (auto& waiting : pending_replies_) {
@@ -118,7 +125,9 @@
 evidence_by_host sync_server::evidence(boot_time now) const {
     evidence_by_host by_host;
     for (const auto& [host, router] : followers_) {
-        by_host.emplace(host, router.evidence);
+        if (router.is_current) {
+            by_host.emplace(host, router.evidence);
+        }
     }
     by_host[core_.settings.host] = {
         fleet_.instance, now, fleet_.store_responsive ? boot_time{} : now,
@@ -129,7 +138,7 @@
 router_instances sync_server::recent_followers(boot_time now) const {
     router_instances running;
     for (const auto& [host, router] : followers_) {
-        if (now - router.called_at < detail::recently_called_time) {
+        if (router.is_current && now - router.called_at < detail::recently_called_time) {
             running.emplace(host, router_instance(router.evidence.instance, router.address));
         }
     }
@@ -189,6 +198,7 @@
     caller.address = request.address;
     caller.failure_domain = request.failure_domain;
     caller.called_at = now;
+    caller.is_current = true;
 }
 
 bool sync_server::is_behind(const sync_request& request) const {
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -27,6 +27,9 @@
 
     /// Begins a term of this router as leader.
     void begin();
+    /// Continues the term under a new epoch. Routers count as followers again once they have called
+    /// with it.
+    void continue_term();
     /// Ends the term; refuses the calls that wait for a reply.
     void end();
     void tick(boot_time now);
@@ -48,7 +51,8 @@
         std::size_t bytes_in_transit = 0;
         std::string address;
         std::string failure_domain;
-        boot_time called_at;  ///< When the router last called.
+        boot_time called_at;     ///< When the router last called.
+        bool is_current = true;  ///< It has called with the present epoch.
         // Values that the router has received up to the last reply.
         std::uint64_t reply_number = 0;
         std::optional<std::map<std::string, std::uint32_t>> concurrency;
--- a/tests/gateway/decider_model_test.cpp
+++ b/tests/gateway/decider_model_test.cpp
@@ -93,6 +93,16 @@
         fleet.decider.set_inherited_end(
             fleet.now + key_decider::hold_bounds(fleet.core.settings.bounds).normal);
     }
+    /// The store comes back older, and the leader is elected again at once.
+    void restore_store_and_continue() {
+        fleet.restore_copy();
+        fleet.store_unavailable = false;
+        epoch_ = fleet.elect();
+        fleet.decider.continue_term(
+            {epoch_, "own/leader", fleet.now + std::chrono::hours(1), fleet.store_came_back});
+        fleet.decider.set_inherited_end(
+            fleet.now + key_decider::hold_bounds(fleet.core.settings.bounds).normal);
+    }
     void load(std::uint32_t first, std::uint32_t requests) {
         key_load counts;
         for (std::uint32_t key = first; key < first + 50; ++key) {
@@ -211,7 +221,7 @@
 
 void run_step(model& history) {
     const auto id = *rc::gen::element<std::string>("a", "b", "c", "d");
-    switch (*rc::gen::inRange(0, 14)) {
+    switch (*rc::gen::inRange(0, 15)) {
         case 0:
         case 1:
             history.targets.at(id).mode =
@@ -249,6 +259,9 @@
         case 11:
             history.restore_store(*rc::gen::arbitrary<bool>());
             break;
+        case 12:
+            history.restore_store_and_continue();
+            break;
         case 9: {
             const bool lost = !history.fleet.store_unavailable;
             history.fleet.store_unavailable = lost;
--- a/tests/gateway/election_fixture.hpp
+++ b/tests/gateway/election_fixture.hpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <functional>
@@ -197,9 +198,16 @@
     router_core core;
     fleet_state fleet;
     int terms = 0;
+    int continued = 0;
     int ended = 0;
+    /// End of the term as the routers confirm it, if later than that of the lease.
+    boot_time confirmed_until;
     leader_election election{
-        core, fleet, {[] {}, [this] { ++terms; }, [this] { ++ended; }, [](std::error_code) {}}};
+        core,
+        fleet,
+        {[] {}, [this] { ++terms; }, [this] { ++continued; }, [this] { ++ended; },
+         [](std::error_code) {},
+         [this] { return std::max(election.lease_until(), confirmed_until); }}};
 };
 
 }  // namespace mimosavalve::gateway::testing
--- a/tests/gateway/key_decider_test.cpp
+++ b/tests/gateway/key_decider_test.cpp
@@ -570,3 +570,96 @@
     CHECK(fleet.owner_of(0) == "b");
     CHECK(decode_key_map(fleet.stored.at("own/keys/status").value)->segments.front().owner == "b");
 }
+
+TEST_CASE(
+    "a leader whose term is valid keeps all owners when the store comes back older "
+    "[decider][era]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    const auto former_epoch = fleet.elect();
+    fleet.record(owned_by("a", 7), former_epoch);
+    fleet.take_copy();
+    fleet.lead(former_epoch);
+    fleet.advance_time(milliseconds(100));
+    fleet.core.state.registry.targets["a"].leaving = true;
+    update_targets(fleet.core.state, fleet.now);
+    fleet.advance_time(std::chrono::seconds(1));
+    REQUIRE(fleet.owner_of(0) == "b");
+    fleet.restore_copy();
+    const auto epoch = fleet.elect();
+    fleet.orders.clear();
+    fleet.decider.continue_term(
+        {epoch, "own/leader", fleet.now + std::chrono::hours(1), fleet.store_came_back});
+    fleet.advance_time(std::chrono::seconds(1));
+    CHECK(fleet.owner_of(0) == "b");
+    CHECK_FALSE(segment_of(fleet.core.state.keys.at("status"), 0).moving);
+    CHECK(fleet.count_orders(true, "a") == 0);
+    CHECK(fleet.count_orders(false, "b") == 0);
+    CHECK(fleet.count_orders(true, "b") > 0);
+    const auto recorded = decode_key_record(fleet.stored.at("own/keys/status").value);
+    REQUIRE(recorded);
+    CHECK(recorded->epoch == epoch);
+    CHECK(segment_of(recorded->owners, 0).owner == "b");
+}
+
+TEST_CASE(
+    "a move whose write was lost by the store is recorded again before its grant "
+    "[decider][era]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    const auto former_epoch = fleet.elect();
+    fleet.record(owned_by("a", 7), former_epoch);
+    fleet.take_copy();
+    fleet.lead(former_epoch);
+    fleet.advance_time(milliseconds(100));
+    fleet.store_unavailable = true;
+    fleet.core.state.registry.targets["a"].leaving = true;
+    update_targets(fleet.core.state, fleet.now);
+    fleet.advance_time(milliseconds(100));
+    fleet.store_unavailable = false;
+    fleet.restore_copy();
+    const auto epoch = fleet.elect();
+    fleet.decider.continue_term(
+        {epoch, "own/leader", fleet.now + std::chrono::hours(1), fleet.store_came_back});
+    fleet.advance_time(milliseconds(500));
+    // Another leader may have granted the keys just before the store came back.
+    CHECK(fleet.count_orders(true, "b") == 0);
+    fleet.decider.set_inherited_end(fleet.now);
+    fleet.advance_time(milliseconds(500));
+    CHECK(fleet.owner_of(0) == "b");
+    CHECK(fleet.count_orders(true, "b") > 0);
+    const auto recorded = decode_key_record(fleet.stored.at("own/keys/status").value);
+    REQUIRE(recorded);
+    CHECK(recorded->epoch == epoch);
+    CHECK(segment_of(recorded->owners, 0).owner == "b");
+}
+
+TEST_CASE(
+    "a term is not continued by owners that another leader of the new era has recorded "
+    "[decider][era]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    const auto former_epoch = fleet.elect();
+    fleet.record(owned_by("a", 7), former_epoch);
+    fleet.take_copy();
+    fleet.lead(former_epoch);
+    fleet.advance_time(milliseconds(500));
+    fleet.restore_copy();
+    const auto other_epoch = fleet.elect();
+    fleet.record(owned_by("b", first_fence(other_epoch)), other_epoch);
+    fleet.decider.continue_term(
+        {fleet.elect(), "own/leader", fleet.now + std::chrono::hours(1), fleet.store_came_back});
+    fleet.advance_time(key_decider::tick_time);
+    fleet.orders.clear();
+    fleet.decider.set_inherited_end(fleet.now);
+    // The own holds of "a" are still in force.
+    fleet.advance_time(std::chrono::seconds(1));
+    CHECK(fleet.orders.empty());
+    fleet.advance_time(std::chrono::seconds(3));
+    CHECK(fleet.owner_of(0) == "b");
+    CHECK(fleet.count_orders(true, "a") == 0);
+    CHECK(fleet.count_orders(true, "b") > 0);
+}
--- a/tests/gateway/leader_lease_test.cpp
+++ b/tests/gateway/leader_lease_test.cpp
@@ -55,3 +55,22 @@
     leader.tick();
     CHECK(leader.lease.valid_until() == confirmed);
 }
+
+TEST_CASE(
+    "a continued term takes over only with the routers of the record that the store has lost "
+    "[leader_lease]") {
+    lease_fixture leader;
+    leader.lease.begin();
+    leader.tick();
+    // The older record has only this router.
+    leader.stored.instances = {{"h1", 1}};
+    leader.fleet.leader.epoch += std::uint64_t{1} << store_era_shift;
+    leader.lease.continue_term();
+    leader.evidence["h1"] = {1, leader.now, {}, {}, std::nullopt};
+    leader.tick();
+    leader.tick();
+    CHECK_FALSE(leader.lease.inherited_end());
+    leader.evidence["h2"] = {2, leader.now, {}, {}, std::nullopt};
+    leader.tick();
+    CHECK(leader.lease.inherited_end());
+}
--- a/tests/gateway/leader_term_test.cpp
+++ b/tests/gateway/leader_term_test.cpp
@@ -106,3 +106,27 @@
     evidence["h3"] = {3, at(9), at(9), at(9), std::nullopt};
     CHECK(may_grant_long_holds(three_instances(), evidence));
 }
+
+TEST_CASE("inherited holds outlast a lease that a new era did not wait for [leader_term]") {
+    const hold_times holds{seconds(3), seconds(10)};
+    CHECK(inherited_holds_end(holds, {}, at(0), seconds(2)) == at(5));
+    CHECK(inherited_holds_end(holds, {}, at(0)) == at(3) + confirmation_time);
+}
+
+TEST_CASE(
+    "records keep the epoch of their leader, and those without one are current "
+    "[leader_term]") {
+    const std::uint64_t epoch = (std::uint64_t{2} << store_era_shift) + 7;
+    const auto owners = decode_key_record(encode(key_record{key_map(), epoch}));
+    REQUIRE(owners);
+    CHECK(owners->epoch == epoch);
+    const auto routers = decode_router_record(encode(router_record{three_instances(), epoch}));
+    REQUIRE(routers);
+    CHECK(routers->epoch == epoch);
+    CHECK(routers->instances == three_instances());
+    const auto old_form = decode_key_record(encode(key_map()));
+    REQUIRE(old_form);
+    CHECK(is_current(old_form->epoch, epoch));
+    CHECK(is_current(epoch + 1, epoch));
+    CHECK_FALSE(is_current(epoch - (std::uint64_t{1} << store_era_shift), epoch));
+}
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -26,6 +26,36 @@
     REQUIRE(fleet.run_until_serving());
 }
 
+/// Moves all keys to the target "k2".
+void move_keys_from_k1(fleet_fixture& fleet) {
+    auto& leaving = *fleet.targets.at("k1");
+    leaving.leaving = true;
+    fleet.write_store_entry(leaving);
+    REQUIRE(fleet.run_until([&] {
+        return fleet.targets.at("k2")->holds(0) && fleet.targets.at("k2")->holds(last_key);
+    }));
+}
+
+/// Number of requests that are not served by their owner while they are sent for this time.
+int count_unserved(fleet_fixture& fleet, milliseconds time) {
+    int unserved = 0;
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) {
+        for (const auto* host : {"h1", "h2", "h3"}) {
+            unserved += fleet.request_and_wait(host, "/status/x", 0).status == 200 ? 0 : 1;
+            unserved += fleet.request_and_wait(host, "/status/x", last_key).status == 200 ? 0 : 1;
+        }
+        fleet.run_for(milliseconds(50));
+    }
+    return unserved;
+}
+
+void set_access_of_all(fleet_fixture& fleet, store_access access) {
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        fleet.store.set_access(host, access);
+    }
+}
+
 std::string router_other_than(const std::string& leader) {
     return leader == "h1" ? "h2" : "h1";
 }
@@ -266,3 +296,68 @@
     }
     CHECK(fleet.repeated_runs() == 0);
 }
+
+TEST_CASE(
+    "keys stay served by their owners when the store comes back older while the leader lives "
+    "[fleet]") {
+    fleet_fixture fleet;
+    start_three_routers(fleet);
+    // Runs until no hold that an earlier leader granted can be in force.
+    fleet.run_for(std::chrono::seconds(4));
+    fleet.store.take_copy();
+    move_keys_from_k1(fleet);
+    const auto leader = fleet.leader();
+    fleet.store.restore_copy();
+    for (const auto& [id, target] : fleet.targets) {
+        fleet.write_store_entry(*target);
+    }
+    CHECK(count_unserved(fleet, std::chrono::seconds(6)) == 0);
+    CHECK(fleet.leader() == leader);
+    CHECK(fleet.log_of(leader).find("term_continued") != std::string::npos);
+    CHECK(fleet.history.violations.empty());
+}
+
+// The store is away for longer than the leader's lease: its routers confirm its term.
+TEST_CASE("keys stay served by their owners when the store was away and comes back older [fleet]") {
+    fleet_fixture fleet;
+    start_three_routers(fleet);
+    fleet.run_for(std::chrono::seconds(4));
+    fleet.store.take_copy();
+    move_keys_from_k1(fleet);
+    const auto leader = fleet.leader();
+    set_access_of_all(fleet, store_access::unanswered);
+    CHECK(count_unserved(fleet, std::chrono::seconds(2)) == 0);
+    fleet.store.restore_copy();
+    for (const auto& [id, target] : fleet.targets) {
+        fleet.write_store_entry(*target);
+    }
+    set_access_of_all(fleet, store_access::served);
+    CHECK(count_unserved(fleet, std::chrono::seconds(6)) == 0);
+    CHECK(fleet.leader() == leader);
+    CHECK(fleet.log_of(leader).find("term_continued") != std::string::npos);
+    CHECK(fleet.history.violations.empty());
+}
+
+// The copy has the division of the keys from before they moved.
+TEST_CASE(
+    "no key has two holders when the store comes back older while the leader is stopped "
+    "[fleet]") {
+    fleet_fixture fleet;
+    start_three_routers(fleet);
+    fleet.run_for(std::chrono::seconds(4));
+    fleet.store.take_copy();
+    move_keys_from_k1(fleet);
+    const auto leader = fleet.leader();
+    fleet.signal_router(leader, SIGSTOP);
+    fleet.store.restore_copy();
+    fleet.targets.at("k1")->leaving = false;
+    for (const auto& [id, target] : fleet.targets) {
+        fleet.write_store_entry(*target);
+    }
+    fleet.run_for(std::chrono::seconds(2));
+    fleet.signal_router(leader, SIGCONT);
+    fleet.run_for(std::chrono::seconds(5));
+    CHECK(fleet.history.violations.empty());
+    CHECK(fleet.run_until_serving());
+    CHECK(fleet.history.violations.empty());
+}
