--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -37,6 +37,7 @@
     [[nodiscard]] bool must_read_registry(boot_time now) const;
     void lead(boot_time now);
     void begin_term();
+    void continue_term();
     void end_term();
     void apply_reply(const sync_reply& reply);
     void read_key_records(boot_time now);
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -44,9 +44,6 @@
 constexpr milliseconds plan_interval{250};
 constexpr std::size_t moves_per_plan = 6;
 constexpr std::size_t merges_per_plan = 2;
-// The first fence of a leader is its epoch times this. A leader must assign fewer fences in its
-// term; more would overlap those of later epochs.
-constexpr std::uint64_t fences_per_epoch = 4096;
 constexpr std::uint32_t max_grant_attempts = 4;
 // Usual duration of a handover, and the maximum wait that is announced.
 constexpr milliseconds usual_handover_time{250};
@@ -93,22 +90,58 @@
     term_began_ = core_.now();
     targets_unchanged_since_ = term_began_;
     target_count_ = 0;
-    next_fence_ = term.epoch * detail::fences_per_epoch;
+    next_fence_ = first_fence(term.epoch);
     store_unavailable_ = false;
     long_holds_ = false;
+    continued_ = false;
     inherited_end_ = boot_time::max();
+    own_holds_end_ = {};
     services_.clear();
     holds_by_target_.clear();
     transit_by_region_.clear();
     term_life_.cancel_handlers();
+    epoch_life_.cancel_handlers();
     load_records();
 }
 
+void key_decider::continue_term(const leadership& term) {
+    current_term_ = term;
+    next_fence_ = first_fence(term.epoch);
+    store_unavailable_ = false;
+    continued_ = true;
+    // Another leader may have been elected just before the store came back.
+    inherited_end_ = boot_time::max();
+    epoch_life_.cancel_handlers();
+    for (auto& [name, state] : services_) {
+        state.writing = false;
+        state.revision_lost = state.loaded;
+        state.must_record = state.loaded && !state.outdated;
+        // Keys without an owner are planned again after the inherited end.
+        state.moves.remove_if([](const running_move& move) {
+            return move.old_owner.empty() && move.phase < move_phase::granting;
+        });
+        for (auto& move : state.moves) {
+            if (move.phase == move_phase::recording) {
+                move.phase = move_phase::ready;
+            }
+            if (move.phase == move_phase::ready && move.old_owner != move.keys.owner) {
+                move.phase = move_phase::releasing;
+            }
+            move.next_attempt = {};
+        }
+        if (state.outdated) {
+            announce_outdated(name, state, core_.now());
+        }
+    }
+    load_revisions();
+}
+
 void key_decider::end() {
     active_ = false;
     services_.clear();
     holds_by_target_.clear();
     term_life_.cancel_handlers();
+    epoch_life_.cancel_handlers();
 }
 
 void key_decider::set_long_holds(bool on) {
@@ -124,7 +157,7 @@
     loading_ = true;
     const auto prefix = record_key("");
     list_all(core_.platform.store, prefix, detail::store_call_time,
-             term_life_.guard([this, prefix](std::error_code error, const store_items& items) {
+             epoch_life_.guard([this, prefix](std::error_code error, const store_items& items) {
                  loading_ = false;
                  if (error) {
                      return;  // `tick` retries.
@@ -137,29 +170,168 @@
                      if (state.loaded) {
                          continue;
                      }
-                     const auto map = decode_key_map(item.value);
+                     const auto record = decode_key_record(item.value);
                      state.revision = item.revision;
                      state.loaded = true;
-                     if (map) {
-                         state.recorded = *map;
-                         core_.state.keys.insert_or_assign(name, *map);
+                     if (record) {
+                         use_record(name, state, record);
                      } else {
                          // The service counts as one without owners.
                          core_.log.write_always("record_unreadable", {{"key", item.key}});
                      }
                  }
                  for (const auto& [name, kind] : core_.state.config.services) {
-                     if (kind.keyed) {
+                     if (kind.keyed && !services_[name].loaded) {
                          services_[name].loaded = true;
+                         use_record(name, services_[name], std::nullopt);
                      }
                  }
-                 core_.log.write_always(
-                     "leader_loaded", {{"epoch", static_cast<std::int64_t>(current_term_.epoch)},
-                                       {"records", static_cast<std::int64_t>(items.items.size())}});
+                 const auto outdated =
+                     std::count_if(services_.begin(), services_.end(),
+                                   [](const auto& named) { return named.second.outdated; });
+                 core_.log.write_always("leader_loaded",
+                                        {{"epoch", static_cast<std::int64_t>(current_term_.epoch)},
+                                         {"records", static_cast<std::int64_t>(items.items.size())},
+                                         {"outdated", static_cast<std::int64_t>(outdated)}});
                  changed_();
              }));
 }
 
+void key_decider::load_revisions() {
+    loading_ = true;
+    list_all(core_.platform.store, record_key(""), detail::store_call_time,
+             epoch_life_.guard([this](std::error_code error, const store_items& items) {
+                 loading_ = false;
+                 if (!error) {
+                     use_revisions(items);  // After an error, `tick` retries.
+                 }
+             }));
+}
+
+void key_decider::use_revisions(const store_items& items) {
+    const auto prefix_size = record_key("").size();
+    std::map<std::string, std::uint64_t> revisions;
+    for (const auto& item : items.items) {
+        revisions.emplace(item.key.substr(prefix_size), item.revision);
+        const auto record = decode_key_record(item.value);
+        // A leader that was elected and ended meanwhile may have granted keys by it.
+        if (record && store_era_of(record->epoch) == store_era_of(current_term_.epoch)) {
+            boot_time held;
+            for (const auto& [id, target] : holds_by_target_) {
+                held = std::max(held, held_until(target, core_.now()));
+            }
+            begin(current_term_);
+            own_holds_end_ = held;
+            return;
+        }
+    }
+    for (auto& [name, state] : services_) {
+        if (state.revision_lost) {
+            const auto found = revisions.find(name);
+            state.revision = found == revisions.end() ? 0 : found->second;
+            state.revision_lost = false;
+        }
+    }
+}
+
+void key_decider::use_record(const std::string& name, service_state& state,
+                             const std::optional<key_record>& record) {
+    const bool relies_on_record =
+        record && is_current(record->epoch, current_term_.epoch) && own_holds_end_ == boot_time{};
+    if (relies_on_record) {
+        state.recorded = record->owners;
+        core_.state.keys.insert_or_assign(name, record->owners);
+        return;
+    }
+    const auto known = core_.state.keys.find(name);
+    const auto known_fence =
+        known == core_.state.keys.end() ? 0 : highest_fence(known->second);
+    if (!record && known_fence == 0 && !current_term_.store_came_back) {
+        return;  // The service has had no owners.
+    }
+    state.outdated = true;
+    if (record && highest_fence(record->owners) >= known_fence) {
+        state.recorded = record->owners;
+    } else if (known_fence != 0) {
+        state.recorded = known->second;
+    }
+    for (auto& segment : state.recorded.segments) {
+        segment.moving = false;
+        segment.wait_ms = 0;
+    }
+    join_equal(state.recorded);
+    announce_outdated(name, state, core_.now());
+}
+
+void key_decider::announce_outdated(const std::string& name, const service_state& state,
+                                    boot_time now) {
+    // Until the leader has taken over, the inherited end is known only to be later than this.
+    const auto until = inherited_end_ == boot_time::max()
+                           ? now + confirmation_time + hold_bounds(core_.settings.bounds).normal
+                           : std::min(inherited_end_, now + detail::max_announced_wait);
+    auto marked = state.recorded;
+    for (auto& segment : marked.segments) {
+        segment.moving = !segment.owner.empty();
+        segment.wait_ms =
+            static_cast<std::uint32_t>(std::max<std::int64_t>(milliseconds_until(until, now), 0));
+    }
+    core_.state.keys.insert_or_assign(name, std::move(marked));
+    core_.state.keys_received_at[name] = now;
+    changed_();
+}
+
+void key_decider::replace_outdated(const std::string& name, service_state& state, boot_time now) {
+    if (now < inherited_end_ || store_unavailable_) {
+        return;
+    }
+    const auto candidates = candidates_of(name, now);
+    if (candidates.empty()) {
+        return;
+    }
+    state.outdated = false;
+    std::vector<planned_move> kept;
+    auto marked = state.recorded;
+    for (auto& segment : marked.segments) {
+        const bool owner_serves =
+            std::any_of(candidates.begin(), candidates.end(), [&](const key_candidate& candidate) {
+                return candidate.id == segment.owner &&
+                       candidate.instance == segment.owner_instance;
+            });
+        if (owner_serves) {
+            segment.moving = true;
+            segment.wait_ms = static_cast<std::uint32_t>(detail::usual_handover_time.count());
+            kept.push_back({segment.first, segment.last, segment.owner, segment.owner_instance});
+        } else {
+            segment.owner.clear();
+            segment.owner_instance = 0;
+        }
+    }
+    state.recorded = marked;
+    for (auto& segment : state.recorded.segments) {
+        segment.moving = false;
+        segment.wait_ms = 0;
+    }
+    core_.state.keys.insert_or_assign(name, std::move(marked));
+    core_.state.keys_received_at[name] = now;
+    for (const auto& move : kept) {
+        start_move(name, state, move, now);
+    }
+    changed_();
+}
+
+void key_decider::set_inherited_end(boot_time end) {
+    end = std::max(end, own_holds_end_);
+    if (end == inherited_end_) {
+        return;
+    }
+    inherited_end_ = end;
+    for (const auto& [name, state] : services_) {
+        if (state.outdated) {
+            announce_outdated(name, state, core_.now());
+        }
+    }
+}
+
 void key_decider::add_loads(const std::map<std::string, key_load>& loads) {
     const auto now = core_.now();
     for (const auto& [name, load] : loads) {
@@ -210,6 +382,10 @@
     if (!may_act(now)) {
         return;
     }
+    if (!loading_ && std::any_of(services_.begin(), services_.end(),
+                                 [](const auto& named) { return named.second.revision_lost; })) {
+        load_revisions();
+    }
     if (core_.state.targets.size() != target_count_) {
         target_count_ = core_.state.targets.size();
         targets_unchanged_since_ = now;
@@ -227,6 +403,12 @@
             continue;
         }
         decay(state.rates, now);
+        if (state.outdated) {
+            replace_outdated(name, state, now);
+        }
+        if (state.outdated) {
+            continue;
+        }
         plan(name, state, now);
         for (auto& move : state.moves) {
             advance(name, state, move, now);
@@ -285,6 +467,9 @@
     if (old.owner != planned.to && old_serves && now < inherited_end_) {
         return;  // The owner serves until its keys may move to another target.
     }
+    if (old.owner.empty() && continued_ && now < inherited_end_) {
+        return;  // A leader that the store has forgotten may have granted the keys.
+    }
     running_move move;
     move.service = name;
     move.keys = {planned.first, planned.last, planned.to,
@@ -505,11 +690,11 @@
 }
 
 void key_decider::write_owners(const std::string& name, service_state& state, boot_time now) {
-    if (state.writing || !may_act(now)) {
+    if (state.writing || state.revision_lost || !may_act(now)) {
         return;
     }
     auto next = state.recorded;
-    bool any = false;
+    bool any = state.must_record && now >= state.next_record;
     for (auto& move : state.moves) {
         if (move.phase != move_phase::ready || now < move.next_attempt) {
             continue;
@@ -525,10 +710,10 @@
     store_batch batch;
     batch.conditions = {{current_term_.key, current_term_.epoch},
                         {record_key(name), state.revision}};
-    batch.writes = {{record_key(name), encode(next), 0}};
+    batch.writes = {{record_key(name), encode(key_record{next, current_term_.epoch}), 0}};
     core_.platform.store.write(
         batch, detail::deadline_in(detail::store_call_time),
-        term_life_.guard([this, name, next](std::error_code error, std::uint64_t revision) {
+        epoch_life_.guard([this, name, next](std::error_code error, std::uint64_t revision) {
             on_owners_written(name, next, error, revision);
         }));
 }
@@ -542,12 +727,14 @@
         check_written_owners(name, written);
         return;
     }
+    const auto now = core_.now();
     state.writing = false;
     if (!error) {
         state.recorded = written;
         state.revision = revision;
+        state.must_record = false;
     }
-    const auto now = core_.now();
+    state.next_record = now + detail::retry_interval;
     for (auto& move : state.moves) {
         if (move.phase == move_phase::recording) {
             move.phase = error ? move_phase::ready : move_phase::granting;
@@ -564,10 +751,10 @@
 void key_decider::check_written_owners(const std::string& name, const key_map& written) {
     core_.platform.store.read(
         record_key(name), detail::deadline_in(detail::store_call_time),
-        term_life_.guard([this, name, written](std::error_code error, const store_item& item,
-                                               std::uint64_t /*revision*/) {
+        epoch_life_.guard([this, name, written](std::error_code error, const store_item& item,
+                                                std::uint64_t /*revision*/) {
             auto& state = services_[name];
-            const auto map = decode_key_map(item.value);
+            const auto record = decode_key_record(item.value);
             if (error && error != errc::not_found) {
                 if (may_act(core_.now())) {
                     check_written_owners(name, written);
@@ -575,16 +762,20 @@
                 }
                 // Still unconfirmed, and treated as refused: the condition of the next write fails
                 // if this one took effect.
-            } else if (map && *map == written) {
+            } else if (record == key_record{written, current_term_.epoch}) {
                 on_owners_written(name, written, {}, item.revision);
                 return;
-            } else if (item.revision != state.revision && map) {
+            } else if (item.revision != state.revision && record) {
                 // An earlier write of this leader took effect late. If another leader wrote this,
                 // the condition on the leader's item makes every write of this leader fail.
                 core_.log.write_always(
                     "record_adopted",
                     {{"service", name}, {"revision", static_cast<std::int64_t>(item.revision)}});
-                state.recorded = *map;
+                // A write of an earlier era may take effect by accident, since the store gives out
+                // revisions again.
+                if (is_current(record->epoch, current_term_.epoch)) {
+                    state.recorded = record->owners;
+                }
                 state.revision = item.revision;
             }
             on_owners_written(name, written, make_error_code(errc::store_refused), 0);
@@ -715,7 +906,7 @@
     for (auto& [name, state] : services_) {
         const auto map = core_.state.keys.find(name);
         // The map may be out of date until the record has been read.
-        if (map == core_.state.keys.end() || !state.loaded) {
+        if (map == core_.state.keys.end() || !state.loaded || state.outdated) {
             continue;
         }
         std::erase_if(state.next_renewals, [&](const auto& renewal) {
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "lifetime.hpp"
 #include "mimosavalve/gateway/key_plan.hpp"
 #include "mimosavalve/gateway/leader_term.hpp"
+#include "mimosavalve/gateway/peer_messages.hpp"
 #include "mimosavalve/gateway/platform_port.hpp"
 #include "router_core.hpp"
 
@@ -21,6 +23,8 @@
     std::uint64_t epoch = 0;  ///< Revision of the leader's item; increases with each leader.
     std::string key;          ///< Store key of the leader's item.
     boot_time valid_until;    ///< The lease is guaranteed to last until then.
+    /// Whether the store is known to have come back older, so that it may have lost whole records.
+    bool store_came_back = false;
 };
 
 /// Assigns keys to targets while this router is the leader. A new owner is recorded in the store
@@ -33,12 +37,15 @@
 
     /// Begins a term. Reads the recorded owners first.
     void begin(const leadership& term);
+    /// Continues the term under a new epoch, after the store has come back older: owners, holds and
+    /// moves are kept, and the owners are recorded again.
+    void continue_term(const leadership& term);
     /// Sets the new end of the current term.
     void extend(boot_time valid_until) { current_term_.valid_until = valid_until; }
     /// Sets the latest end of holds that earlier leaders granted. No key leaves its owner before:
     /// an earlier leader that cannot reach the store may renew the grant until then, and the target
     /// does not refuse such a renewal after a release.
-    void set_inherited_end(boot_time end) { inherited_end_ = end; }
+    void set_inherited_end(boot_time end);
     /// Ends the term. Answers to calls of the term are ignored.
     void end();
 
@@ -85,6 +92,13 @@
         std::uint64_t revision = 0;  ///< Revision of the record; 0: there is none.
         bool loaded = false;
         bool writing = false;
+        /// The record may lack the last moves, since the store has come back older. No order is
+        /// sent by it.
+        bool outdated = false;
+        /// The store has come back older, so `revision` has to be read again.
+        bool revision_lost = false;
+        bool must_record = false;  ///< The owners have to be recorded although no move is ready.
+        boot_time next_record;     ///< Earliest time to do so.
         key_rates rates;
         std::list<running_move> moves;
         std::map<std::uint32_t, boot_time> next_renewals;  ///< By first key of a range.
@@ -118,6 +132,16 @@
     };
 
     void load_records();
+    /// Reads the revisions of the records in a continued term.
+    void load_revisions();
+    void use_revisions(const store_items& items);
+    /// Takes over the record of a service at the beginning of the term; nothing: there is none.
+    void use_record(const std::string& name, service_state& state,
+                    const std::optional<key_record>& record);
+    /// Marks the keys of an outdated record as moving until the inherited end.
+    void announce_outdated(const std::string& name, const service_state& state, boot_time now);
+    /// Assigns new fences by an outdated record once the holds of earlier leaders have ended.
+    void replace_outdated(const std::string& name, service_state& state, boot_time now);
     void plan(const std::string& name, service_state& state, boot_time now);
     void start_move(const std::string& name, service_state& state, const planned_move& planned,
                     boot_time now);
@@ -175,7 +199,11 @@
     bool store_unavailable_ = false;
     bool long_holds_ = false;
     boot_time inherited_end_ = boot_time::max();
+    /// Latest end of own holds from before the term, if the term could not be continued by them;
+    /// else `boot_time{}`.
+    boot_time own_holds_end_;
     bool loading_ = false;
+    bool continued_ = false;  ///< The term has been continued.
     boot_time term_began_;
     boot_time targets_unchanged_since_;
     std::size_t target_count_ = 0;
@@ -185,6 +213,7 @@
     std::map<std::string, target_holds> holds_by_target_;  ///< By target id.
     std::map<std::string, region_transit> transit_by_region_;
     lifetime term_life_;
+    lifetime epoch_life_;  ///< Of calls to the store, which depend on the epoch.
 };
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -30,13 +30,27 @@
     recorded_.clear();
     pending_.reset();
     loaded_ = false;
+    record_current_ = false;
     call_in_flight_ = false;
     inherited_end_.reset();
     may_act_ = true;
+    confirmed_until_ = {};
     confirmed_by_routers_ = false;
     may_grant_long_holds_ = false;
 }
 
+void leader_lease::continue_term() {
+    // A successor would read the record that the store has now, and one that was elected just
+    // before the store came back has read the last one, so both count until the next one is
+    // written.
+    auto last_record = std::move(recorded_);
+    begin();
+    pending_ = std::move(last_record);
+    next_record_ = {};
+    next_announcement_ = {};
+    announce_leader(core_.now());
+}
+
 void leader_lease::tick(boot_time now, boot_time lease_until) {
     if (!loaded_) {
         load();
@@ -66,13 +80,16 @@
                 record_store_call(core_, fleet_, false, "read routers");
                 return;  // `tick` retries.
             }
+            // Without a record there is no predecessor, unless the store has lost it.
+            record_current_ = !fleet_.store_came_back;
             if (!error) {
-                auto instances = decode_router_instances(item.value);
+                auto record = decode_router_record(item.value);
                 // An unreadable record counts as one without routers.
-                if (!instances) {
+                if (!record) {
                     core_.log.write_always("record_unreadable", {{"key", key()}});
                 }
-                recorded_ = std::move(instances).value_or(router_instances{});
+                record_current_ = record && is_current(record->epoch, fleet_.leader.epoch);
+                recorded_ = std::move(record).value_or(router_record{}).instances;
             }
             loaded_ = true;
         }));
@@ -80,13 +97,18 @@
 
 void leader_lease::take_over(boot_time now) {
     const auto evidence = evidence_(now);
-    if (!has_taken_over(recorded_, evidence)) {
+    if (!has_taken_over(recorded_, evidence) ||
+        (pending_ && !has_taken_over(*pending_, evidence))) {
         return;
     }
-    inherited_end_ =
-        inherited_holds_end(key_decider::hold_bounds(core_.settings.bounds), evidence, now);
+    // After the store has come back older, the claim did not wait for the predecessor's lease.
+    const auto lease_left =
+        record_current_ ? milliseconds(0) : detail::leader_lease_time(core_.settings.min_lease);
+    inherited_end_ = inherited_holds_end(key_decider::hold_bounds(core_.settings.bounds), evidence,
+                                         now, lease_left);
     core_.log.write_always("leader_took_over",
                            {{"runs_recorded", static_cast<std::int64_t>(recorded_.size())},
+                            {"record_current", std::int64_t{record_current_}},
                             {"inherited_holds_ms", milliseconds_until(*inherited_end_, now)}});
 }
 
@@ -100,7 +122,11 @@
     next_announcement_ = now + detail::announcement_interval;
     const auto body = encode(fleet_.leader);
     const auto evidence = evidence_(now);
-    for (const auto& [host, instance] : recorded_) {
+    auto receivers = recorded_;
+    if (pending_) {
+        receivers.insert(pending_->begin(), pending_->end());
+    }
+    for (const auto& [host, instance] : receivers) {
         const auto to = parse_endpoint(instance.address);
         if (!to || evidence.contains(host)) {
             continue;
@@ -131,7 +157,7 @@
     call_in_flight_ = true;
     store_batch batch;
     batch.conditions = {{core_.platform.keys.fleet + "leader", fleet_.leader.epoch}};
-    batch.writes = {{key(), encode(current), 0}};
+    batch.writes = {{key(), encode(router_record{current, fleet_.leader.epoch}), 0}};
     core_.platform.store.write(
         batch, detail::deadline_in(detail::store_call_time),
         term_life_.guard([this](std::error_code error, std::uint64_t) {
@@ -167,8 +193,10 @@
                                {{"on", std::int64_t{confirmed_by_routers_}}});
     }
     // A leader with neither a valid lease nor confirmation keeps its role and waits for the store,
-    // where its lease may have been paused.
-    valid_until_ = std::max(lease_until, by_routers.value_or(lease_until));
+    // where its lease may have been paused. What routers have confirmed stays valid when the store
+    // is available again: a successor counts `confirmation_time` from its own takeover.
+    confirmed_until_ = std::max(confirmed_until_, by_routers.value_or(boot_time{}));
+    valid_until_ = std::max(lease_until, confirmed_until_);
     const bool acts = now < valid_until_;
     if (acts != may_act_) {
         core_.log.write_always(acts ? "leader_acts" : "leader_waits",
--- a/src/gateway/leader_lease.hpp
+++ b/src/gateway/leader_lease.hpp
@@ -23,6 +23,8 @@
 
     /// Begins a new term.
     void begin();
+    /// Continues the term under a new epoch, after the store has come back older.
+    void continue_term();
     /// Evaluates the evidence. `lease_until`: end of the lease in the store.
     void tick(boot_time now, boot_time lease_until);
 
@@ -61,11 +63,13 @@
     /// Record that is being written, or whose write failed and may have taken effect.
     std::optional<router_instances> pending_;
     bool loaded_ = false;
+    bool record_current_ = false;  ///< The record that was read is of this era of the store.
     bool call_in_flight_ = false;
     boot_time next_record_;
     boot_time next_announcement_;
     std::optional<boot_time> inherited_end_;
     boot_time valid_until_;
+    boot_time confirmed_until_;  ///< Latest end of the term that routers have confirmed.
     bool may_act_ = true;
     bool confirmed_by_routers_ = false;  ///< The store is lost, and routers confirm the term.
     bool may_grant_long_holds_ = false;
--- a/src/gateway/leader_term.cpp
+++ b/src/gateway/leader_term.cpp
@@ -3,8 +3,20 @@
 #include <algorithm>
 #include <vector>
 
+#include "mimosavalve/gateway/platform_port.hpp"
+
 namespace mimosavalve::gateway {
 
+namespace detail {
+
+// A leader must assign fewer fences in its term; more would overlap those of later epochs.
+constexpr std::uint64_t fences_per_epoch = 4096;
+// A store that comes back older loses fewer than 2^24 revisions, so fences rise over eras. Fences
+// are sent as JSON numbers, which are exact up to 2^53.
+constexpr unsigned fence_era_shift = 36;
+
+}  // namespace detail
+
 std::optional<boot_time> lease_without_store(const router_instances& recorded,
                                              const evidence_by_host& evidence) {
     std::vector<boot_time> confirmed;
@@ -47,8 +59,8 @@
 }
 
 boot_time inherited_holds_end(const hold_times& holds, const evidence_by_host& evidence,
-                              boot_time now) {
-    auto end = now + confirmation_time + holds.normal;
+                              boot_time now, milliseconds lease_left) {
+    auto end = now + std::max(confirmation_time, lease_left) + holds.normal;
     for (const auto& [host, router] : evidence) {
         if (router.long_holds_reported_at) {
             end = std::max(end, *router.long_holds_reported_at + confirmation_time + holds.max);
@@ -57,4 +69,18 @@
     return end;
 }
 
+bool is_stale(const leader_identity& leader, std::uint64_t revision) {
+    return leader.store_era && *leader.store_era < store_era_of(revision);
+}
+
+bool is_current(std::uint64_t record_epoch, std::uint64_t epoch) {
+    return record_epoch == 0 || store_era_of(record_epoch) == store_era_of(epoch);
+}
+
+std::uint64_t first_fence(std::uint64_t epoch) {
+    const auto era = store_era_of(epoch);
+    const auto number = epoch - (era << store_era_shift);
+    return (era << detail::fence_era_shift) + number * detail::fences_per_epoch;
+}
+
 }  // namespace mimosavalve::gateway
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -27,6 +27,9 @@
 
     /// Begins a term of this router as leader.
     void begin();
+    /// Continues the term under a new epoch. Routers count as followers again once they have called
+    /// with it.
+    void continue_term();
     /// Ends the term; refuses the calls that wait for a reply.
     void end();
     void tick(boot_time now);
@@ -52,6 +55,7 @@
         boot_time following_since;  ///< When this instance of it first called.
         /// Whether the last reply carries the configuration, until the router has called again.
         bool config_in_transit = false;
+        bool is_current = true;  ///< It has called with the present epoch.
         // Values that the router has received up to the last reply.
         std::uint64_t reply_number = 0;
         std::optional<std::map<std::string, std::uint32_t>> concurrency;
--- a/tests/gateway/decider_model_test.cpp
+++ b/tests/gateway/decider_model_test.cpp
@@ -50,7 +50,9 @@
             targets[id];
             fleet.add_target(id);
         }
-        fleet.lead();
+        fleet.take_copy();
+        epoch_ = fleet.elect();
+        fleet.lead(epoch_);
     }
 
     void advance_time(milliseconds time) {
@@ -79,15 +81,35 @@
     /// transit may still take effect.
     void change_leader() {
         fleet.decider.end();
-        ++epoch_;
-        fleet.stored["own/leader"] = {"own/leader", "", epoch_, epoch_, 0};
+        epoch_ = fleet.elect();
         fleet.lead(epoch_);
-        inherited_end_ = fleet.now + key_decider::hold_bounds(fleet.core.settings.bounds).normal;
-        fleet.decider.set_inherited_end(inherited_end_ + fleet.decider.longest_transit(fleet.now));
+        inherit_holds();
     }
     /// Fills the queue of the network: orders arrive in the order in which they were sent, and only
     /// after this time.
     void congest(milliseconds time) { queue_until_ = std::max(queue_until_, fleet.now + time); }
+    /// The store comes back older, and another router becomes the leader. It may know owners that
+    /// the record does not have any more.
+    void restore_store(bool knows_owners) {
+        fleet.decider.end();
+        fleet.restore_copy();
+        fleet.store_unavailable = false;
+        if (!knows_owners) {
+            fleet.core.state.keys.clear();
+        }
+        epoch_ = fleet.elect();
+        fleet.lead(epoch_);
+        inherit_holds();
+    }
+    /// The store comes back older, and the leader is elected again at once.
+    void restore_store_and_continue() {
+        fleet.restore_copy();
+        fleet.store_unavailable = false;
+        epoch_ = fleet.elect();
+        fleet.decider.continue_term(
+            {epoch_, "own/leader", fleet.now + std::chrono::hours(1), fleet.store_came_back});
+        inherit_holds();
+    }
     void load(std::uint32_t first, std::uint32_t requests) {
         key_load counts;
         for (std::uint32_t key = first; key < first + 50; ++key) {
@@ -101,6 +123,11 @@
     std::vector<std::string> violations;
 
 private:
+    /// Sets the end of the holds that earlier leaders granted until now.
+    void inherit_holds() {
+        inherited_end_ = fleet.now + key_decider::hold_bounds(fleet.core.settings.bounds).normal;
+        fleet.decider.set_inherited_end(inherited_end_ + fleet.decider.longest_transit(fleet.now));
+    }
     void receive(const received_order& order) {
         if (order.address.empty()) {
             // A new leader may have no address of a recorded owner.
@@ -239,7 +266,7 @@
 
 void run_step(model& history) {
     const auto id = *rc::gen::element<std::string>("a", "b", "c", "d");
-    switch (*rc::gen::inRange(0, 14)) {
+    switch (*rc::gen::inRange(0, 17)) {
         case 0:
         case 1:
             history.targets.at(id).mode =
@@ -271,14 +298,23 @@
         case 8:
             history.fleet.lose_write_answers = 1;
             break;
+        case 10:
+            history.fleet.take_copy();
+            break;
+        case 11:
+            history.restore_store(*rc::gen::arbitrary<bool>());
+            break;
+        case 12:
+            history.restore_store_and_continue();
+            break;
         case 9: {
             const bool lost = !history.fleet.store_unavailable;
             history.fleet.store_unavailable = lost;
             history.fleet.decider.set_store_unavailable(lost);
             break;
         }
-        case 10:
-        case 11:
+        case 13:
+        case 14:
             history.congest(milliseconds(*rc::gen::inRange<std::int64_t>(0, max_queue_ms + 1)));
             history.advance_time(milliseconds(*rc::gen::inRange(0, 700)));
             history.fleet.remove_target(id);
--- a/tests/gateway/leader_term_test.cpp
+++ b/tests/gateway/leader_term_test.cpp
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include "mimosavalve/gateway/leader_term.hpp"
+#include "mimosavalve/gateway/platform_port.hpp"
 
 using namespace mimosavalve::gateway;
 using std::chrono::seconds;
@@ -80,6 +81,22 @@
     }));
 }
 
+TEST_CASE("fences rise although the store's revisions went back [leader_term]") {
+    const auto epoch = [](std::uint64_t era, std::uint64_t number) {
+        return (era << store_era_shift) + number;
+    };
+    CHECK(first_fence(5) == 5 * 4096);
+    CHECK(first_fence(epoch(0, 6)) > first_fence(epoch(0, 5)));
+    CHECK(first_fence(epoch(1, 5)) > first_fence(epoch(0, 1U << 24U)));
+    CHECK(first_fence(epoch(3, 20000000)) > first_fence(epoch(2, 20000000 + (1U << 23U))));
+}
+
+// JSON numbers are exact only up to 2^53.
+TEST_CASE("fences stay exact as JSON numbers when the store comes back older often [leader_term]") {
+    constexpr std::uint64_t max_exact = std::uint64_t{1} << 53U;
+    CHECK(first_fence((std::uint64_t{1000} << store_era_shift) + 50000) < max_exact);
+}
+
 TEST_CASE(
     "long holds need confirmation by more than half of the recorded instances [leader_term]") {
     evidence_by_host evidence;
@@ -89,3 +106,27 @@
     evidence["h3"] = {3, at(9), at(9), at(9), std::nullopt};
     CHECK(may_grant_long_holds(three_instances(), evidence));
 }
+
+TEST_CASE("inherited holds outlast a lease that a new era did not wait for [leader_term]") {
+    const hold_times holds{seconds(3), seconds(10)};
+    CHECK(inherited_holds_end(holds, {}, at(0), seconds(2)) == at(5));
+    CHECK(inherited_holds_end(holds, {}, at(0)) == at(3) + confirmation_time);
+}
+
+TEST_CASE(
+    "records keep the epoch of their leader, and those without one are current "
+    "[leader_term]") {
+    const std::uint64_t epoch = (std::uint64_t{2} << store_era_shift) + 7;
+    const auto owners = decode_key_record(encode(key_record{key_map(), epoch}));
+    REQUIRE(owners);
+    CHECK(owners->epoch == epoch);
+    const auto routers = decode_router_record(encode(router_record{three_instances(), epoch}));
+    REQUIRE(routers);
+    CHECK(routers->epoch == epoch);
+    CHECK(routers->instances == three_instances());
+    const auto old_form = decode_key_record(encode(key_map()));
+    REQUIRE(old_form);
+    CHECK(is_current(old_form->epoch, epoch));
+    CHECK(is_current(epoch + 1, epoch));
+    CHECK_FALSE(is_current(epoch - (std::uint64_t{1} << store_era_shift), epoch));
+}
