--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -36,9 +36,11 @@
     gateway::tcp::endpoint address =
         standin.listen("h1", {boost::asio::ip::address_v4::loopback(), 0});
     gateway::metadata_store store = platform::make_store(calls, address);
+    gateway::metadata_store other_store = platform::make_store(calls, address);
 
-    /// The next calls come from a client that knows no era.
-    void change_client() { store = platform::make_store(calls, address); }
+    /// The next calls come from another client, and those after another change from the first
+    /// again.
+    void change_client() { std::swap(store, other_store); }
     template <typename Result, typename Call>
     Result result_of(Call call) {
         std::optional<Result> out;
@@ -144,17 +146,46 @@
     store_fixture fixture;
     fixture.standin.take_copy();
     const auto lease = fixture.grant_lease();
+    fixture.change_client();
+    const auto lease_of_other = fixture.grant_lease();
     fixture.standin.restore_copy();
-    const auto other = fixture.grant_lease();
-    REQUIRE(gateway::store_era_of(other.number) == 1);
+    // Another router gets both ids. The first two clients do not know of the new era yet.
+    auto newcomer = platform::make_store(fixture.calls, fixture.address);
+    std::swap(fixture.store, newcomer);
+    const auto first_again = fixture.grant_lease();
+    const auto second_again = fixture.grant_lease();
+    REQUIRE(gateway::store_era_of(first_again.number) == 1);
+    std::swap(fixture.store, newcomer);
+
+    CHECK(fixture.put("a/1", 0, lease_of_other.number).error == errc::store_unavailable);
+    CHECK(fixture.put("a/2", 0, lease_of_other.number).error == errc::store_conflict);
+    fixture.change_client();
+    CHECK(fixture.renew_lease(lease.number).error == errc::store_lease_expired);
     CHECK(fixture.renew_lease(lease.number).error == errc::store_lease_expired);
     CHECK(fixture.revoke_lease(lease.number).error == errc::store_lease_expired);
-    CHECK(fixture.put("a/1", 0, lease.number).error == errc::store_conflict);
-    CHECK_FALSE(fixture.renew_lease(other.number).error);
+    CHECK(fixture.put("a/3", 0, lease.number).error == errc::store_conflict);
+
+    std::swap(fixture.store, newcomer);
+    CHECK_FALSE(fixture.renew_lease(first_again.number).error);
+    CHECK_FALSE(fixture.renew_lease(second_again.number).error);
+}
+
+TEST_CASE("a lease id that does not fit below the era is passed back whole [platform]") {
+    store_fixture fixture;
+    const auto lease = fixture.grant_lease();
+    CHECK_FALSE(fixture.renew_lease(lease.number).error);
+    CHECK_FALSE(fixture.put("a/1", 0, lease.number).error);
+    const auto listed = fixture.list();
+    REQUIRE(listed.items.items.size() == 1);
+    CHECK(listed.items.items[0].lease == lease.number);
+    CHECK_FALSE(fixture.revoke_lease(lease.number).error);
+    CHECK(fixture.list().items.items.empty());
 
-    // The store takes the id for that of the other lease.
     fixture.change_client();
-    CHECK(fixture.renew_lease(lease.number).error == errc::store_lease_expired);
+    const auto lease_of_other = fixture.grant_lease();
+    CHECK_FALSE(fixture.put("a/2", 0, lease_of_other.number).error);
     fixture.change_client();
-    CHECK(fixture.put("a/1", 0, lease.number).error == errc::store_unavailable);
+    // The item of another client must not seem to be under this client's lease.
+    CHECK(fixture.list().items.items.front().lease != lease.number);
+    CHECK(fixture.list().items.items.front().lease != 0);
 }
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -63,6 +63,9 @@
         std::uint64_t after_revision = 0;
         gateway::internal_server::respond respond;
     };
+    /// Lease ids are as wide as the platform's: they do not fit below the era of a revision.
+    static constexpr std::uint64_t first_lease = (1ULL << 52U) + 1;
+
     struct lease_state {
         std::uint64_t ttl_ms = 0;
         std::uint64_t renewal = 0;  ///< Number of the last renewal of any lease.
@@ -72,7 +75,7 @@
         std::deque<stored_change> history;
         std::uint64_t revision = 1;
         std::uint64_t history_start_revision = 1;  ///< `history` holds the changes after it.
-        std::uint64_t next_lease = 1;
+        std::uint64_t next_lease = first_lease;
         std::map<std::uint64_t, lease_state> leases;
     };
 
