Do not adopt the owners of an older copy in a term of the former era

In the trace the leader's write of a move fails under conditions of the former era, it reads the record back before it has noticed the new era, and takes the owners of the copy for a late write of its own (record_adopted at 11.508 s, term_continued at 11.621 s). The continued term then records them as current, and the successor grants by them.

A record whose revision is of a later era than the term is not adopted.

tests/gateway/key_decider_test.cpp:732: TEST CASE: a leader that has not noticed the new era does not adopt the owners of the older copy [decider][era]

--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -765,6 +765,9 @@
             } else if (record == key_record{written, current_term_.epoch}) {
                 on_owners_written(name, written, {}, item.revision);
                 return;
+            } else if (store_era_of(item.revision) > store_era_of(current_term_.epoch)) {
+                // The store has come back older, and lacks this leader's last writes. The term is
+                // continued with its own owners, or ends.
             } else if (item.revision != state.revision && record) {
                 // An earlier write of this leader took effect late. If another leader wrote this,
                 // the condition on the leader's item makes every write of this leader fail.
--- a/tests/gateway/key_decider_test.cpp
+++ b/tests/gateway/key_decider_test.cpp
@@ -729,6 +729,41 @@
     CHECK(segment_of(recorded->owners, 0).owner == "b");
 }
 
+TEST_CASE(
+    "a leader that has not noticed the new era does not adopt the owners of the older copy "
+    "[decider][era]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.add_target("b");
+    const auto former_epoch = fleet.elect();
+    fleet.record(owned_by("a", 7), former_epoch);
+    fleet.take_copy();
+    fleet.lead(former_epoch);
+    fleet.advance_time(milliseconds(100));
+    fleet.core.state.registry.targets["a"].leaving = true;
+    update_targets(fleet.core.state, fleet.now);
+    fleet.advance_time(std::chrono::seconds(1));
+    REQUIRE(fleet.owner_of(0) == "b");
+    fleet.restore_copy();
+    // A write under the conditions of the former era fails, and its outcome is looked up.
+    fleet.core.state.registry.targets["a"].leaving = false;
+    fleet.core.state.registry.targets["b"].leaving = true;
+    update_targets(fleet.core.state, fleet.now);
+    fleet.advance_time(milliseconds(300));
+    const auto epoch = fleet.elect();
+    fleet.decider.continue_term(
+        {epoch, "own/leader", fleet.now + std::chrono::hours(1), fleet.store_came_back});
+    fleet.advance_time(milliseconds(300));
+    const auto recorded = decode_key_record(fleet.stored.at("own/keys/status").value);
+    REQUIRE(recorded);
+    CHECK(recorded->epoch == epoch);
+    CHECK(segment_of(recorded->owners, 0).owner == "b");
+    CHECK(fleet.count_orders(true, "a") > 0);
+    fleet.orders.clear();
+    fleet.advance_time(std::chrono::seconds(1));
+    CHECK(fleet.count_orders(true, "a") == 0);
+}
+
 TEST_CASE(
     "a move whose write was lost by the store is recorded again before its grant "
     "[decider][era]") {
