--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -244,8 +244,7 @@
         return;
     }
     const auto known = core_.state.keys.find(name);
-    const auto known_fence =
-        known == core_.state.keys.end() ? 0 : highest_fence(known->second);
+    const auto known_fence = known == core_.state.keys.end() ? 0 : highest_fence(known->second);
     if (!record && known_fence == 0 && !current_term_.store_came_back) {
         return;  // The service has had no owners.
     }
