Send no request on an estimate late in a planned stop

A stopping router sends a request whose time-out ends after the process if eight times the mean time to an answer fits into the time left. A request for which that is wrong is cut at the end of the stop; one that came later than the balancer's removal time has a kept connection, and its caller reaches another router when it is refused.

Without the change:

path_test.cpp:808: CHECK( answer.starts_with("HTTP/1.1 503") ) is NOT correct! path_test.cpp:810: CHECK( path.target.received.empty() ) is NOT correct!

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -200,6 +200,9 @@
     if (!core_.answers_until || answer_deadline_ <= *core_.answers_until) {
         return false;
     }
+    if (core_.estimates_until && steady::now() >= *core_.estimates_until) {
+        return true;
+    }
     const auto answer_ms = known_answer_ms(target);
     const milliseconds longest(
         static_cast<std::int64_t>(answer_ms * detail::max_answer_time_factor));
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -305,6 +305,8 @@
         stop_started_at_ = steady::now();
         core_.answers_until =
             stop_started_at_ + core_.settings.bounds.stop_time - final_answer_margin;
+        // Callers that come later use kept connections, and reach another router when refused.
+        core_.estimates_until = stop_started_at_ + balancer_removal_time;
         advance_stop();
     }
 
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -54,6 +54,9 @@
     /// Set while the process is stopping: the time at which it answers all requests that it still
     /// has. No request is sent that may have no answer by then.
     std::optional<std::chrono::steady_clock::time_point> answers_until;
+    /// Set while the process is stopping: from then on only requests are sent whose time-out ends
+    /// before `answers_until`, however short their answers usually take.
+    std::optional<std::chrono::steady_clock::time_point> estimates_until;
 
     /// Exchanges that wait for a target, in the order in which they are dispatched again.
     std::list<exchange*> waiting;
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -796,6 +796,20 @@
     }
 }
 
+TEST_CASE("a request that comes late in a planned stop is not sent on an estimate [path]") {
+    path_fixture path(request_kind::non_idempotent, milliseconds(5000));
+    path.core.state.targets["t1"]->answer_ms = 1;
+    path.core.stopping = true;
+    const auto now = std::chrono::steady_clock::now();
+    path.core.answers_until = now + milliseconds(1500);
+    path.core.estimates_until = now;
+    path.post("r1");
+    const auto answer = path.receive("<closed>");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("not-run") != std::string::npos);
+    CHECK(path.target.received.empty());
+}
+
 TEST_CASE("a request that waits in a stopping router is refused as not run in time [path]") {
     path_fixture path(request_kind::non_idempotent);
     path.make_target_owner();
