--- a/include/mimosavalve/gateway/call_client.hpp
+++ b/include/mimosavalve/gateway/call_client.hpp
@@ -25,6 +25,9 @@
     std::string host;                  ///< Value of Host; the endpoint if empty.
     /// An answer that is arriving when the call's deadline passes may arrive until then.
     std::chrono::steady_clock::time_point transfer_deadline{};
+    /// Use a connection of its own: on a kept one, a faulty server's copy of an earlier answer
+    /// could be taken for the answer to this call.
+    bool own_connection = false;
 };
 
 struct call_answer {
--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -80,7 +80,7 @@
     if (state.active_calls < max_connections_) {
         ++state.active_calls;
         placed.started = true;
-        open_connection(placed, false);
+        open_connection(placed, placed.request.own_connection);
     } else {
         state.queued.push_back(number);
     }
@@ -113,7 +113,7 @@
         state.queued.pop_front();
         if (found != pending_calls_.end()) {
             found->second->started = true;
-            open_connection(*found->second, false);
+            open_connection(*found->second, found->second->request.own_connection);
             return;
         }
     }
@@ -217,7 +217,8 @@
     if (error && ended->connection) {
         ended->connection->reset();
     }
-    if (!error && ended->answer.head.keep_alive && ended->input.empty()) {
+    if (!error && ended->answer.head.keep_alive && ended->input.empty() &&
+        !ended->request.own_connection) {
         auto& idle = idle_connections_[ended->to];
         if (idle.size() < detail::max_idle_per_endpoint) {
             ended->connection->set_reading_enabled(false);
--- a/tests/gateway/call_client_test.cpp
+++ b/tests/gateway/call_client_test.cpp
@@ -232,3 +232,43 @@
     CHECK(result.took >= milliseconds(1400));
     CHECK(result.took < milliseconds(2000));
 }
+
+// A faulty server sends its first answer once more when the second call has arrived.
+TEST_CASE(
+    "a copy of an earlier answer does not answer a call with its own connection [call_client]") {
+    boost::asio::io_context context;
+    std::vector<std::unique_ptr<stream>> connections;
+    std::string last_answer;
+    int calls_received = 0;
+    const listener server(
+        context, {boost::asio::ip::address_v4::loopback(), 0},
+        [&](std::unique_ptr<stream> connection) {
+            auto& added = *connections.emplace_back(std::move(connection));
+            added.set_callbacks({[&] {
+                                     std::array<char, 1024> request{};
+                                     if (added.read(request).bytes == 0) {
+                                         return;
+                                     }
+                                     connections.front()->write(last_answer);
+                                     last_answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+                                                   std::to_string(++calls_received);
+                                     added.write(last_answer);
+                                 },
+                                 {},
+                                 {}});
+            added.set_reading_enabled(true);
+        });
+    call_client client(context);
+    std::vector<std::string> bodies;
+    for (int count = 0; count < 2; ++count) {
+        call request{"POST", "/", "", "", {}, {}, {}, true};
+        client.send(server.address(), std::move(request),
+                    std::chrono::steady_clock::now() + milliseconds(1000),
+                    [&](std::error_code error, const call_answer& answer) {
+                        bodies.push_back(error ? error.message() : answer.body);
+                    });
+        context.run_for(milliseconds(60));
+        context.restart();
+    }
+    CHECK(bodies == std::vector<std::string>{"1", "2"});
+}
