Do not report a call that has left as never sent

A grant that was written on a kept connection, which is reset at once, is sent again on a new one. If that does not open, the call ended as never sent, and its hold was forgotten although the target may have it (OWNER); a write to the store counted as refused although it may have taken effect.

--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -232,6 +232,10 @@
     if (error == std::errc::timed_out && !ended->written) {
         error = make_error_code(errc::target_unreachable);
     }
+    // A call that has left on a kept connection may have arrived, though no new one opens.
+    if (error == errc::target_unreachable && ended->written) {
+        error = make_error_code(std::errc::connection_reset);
+    }
     const auto done = std::move(ended->done);
     auto answer = std::move(ended->answer);
     // The pending_call may be on the call stack of its own connection, so it is destroyed later.
--- a/tests/gateway/call_client_test.cpp
+++ b/tests/gateway/call_client_test.cpp
@@ -272,3 +272,49 @@
     }
     CHECK(bodies == std::vector<std::string>{"1", "2"});
 }
+
+TEST_CASE("a call that has left on a kept connection is not reported as never sent [call_client]") {
+    boost::asio::io_context context;
+    std::vector<std::unique_ptr<stream>> connections;
+    lifetime life;
+    int requests = 0;
+    std::optional<listener> server;
+    const auto serve = [&](std::unique_ptr<stream> connection) {
+        connections.push_back(std::move(connection));
+        auto* taken = connections.back().get();
+        taken->set_callbacks({[&, taken] {
+                                  std::array<char, 1024> request{};
+                                  if (taken->read(request).bytes == 0) {
+                                      return;
+                                  }
+                                  if (++requests == 1) {
+                                      taken->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                                      return;
+                                  }
+                                  // It has the request, and its new connections fail.
+                                  server.reset();
+                                  taken->reset();
+                              },
+                              {},
+                              {}});
+        taken->set_reading_enabled(true);
+    };
+    server.emplace(context, tcp::endpoint{boost::asio::ip::address_v4::loopback(), 0}, serve);
+    const auto address = server->address();
+    call_client client(context);
+    std::vector<std::error_code> ended;
+    for (std::size_t call_number = 1; call_number <= 2; ++call_number) {
+        client.send(address, {"POST", "/", "", "", {}, {}, {}},
+                    std::chrono::steady_clock::now() + milliseconds(800),
+                    [&](std::error_code error, const call_answer&) { ended.push_back(error); });
+        for (int round = 0; round < 300 && ended.size() < call_number; ++round) {
+            context.run_for(milliseconds(5));
+            context.restart();
+        }
+    }
+    REQUIRE(requests == 2);
+    REQUIRE(ended.size() == 2);
+    CHECK_FALSE(ended[0]);
+    CHECK(ended[1]);
+    CHECK(ended[1] != mimosavalve::errc::target_unreachable);
+}
