Keep all records of routers that a successor may have read

A continued term counts the routers' record that the store has lost beside the older one. A second return replaced it by the older copy's, and a record whose write had got no answer was dropped by the first. Keys could then move before more than half of the routers of the lost record followed. All such records count now until the next one is confirmed.

--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -1,5 +1,7 @@
 #include "leader_lease.hpp"
 
+#include <algorithm>
+
 #include "control_timing.hpp"
 #include "key_decider.hpp"
 #include "mimosavalve/core/error.hpp"
@@ -28,7 +30,7 @@
 void leader_lease::begin() {
     term_life_.cancel_handlers();
     recorded_.clear();
-    pending_.reset();
+    unconfirmed_.clear();
     loaded_ = false;
     record_current_ = false;
     call_in_flight_ = false;
@@ -43,9 +45,12 @@
     // A successor would read the record that the store has now, and one that was elected just
     // before the store came back has read the last one, so both count until the next one is
     // written.
-    auto last_record = std::move(recorded_);
+    auto unconfirmed = std::move(unconfirmed_);
+    if (loaded_) {
+        unconfirmed.push_back(std::move(recorded_));
+    }
     begin();
-    pending_ = std::move(last_record);
+    unconfirmed_ = std::move(unconfirmed);
     next_record_ = {};
     next_announcement_ = {};
     announce_leader(core_.now());
@@ -98,7 +103,8 @@
 void leader_lease::take_over(boot_time now) {
     const auto evidence = evidence_(now);
     if (!has_taken_over(recorded_, evidence) ||
-        (pending_ && !has_taken_over(*pending_, evidence))) {
+        !std::all_of(unconfirmed_.begin(), unconfirmed_.end(),
+                     [&](const auto& record) { return has_taken_over(record, evidence); })) {
         return;
     }
     // After the store has come back older, the claim did not wait for the predecessor's lease.
@@ -123,8 +129,8 @@
     const auto body = encode(fleet_.leader);
     const auto evidence = evidence_(now);
     auto receivers = recorded_;
-    if (pending_) {
-        receivers.insert(pending_->begin(), pending_->end());
+    for (const auto& record : unconfirmed_) {
+        receivers.insert(record.begin(), record.end());
     }
     for (const auto& [host, instance] : receivers) {
         const auto to = parse_endpoint(instance.address);
@@ -150,35 +156,37 @@
     auto current = followers_(now);
     current.emplace(core_.settings.host,
                     router_instance(fleet_.instance, core_.settings.peer_address));
-    if (current == recorded_ && !pending_) {
+    if (current == recorded_ && unconfirmed_.empty()) {
         return;
     }
-    pending_ = current;
+    if (std::find(unconfirmed_.begin(), unconfirmed_.end(), current) == unconfirmed_.end()) {
+        unconfirmed_.push_back(current);
+    }
     call_in_flight_ = true;
     store_batch batch;
     batch.conditions = {{core_.platform.keys.fleet + "leader", fleet_.leader.epoch}};
     batch.writes = {{key(), encode(router_record{current, fleet_.leader.epoch}), 0}};
     core_.platform.store.write(
         batch, detail::deadline_in(detail::store_call_time),
-        term_life_.guard([this](std::error_code error, std::uint64_t) {
+        term_life_.guard([this, current](std::error_code error, std::uint64_t) {
             call_in_flight_ = false;
             if (error) {
-                // The write may have taken effect, so until the next one the routers of both
+                // The write may have taken effect, so until the next one the routers of all these
                 // records must confirm the term.
                 core_.log.write("record_failed", {{"key", key()}, {"error", error.message()}});
                 return;
             }
-            recorded_ = std::move(*pending_);
-            pending_.reset();
+            recorded_ = current;
+            unconfirmed_.clear();
         }));
 }
 
-// Either record may be the one that a successor reads, so both must confirm the term.
+// Any of the records may be the one that a successor reads, so all must confirm the term.
 std::optional<boot_time> leader_lease::lease_by_routers(const evidence_by_host& evidence) const {
     auto term_end = lease_without_store(recorded_, evidence);
-    if (term_end && pending_) {
-        const auto other = lease_without_store(*pending_, evidence);
-        term_end = other ? std::optional(std::min(*term_end, *other)) : std::nullopt;
+    for (const auto& record : unconfirmed_) {
+        const auto other = lease_without_store(record, evidence);
+        term_end = term_end && other ? std::optional(std::min(*term_end, *other)) : std::nullopt;
     }
     return term_end;
 }
@@ -203,9 +211,11 @@
                                {{"epoch", static_cast<std::int64_t>(fleet_.leader.epoch)}});
         may_act_ = acts;
     }
-    may_grant_long_holds_ = wants_long_holds() &&
-                            gateway::may_grant_long_holds(recorded_, evidence) &&
-                            (!pending_ || gateway::may_grant_long_holds(*pending_, evidence));
+    may_grant_long_holds_ =
+        wants_long_holds() && gateway::may_grant_long_holds(recorded_, evidence) &&
+        std::all_of(unconfirmed_.begin(), unconfirmed_.end(), [&](const auto& record) {
+            return gateway::may_grant_long_holds(record, evidence);
+        });
 }
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/leader_lease.hpp
+++ b/src/gateway/leader_lease.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <vector>
 
 #include "fleet_state.hpp"
 #include "lifetime.hpp"
@@ -60,8 +61,9 @@
     evidence_source evidence_;
     instances_source followers_;
     router_instances recorded_;
-    /// Record that is being written, or whose write failed and may have taken effect.
-    std::optional<router_instances> pending_;
+    /// Further records that a successor may have read: the one that is being written, those whose
+    /// writes got no answer, and those that the store has lost by coming back older.
+    std::vector<router_instances> unconfirmed_;
     bool loaded_ = false;
     bool record_current_ = false;  ///< The record that was read is of this era of the store.
     bool call_in_flight_ = false;
--- a/tests/gateway/leader_lease_test.cpp
+++ b/tests/gateway/leader_lease_test.cpp
@@ -74,3 +74,52 @@
     leader.tick();
     CHECK(leader.lease.inherited_end());
 }
+
+TEST_CASE(
+    "a term that is continued twice still waits for the routers of its last record "
+    "[leader_lease]") {
+    for (const bool loads_between : {false, true}) {
+        CAPTURE(loads_between);
+        lease_fixture leader;
+        leader.lease.begin();
+        leader.tick();
+        leader.stored.instances = {{"h1", 1}};
+        leader.evidence["h1"] = {1, leader.now, {}, {}, std::nullopt};
+        leader.fleet.leader.epoch += std::uint64_t{1} << store_era_shift;
+        leader.lease.continue_term();
+        if (loads_between) {
+            leader.tick();
+        }
+        leader.fleet.leader.epoch += std::uint64_t{1} << store_era_shift;
+        leader.lease.continue_term();
+        leader.tick();
+        leader.tick();
+        CHECK_FALSE(leader.lease.inherited_end());
+    }
+}
+
+TEST_CASE(
+    "a continued term waits for the routers of a record whose write got no answer [leader_lease]") {
+    lease_fixture leader;
+    leader.core.platform.store.write = [](const store_batch&, call_deadline,
+                                          const metadata_store::number_handler& done) {
+        done(make_error_code(errc::store_unavailable), 0);
+    };
+    leader_lease lease{leader.core, leader.fleet, leader.calls,
+                       [&](boot_time) { return leader.evidence; },
+                       [](boot_time) {
+                           return router_instances{{"h2", 2}, {"h3", 3}, {"h4", 4}, {"h5", 5}};
+                       }};
+    leader.stored.instances = {{"h1", 1}};
+    leader.evidence["h1"] = {1, leader.now, {}, {}, std::nullopt};
+    lease.begin();
+    for (int step = 0; step < 4; ++step) {
+        lease.tick(leader.now, leader.lease_until);
+    }
+    REQUIRE(lease.inherited_end());
+    leader.fleet.leader.epoch += std::uint64_t{1} << store_era_shift;
+    lease.continue_term();
+    lease.tick(leader.now, leader.lease_until);
+    lease.tick(leader.now, leader.lease_until);
+    CHECK_FALSE(lease.inherited_end());
+}
