--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -224,10 +224,12 @@
     if (request.config_version >= core_.state.config.version || missing == configs_since_.end()) {
         return false;
     }
+    if (request.store_lost) {
+        return true;
+    }
     const auto caller = followers_.find(request.host);
     const auto following_since = caller == followers_.end() ? now : caller->second.following_since;
     const bool reads_itself =
-        !request.store_lost &&
         now - std::max(missing->second, following_since) <= detail::max_config_lag;
     // One at a time: the text is larger than all other state, and fills the leader's link.
     return !reads_itself &&
--- a/tests/gateway/sync_server_test.cpp
+++ b/tests/gateway/sync_server_test.cpp
@@ -187,3 +187,17 @@
     leader.call(7);
     CHECK(leader.got_config == std::vector{7});
 }
+
+TEST_CASE(
+    "a follower that cannot reach the store does not wait for the configuration of another "
+    "[sync_server]") {
+    server_fixture leader;
+    leader.begin_following();
+    leader.change_config(2, 20U << 10U);
+    leader.advance(milliseconds(1300));
+    leader.call(1);  // It has been behind for too long, and gets the text.
+    REQUIRE(leader.got_config == std::vector{1});
+    leader.lost_store = {7};
+    leader.call(7);
+    CHECK(leader.got_config == std::vector{1, 7});
+}
