--- a/tests/gateway/decider_model_test.cpp
+++ b/tests/gateway/decider_model_test.cpp
@@ -51,8 +51,8 @@
             fleet.add_target(id);
         }
         fleet.take_copy();
-        epoch_ = fleet.elect();
-        fleet.lead(epoch_);
+        const auto epoch = fleet.elect();
+        fleet.lead(epoch);
     }
 
     void advance_time(milliseconds time) {
@@ -81,8 +81,8 @@
     /// transit may still take effect.
     void change_leader() {
         fleet.decider.end();
-        epoch_ = fleet.elect();
-        fleet.lead(epoch_);
+        const auto epoch = fleet.elect();
+        fleet.lead(epoch);
         inherit_holds();
     }
     /// Fills the queue of the network: orders arrive in the order in which they were sent, and only
@@ -97,17 +97,17 @@
         if (!knows_owners) {
             fleet.core.state.keys.clear();
         }
-        epoch_ = fleet.elect();
-        fleet.lead(epoch_);
+        const auto epoch = fleet.elect();
+        fleet.lead(epoch);
         inherit_holds();
     }
     /// The store comes back older, and the leader is elected again at once.
     void restore_store_and_continue() {
         fleet.restore_copy();
         fleet.store_unavailable = false;
-        epoch_ = fleet.elect();
+        const auto epoch = fleet.elect();
         fleet.decider.continue_term(
-            {epoch_, "own/leader", fleet.now + std::chrono::hours(1), fleet.store_came_back});
+            {epoch, "own/leader", fleet.now + std::chrono::hours(1), fleet.store_came_back});
         inherit_holds();
     }
     void load(std::uint32_t first, std::uint32_t requests) {
@@ -259,7 +259,6 @@
     }
 
     std::vector<std::pair<boot_time, std::function<void()>>> delayed_;
-    std::uint64_t epoch_ = 5;
     boot_time inherited_end_;
     boot_time queue_until_;
 };
