--- a/include/mimosavalve/gateway/call_client.hpp
+++ b/include/mimosavalve/gateway/call_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -33,6 +34,7 @@
 struct call_answer {
     message_head head;
     std::string body;
+    std::chrono::milliseconds transfer_time{0};  ///< From its first bytes to its end.
 };
 
 using call_deadline = std::chrono::steady_clock::time_point;
--- a/include/mimosavalve/gateway/platform_port.hpp
+++ b/include/mimosavalve/gateway/platform_port.hpp
@@ -64,6 +64,7 @@
     std::vector<store_item> items;
     std::uint64_t revision = 0;  ///< Revision of the store.
     bool has_more = false;       ///< There are more items than this page holds.
+    milliseconds transfer_time{0};  ///< From the first bytes of the answer to its end.
 };
 
 /// Atomic write: all writes and removals take effect, or none.
--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -54,6 +54,7 @@
     call_answer answer;
     bool reused = false;
     std::chrono::steady_clock::time_point sent_at;
+    std::chrono::steady_clock::time_point answered_since;  ///< First bytes of the answer.
     bool started = false;
     bool written = false;         ///< Whether the request may have left on a connection.
     bool has_progressed = false;  ///< Bytes have arrived since the timer was armed.
@@ -197,6 +198,9 @@
         return;
     }
     pending.has_progressed = true;
+    if (!pending.parser->has_started()) {
+        pending.answered_since = std::chrono::steady_clock::now();
+    }
     pending.input.append(chunk.data(), got.bytes);
     const auto fed = pending.parser->feed(pending.input);
     pending.input.erase(0, fed.consumed);
@@ -238,6 +242,10 @@
     }
     const auto done = std::move(ended->done);
     auto answer = std::move(ended->answer);
+    if (!error) {
+        answer.transfer_time = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - ended->answered_since);
+    }
     // The pending_call may be on the call stack of its own connection, so it is destroyed later.
     boost::asio::post(context_, [kept = std::shared_ptr<pending_call>(std::move(ended))] {});
     done(error, std::move(answer));
--- a/src/gateway/operator_items.cpp
+++ b/src/gateway/operator_items.cpp
@@ -157,6 +157,8 @@
         "config_in_force",
         {{"version", static_cast<std::int64_t>(core_.state.config.version)},
          {"revision", static_cast<std::int64_t>(revision)},
+         {"from", revision == 0 ? "leader" : "store"},
+         {"bytes", static_cast<std::int64_t>(config_text_.size())},
          {"routes", static_cast<std::int64_t>(core_.state.config.routes.size())}});
     count(core_.metrics, "configs_applied");
     handlers_.config_changed();
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -12,6 +12,16 @@
 // connection before it ends.
 constexpr milliseconds watch_time{20000};
 constexpr milliseconds watch_timeout_margin{2000};
+// Transfer time of an answer from which it is logged.
+constexpr milliseconds slow_transfer_time{100};
+
+std::size_t bytes_of(const store_items& items) {
+    std::size_t sum = 0;
+    for (const auto& item : items.items) {
+        sum += item.value.size();
+    }
+    return sum;
+}
 
 }  // namespace detail
 
@@ -38,6 +48,7 @@
                      return;
                  }
                  pause_ = {};
+                 log_transfer("list", items);
                  revision_ = items.revision;
                  handlers_.listed(items);
                  watch();
@@ -55,6 +66,7 @@
                 return;
             }
             record_store_call(core_, fleet_, true, "watch " + name_);
+            log_transfer("watch", items);
             revision_ = std::max(items.revision, revision_);
             if (!items.items.empty()) {
                 handlers_.changed(items);
@@ -63,6 +75,19 @@
         }));
 }
 
+void store_follower::log_transfer(std::string_view call, const store_items& items) const {
+    const auto bytes = detail::bytes_of(items);
+    count(core_.metrics, "followed_item_bytes", bytes);
+    if (items.transfer_time >= detail::slow_transfer_time) {
+        core_.log.write_always("store_transfer",
+                               {{"call", call},
+                                {"items", name_},
+                                {"bytes", static_cast<std::int64_t>(bytes)},
+                                {"transfer_ms", std::int64_t{items.transfer_time.count()}},
+                                {"revision", static_cast<std::int64_t>(items.revision)}});
+    }
+}
+
 void store_follower::list_later() {
     pause_ = detail::next_pause(pause_);
     run_after(core_.context, pause_, life_, [this] { list(); });
@@ -78,6 +103,7 @@
                      return;
                  }
                  if (!error && items.revision >= revision_) {
+                     log_transfer("check", items);
                      revision_ = items.revision;
                      handlers_.listed(items);
                  }
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "fleet_state.hpp"
 #include "lifetime.hpp"
@@ -31,6 +32,8 @@
     void list();
     void watch();
     void list_later();
+    /// Counts the bytes of an answer, and logs one whose transfer took long.
+    void log_transfer(std::string_view call, const store_items& items) const;
 
     router_core& core_;
     fleet_state& fleet_;
