Send changes of the configuration instead of its whole text to every router

Cause: each router watched the operators' items, so that each change sent the whole text (336 KB for 1,400 routes, a third more as base64) to all routers, half of them over one link. Routers that were behind got it from the leader as well, whose replies then carried one text and little else: 1 to 11 replies a second for 69 routers.

Now the leader reads the text, and sends each router what has changed. Many changed routes go from router to router, three at a time, and cross to a region only while no router there has them. A router reads the text only when the leader is silent or it stays behind, and then in its turn: the reads of all routers together would fill the link and delay the leader that they wait for. The leader's watch lasts 0.9 s instead of a listing of everything every 0.9 s.

New fleet test, failed before: each of the followers read 1,317,193 bytes from the store where less than 100,000 are expected.

--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "mimosavalve/gateway/config_update.hpp"
 #include "mimosavalve/gateway/crash_watch.hpp"
 #include "mimosavalve/gateway/key_load.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
@@ -60,7 +61,10 @@
     std::uint64_t store_age_ms = 0;
     std::uint64_t held_ms = 0;  ///< Time between the arrival of the call and this reply.
     std::uint64_t config_version = 0;
-    std::string config_text;  ///< Empty when the router has this version.
+    std::optional<config_update> config;  ///< Changes since the router's configuration.
+    /// Address of a router that has this configuration, which the caller gets from there; empty if
+    /// it has it, or is to wait.
+    std::string config_source;
     bool long_holds = false;  ///< Whether the leader will grant holds of the maximum time.
     /// Store revision up to which the leader has read operators' items.
     std::uint64_t operators_revision = 0;
@@ -79,6 +83,11 @@
 
 std::string encode(const sync_request& message);
 std::string encode(const sync_reply& message);
+/// Call for the changes of the configuration since a version, and the answer to it.
+std::string encode_config_request(std::uint64_t version);
+std::optional<std::uint64_t> decode_config_request(std::string_view bytes);
+std::string encode(const config_update& update);
+std::optional<config_update> decode_config_update(std::string_view bytes);
 std::optional<sync_request> decode_sync_request(std::string_view bytes);
 std::optional<sync_reply> decode_sync_reply(std::string_view bytes);
 
--- a/include/mimosavalve/gateway/route_config.hpp
+++ b/include/mimosavalve/gateway/route_config.hpp
@@ -19,6 +19,8 @@
 struct weighted_service {
     std::string service;
     double weight = 1;
+
+    bool operator==(const weighted_service&) const = default;
 };
 
 /// Rules for the requests to one host name and path prefix.
@@ -34,6 +36,8 @@
     std::uint32_t priority = 0;              ///< 0 is served first.
     std::vector<weighted_service> services;  ///< One service, or the parts of a weighted split.
     std::vector<std::string> home_regions;   ///< Allowed regions; empty: any.
+
+    bool operator==(const route&) const = default;
 };
 
 struct service {
@@ -60,6 +64,9 @@
     caller_limits limits;
 };
 
+/// Host name for comparison: without case and without a port.
+std::string normalized_host(std::string_view host);
+
 /// Finds the route of a host with the longest matching path prefix.
 class route_index {
 public:
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -1,9 +1,11 @@
 #include "fleet_control.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <random>
 
 #include "control_timing.hpp"
+#include "peer_paths.hpp"
 #include "store_listing.hpp"
 
 namespace mimosavalve::gateway {
@@ -16,6 +18,28 @@
 // A router whose registry is older than this fraction of the leave time reads it itself, so that
 // one read may fail before a target that is leaving must get no more requests.
 constexpr int reads_within_leave_time = 3;
+// A router that has known for this time that the leader has a newer configuration reads it from the
+// store; a configuration must be in force 2.5 s after its acknowledgement.
+constexpr milliseconds max_config_lag{1500};
+// Silence of the leader after which a router reads the operators' items; a change of the leader
+// takes less.
+constexpr milliseconds max_leader_silence{2000};
+// Size of a route in an answer of the store, and the assumed rate of the link between regions.
+constexpr double stored_route_bytes = 280;
+constexpr double link_bytes_per_ms =
+    3750;  // 30 Mbit/s, see the users' workloads in docs/design.md.
+
+// Time in which all routers can read the whole configuration over a link between two regions.
+std::chrono::duration<double, std::milli> config_read_time(const routing_state& state) {
+    const auto bytes = stored_route_bytes * static_cast<double>(state.config.routes.size());
+    return std::chrono::duration<double, std::milli>(bytes * state.router_count /
+                                                     link_bytes_per_ms);
+}
+
+double random_turn() {
+    std::random_device device;
+    return static_cast<double>(device()) / static_cast<double>(std::random_device::max());
+}
 // Targets close connections of a host that has lost power after this idle time: 10 s for both
 // users' services.
 constexpr milliseconds former_connection_timeout{10000};
@@ -29,6 +53,7 @@
 
 fleet_control::fleet_control(router_core& core, call_client& calls)
     : core_(core),
+      calls_(calls),
       decider_(core, [this] { state_changed(); }),
       server_(core, fleet_,
               {[this](const auto& loads) { decider_.add_loads(loads); },
@@ -36,7 +61,7 @@
                    reply.operators_revision = operators_.revision();
                    reply.evacuated_domains = operators_.evacuated();
                },
-               [this]() -> const std::string& { return operators_.config_text(); },
+               [this](std::uint64_t version) { return operators_.config_since(version); },
                [this] { return lease_.wants_long_holds(); }}),
       client_(core, fleet_, calls, {[this](const sync_reply& reply) { apply_reply(reply); }}),
       registry_(core, fleet_,
@@ -58,6 +83,7 @@
           core, fleet_, calls, [this](boot_time now) { return server_.evidence(now); },
           [this](boot_time now) { return server_.recent_followers(now); }) {
     fleet_.instance = detail::random_instance();
+    read_turn_ = detail::random_turn();
     core_.state.router_count = assumed_router_count;
     core_.state.router_rank = assumed_router_count - 1;
 }
@@ -87,6 +113,7 @@
     if (must_read_registry(now)) {
         registry_.read_when_due(now);
     }
+    operators_.set_reading(must_read_operators(now));
     if (!fleet_.leading && !client_.is_up_to_date(now) && !fleet_.stopping) {
         read_key_records(now);
     }
@@ -98,6 +125,69 @@
            age >= core_.settings.bounds.leave_time / detail::reads_within_leave_time;
 }
 
+bool fleet_control::must_read_operators(boot_time now) const {
+    // All routers that read a large configuration at once would fill the link between the regions,
+    // so that the leader's replies are late as well.
+    const auto delay = std::chrono::duration_cast<milliseconds>(
+        detail::config_read_time(core_.state) * read_turn_);
+    return fleet_.leading || core_.state.config.version == 0 ||
+           now - client_.heard_at() >= detail::max_leader_silence + delay ||
+           (config_behind_since_ && now - *config_behind_since_ >= detail::max_config_lag + delay);
+}
+
+void fleet_control::record_announced_config(const sync_reply& reply, boot_time now) {
+    if (reply.config_version <= core_.state.config.version) {
+        config_behind_since_.reset();
+    } else if (!config_behind_since_) {
+        config_behind_since_ = now;
+    }
+}
+
+void fleet_control::fetch_config(const std::string& address) {
+    const auto source = parse_endpoint(address);
+    if (!source || is_fetching_config_) {
+        return;
+    }
+    is_fetching_config_ = true;
+    calls_.send(*source,
+                {"POST",
+                 peer_paths::config,
+                 peer_paths::body_type,
+                 encode_config_request(core_.state.config.version),
+                 {},
+                 {}},
+                detail::deadline_in(detail::sync_call_time),
+                life_.guard([this, address](std::error_code error, const call_answer& answer) {
+                    is_fetching_config_ = false;
+                    constexpr unsigned ok = 200;
+                    const auto update = !error && answer.head.status == ok
+                                            ? decode_config_update(answer.body)
+                                            : std::nullopt;
+                    if (update) {
+                        operators_.apply_update(*update, address);
+                    } else {
+                        core_.log.write_always("config_not_received",
+                                               {{"from", address}, {"error", error.message()}});
+                    }
+                }));
+}
+
+void fleet_control::serve_config(const std::string& body, const internal_server::respond& respond) {
+    constexpr unsigned ok = 200;
+    constexpr unsigned bad_request = 400;
+    constexpr unsigned unavailable = 503;
+    const auto version = decode_config_request(body);
+    if (!version) {
+        respond({bad_request, "text/plain", "", {}});
+    } else if (*version >= core_.state.config.version) {
+        respond({unavailable, "text/plain", "", {}});
+    } else {
+        auto changes = encode(operators_.config_since(*version));
+        count(core_.metrics, "config_bytes_sent", changes.size());
+        respond({ok, peer_paths::body_type, std::move(changes), {}});
+    }
+}
+
 void fleet_control::lead(boot_time now) {
     lease_.tick(now, election_.lease_until());
     if (lease_.inherited_end()) {
@@ -106,7 +196,6 @@
     }
     decider_.set_long_holds(lease_.may_grant_long_holds());
     decider_.extend(lease_.valid_until());
-    operators_.check_when_due(now);
     server_.tick(now);
     decider_.tick();
 }
@@ -167,8 +256,11 @@
     const auto now = core_.now();
     core_.state.router_count = reply.routers;
     core_.state.router_rank = reply.rank;
-    operators_.apply_from_leader(reply.config_text, reply.operators_revision,
-                                 reply.evacuated_domains);
+    operators_.apply_from_leader(reply);
+    record_announced_config(reply, now);
+    if (!reply.config_source.empty()) {
+        fetch_config(reply.config_source);
+    }
     if (reply.registry) {
         registry_.apply_from_leader(*reply.registry);
     }
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -27,6 +27,8 @@
     /// Serve calls of other routers: a follower's report, and the announcement of a new leader.
     void serve_sync(const std::string& body, internal_server::respond respond);
     void serve_announcement(const std::string& body, const internal_server::respond& respond);
+    /// Serves a router's call for the changes of the configuration since its own.
+    void serve_config(const std::string& body, const internal_server::respond& respond);
 
     /// Whether this router has a configuration, targets and owners of keys to serve with.
     [[nodiscard]] bool is_ready() const;
@@ -35,6 +37,11 @@
     void tick();
     /// Whether this router has to read the registry itself.
     [[nodiscard]] bool must_read_registry(boot_time now) const;
+    /// Whether this router has to read the operators' items itself.
+    [[nodiscard]] bool must_read_operators(boot_time now) const;
+    void record_announced_config(const sync_reply& reply, boot_time now);
+    /// Gets the changes of the configuration from another router.
+    void fetch_config(const std::string& address);
     void lead(boot_time now);
     void begin_term();
     void continue_term();
@@ -44,6 +51,7 @@
     void state_changed();
 
     router_core& core_;
+    call_client& calls_;
     fleet_state fleet_;
     key_decider decider_;
     sync_server server_;
@@ -53,6 +61,10 @@
     leader_election election_;
     leader_lease lease_;
     boot_time next_records_;
+    /// Since when the leader's replies name a newer configuration than this router has.
+    std::optional<boot_time> config_behind_since_;
+    bool is_fetching_config_ = false;
+    double read_turn_ = 0;  ///< Random, from 0 to 1: when this router reads among all routers.
     lifetime life_;
 };
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -151,6 +151,8 @@
             control_.serve_sync(body, std::move(respond));
         } else if (path == peer_paths::leader) {
             control_.serve_announcement(body, respond);
+        } else if (path == peer_paths::config) {
+            control_.serve_config(body, respond);
         } else if (path == "/metrics") {
             respond({ok, "text/plain", metrics_text(), {}});
         } else {
--- a/src/gateway/operator_items.hpp
+++ b/src/gateway/operator_items.hpp
@@ -4,7 +4,10 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
+#include "mimosavalve/gateway/config_update.hpp"
+#include "mimosavalve/gateway/peer_messages.hpp"
 #include "store_follower.hpp"
 
 namespace mimosavalve::gateway {
@@ -23,15 +26,16 @@
     operator_items(router_core& core, fleet_state& fleet, callbacks handlers);
 
     void start();
-    /// Called while this router is the leader: lists the items at a fixed interval, in addition to
-    /// the watch.
-    void check_when_due(boot_time now);
+    /// Whether this router reads the operators' items in the store. A router that follows a leader
+    /// with a recent state does not, since the answers contain the whole configuration.
+    void set_reading(bool on);
+    /// Applies the items of the leader's reply if they are newer.
+    void apply_from_leader(const sync_reply& reply);
+    /// Applies changes of the configuration received from another router.
+    void apply_update(const config_update& update, std::string_view from);
 
-    /// Applies the items received from the leader if they are newer.
-    void apply_from_leader(const std::string& config_text, std::uint64_t revision,
-                           const std::set<std::string>& evacuated);
-
-    [[nodiscard]] const std::string& config_text() const { return config_text_; }
+    /// Changes since a version of the configuration; all of it if they are not known.
+    [[nodiscard]] config_update config_since(std::uint64_t version) const;
     [[nodiscard]] const std::set<std::string>& evacuated() const { return evacuated_; }
     [[nodiscard]] std::uint64_t revision() const { return follower_.revision(); }
 
@@ -42,14 +46,18 @@
     void apply_all(const store_items& items);
     void apply_item(const store_item& item);
     void apply_config(const std::string& text, std::uint64_t revision);
+    /// Puts a configuration into force that is newer than the present one and valid.
+    void apply_valid(operator_config config, std::uint64_t revision, std::string_view from);
+    void reject(const std::string& problem, std::uint64_t revision, std::string_view from);
     void set_evacuated(const std::string& domain, bool on);
 
     router_core& core_;
     callbacks handlers_;
     store_follower follower_;
-    std::string config_text_;
+    config_history history_;
+    std::uint64_t decoded_revision_ = 0;  ///< Revision of the last configuration that was decoded.
+    bool is_reading_ = true;
     std::set<std::string> evacuated_;
-    boot_time next_check_;
     std::optional<std::uint64_t> known_era_;
     boot_time rewritten_at_;  ///< Until then operators may not have written their items again.
     bool must_list_ = false;  ///< No listing since the era began was later than that.
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -73,6 +73,97 @@
     return out;
 }
 
+json rules_to_json(const route& of) {
+    json services = json::array();
+    for (const auto& part : of.services) {
+        services.push_back({part.service, part.weight});
+    }
+    return {static_cast<std::uint32_t>(of.kind),
+            of.timeout.count(),
+            of.objective.count(),
+            of.max_attempts,
+            of.priority,
+            std::move(services),
+            of.home_regions};
+}
+
+route route_from_json(const json& value, const json& rules) {
+    route out;
+    out.name = value.at(0);
+    out.host = value.at(1);
+    out.prefix = value.at(2);
+    const auto kind = rules.at(0).get<std::uint32_t>();
+    // Requests of an unknown kind must not be retried.
+    out.kind = kind <= static_cast<std::uint32_t>(request_kind::upload)
+                   ? static_cast<request_kind>(kind)
+                   : request_kind::non_idempotent;
+    out.timeout = milliseconds(rules.at(1).get<std::int64_t>());
+    out.objective = milliseconds(rules.at(2).get<std::int64_t>());
+    out.max_attempts = rules.at(3);
+    out.priority = rules.at(4);
+    for (const auto& part : rules.at(5)) {
+        out.services.push_back({part.at(0), part.at(1)});
+    }
+    out.home_regions = rules.at(6).get<std::vector<std::string>>();
+    return out;
+}
+
+// Many routes have the same rules, which are sent once.
+json config_to_json(const config_update& update) {
+    std::map<std::string, std::size_t> numbers;
+    json rules = json::array();
+    json routes = json::array();
+    for (const auto& each : update.routes) {
+        auto encoded = rules_to_json(each);
+        const auto [known, added] = numbers.try_emplace(to_bytes(encoded), rules.size());
+        if (added) {
+            rules.push_back(std::move(encoded));
+        }
+        routes.push_back({each.name, each.host, each.prefix, known->second});
+    }
+    json services = json::array();
+    for (const auto& [name, each] : update.services) {
+        services.push_back({name, each.max_connections, each.cold_time.count(),
+                            each.cold_requests_per_second, each.keyed});
+    }
+    const auto& limits = update.limits;
+    return {{"whole", update.whole},
+            {"from", update.from_version},
+            {"version", update.version},
+            {"rules", std::move(rules)},
+            {"routes", std::move(routes)},
+            {"removed", update.removed},
+            {"services", std::move(services)},
+            {"limits",
+             {limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout.count(),
+              limits.idle_timeout.count()}}};
+}
+
+config_update config_from_json(const json& value) {
+    config_update out;
+    out.whole = value.at("whole");
+    out.from_version = value.at("from");
+    out.version = value.at("version");
+    const auto& rules = value.at("rules");
+    for (const auto& each : value.at("routes")) {
+        out.routes.push_back(route_from_json(each, rules.at(each.at(3).get<std::size_t>())));
+    }
+    out.removed = value.at("removed").get<std::vector<std::string>>();
+    for (const auto& each : value.at("services")) {
+        service kind;
+        kind.name = each.at(0);
+        kind.max_connections = each.at(1);
+        kind.cold_time = milliseconds(each.at(2).get<std::int64_t>());
+        kind.cold_requests_per_second = each.at(3);
+        kind.keyed = each.at(4);
+        out.services.insert_or_assign(kind.name, kind);
+    }
+    const auto& limits = value.at("limits");
+    out.limits = {limits.at(0), limits.at(1), milliseconds(limits.at(2).get<std::int64_t>()),
+                  milliseconds(limits.at(3).get<std::int64_t>())};
+    return out;
+}
+
 json crashes_to_json(const crash_report& report, boot_time now) {
     json losses = json::array();
     for (const auto& loss : report.losses) {
@@ -195,8 +286,11 @@
     if (message.crashes) {
         body["crashes"] = {message.crashes->suspects, message.crashes->quarantined};
     }
-    if (!message.config_text.empty()) {
-        body["config_text"] = message.config_text;
+    if (message.config) {
+        body["config_update"] = detail::config_to_json(*message.config);
+    }
+    if (!message.config_source.empty()) {
+        body["config_source"] = message.config_source;
     }
     if (message.registry) {
         body["registry"] = detail::registry_to_json(*message.registry);
@@ -240,7 +334,10 @@
             out.crashes = {crashes.at(0).get<std::set<std::uint64_t>>(),
                            crashes.at(1).get<std::set<std::uint64_t>>()};
         }
-        out.config_text = body.value("config_text", "");
+        if (body.contains("config_update")) {
+            out.config = detail::config_from_json(body.at("config_update"));
+        }
+        out.config_source = body.value("config_source", "");
         if (body.contains("registry")) {
             out.registry = detail::registry_from_json(body.at("registry"));
         }
@@ -255,6 +352,30 @@
     }
 }
 
+std::string encode_config_request(std::uint64_t version) {
+    return detail::to_bytes({{"version", version}});
+}
+
+std::optional<std::uint64_t> decode_config_request(std::string_view bytes) {
+    try {
+        return detail::from_bytes(bytes).at("version").get<std::uint64_t>();
+    } catch (const detail::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode(const config_update& update) {
+    return detail::to_bytes(detail::config_to_json(update));
+}
+
+std::optional<config_update> decode_config_update(std::string_view bytes) {
+    try {
+        return detail::config_from_json(detail::from_bytes(bytes));
+    } catch (const detail::json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode(const leader_identity& message) {
     detail::json body = {{"host", message.host},
                          {"address", message.address},
--- a/src/gateway/route_config.cpp
+++ b/src/gateway/route_config.cpp
@@ -6,16 +6,6 @@
 
 namespace detail {
 
-// Host names compare without case and without a port (RFC 9110, 4.2.3).
-std::string normalized_host(std::string_view host) {
-    std::string out(host.substr(0, host.find(':')));
-    std::transform(out.begin(), out.end(), out.begin(), [](unsigned char character) {
-        return static_cast<char>(character >= 'A' && character <= 'Z' ? character + ('a' - 'A')
-                                                                      : character);
-    });
-    return out;
-}
-
 std::string problem_of_route(const route& checked, const operator_config& config) {
     if (checked.host.empty()) {
         return "has no host name";
@@ -47,6 +37,16 @@
 
 }  // namespace detail
 
+// Host names compare without case and without a port (RFC 9110, 4.2.3).
+std::string normalized_host(std::string_view host) {
+    std::string out(host.substr(0, host.find(':')));
+    std::transform(out.begin(), out.end(), out.begin(), [](unsigned char character) {
+        return static_cast<char>(character >= 'A' && character <= 'Z' ? character + ('a' - 'A')
+                                                                      : character);
+    });
+    return out;
+}
+
 std::string_view to_string(request_kind kind) {
     switch (kind) {
         case request_kind::idempotent:
@@ -62,13 +62,13 @@
 route_index::route_index(const operator_config& config) {
     for (std::size_t index = 0; index < config.routes.size(); ++index) {
         const auto& added = config.routes[index];
-        index_by_host_and_prefix_.insert_or_assign(
-            detail::normalized_host(added.host) + added.prefix, index);
+        index_by_host_and_prefix_.insert_or_assign(normalized_host(added.host) + added.prefix,
+                                                   index);
     }
 }
 
 std::optional<std::size_t> route_index::find(std::string_view host, std::string_view path) const {
-    auto host_and_prefix = detail::normalized_host(host);
+    auto host_and_prefix = normalized_host(host);
     const auto host_size = host_and_prefix.size();
     host_and_prefix.append(path);
     while (host_and_prefix.size() > host_size) {
@@ -97,7 +97,7 @@
         if (!problem.empty()) {
             return "route " + checked.name + " " + problem;
         }
-        const auto host_and_prefix = detail::normalized_host(checked.host) + checked.prefix;
+        const auto host_and_prefix = normalized_host(checked.host) + checked.prefix;
         const auto [other, added] = route_names.try_emplace(host_and_prefix, checked.name);
         if (!added) {
             return "routes " + other->second + " and " + checked.name +
--- a/src/gateway/store_follower.hpp
+++ b/src/gateway/store_follower.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,13 @@
     store_follower(router_core& core, fleet_state& fleet, std::string name, callbacks handlers);
 
     void start(std::string prefix);
+    /// Stops following after the call in flight, or continues from `revision`.
+    void set_following(bool on);
+    /// Sets how long a watch waits for a change. A router that has stopped following still gets
+    /// the changes within that time.
+    void set_watch_time(milliseconds time) { watch_time_ = time; }
+    /// Tells that the items up to a revision are known from elsewhere.
+    void advance(std::uint64_t revision) { revision_ = std::max(revision_, revision); }
     /// Lists the items once in addition to the watch, which may miss changes while the store
     /// discards its history.
     void check();
@@ -42,6 +50,9 @@
     std::string prefix_;
     std::uint64_t revision_ = 0;
     milliseconds pause_{0};
+    milliseconds watch_time_;
+    bool is_following_ = false;
+    bool is_running_ = false;  ///< A list or watch, or the pause before one, is in progress.
     lifetime life_;
 };
 
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -121,6 +121,7 @@
     // it no earlier than `held_ms` after that.
     known_at_ = std::max(known_at_,
                          sent_at + milliseconds(reply.held_ms) - milliseconds(reply.store_age_ms));
+    heard_at_ = std::max(heard_at_, sent_at + milliseconds(reply.held_ms));
     core_.state.registry_known_at = std::max(core_.state.registry_known_at, known_at_);
     followed_epoch_ = reply.epoch;
     followed_reply_ = reply.number;
--- a/src/gateway/sync_client.hpp
+++ b/src/gateway/sync_client.hpp
@@ -28,6 +28,8 @@
     /// to them.
     void discard_maps() { followed_maps_.clear(); }
 
+    /// When the leader sent its last reply, or earlier.
+    [[nodiscard]] boot_time heard_at() const { return heard_at_; }
     /// Whether the state that the leader sent contains all recent changes.
     [[nodiscard]] bool is_up_to_date(boot_time now) const;
 
@@ -45,7 +47,8 @@
     callbacks handlers_;
     bool call_in_flight_ = false;
     boot_time next_call_;
-    boot_time known_at_;          ///< The leader's state contains all changes before this time.
+    boot_time known_at_;  ///< The leader's state contains all changes before this time.
+    boot_time heard_at_;
     std::uint32_t failures_ = 0;  ///< Number of consecutive failed calls.
     // Numbers assigned by the leader of this epoch.
     std::uint64_t followed_epoch_ = 0;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -26,11 +26,9 @@
 // Size of the replies in transit from which further ones wait. The leader's own calls to the store
 // wait behind them: 0.1 s on a link of 10 Mbit/s. State that changes meanwhile is sent once.
 constexpr std::size_t max_bytes_in_transit = 128U << 10U;
-// Routers read the configuration from the store themselves. One that has been behind for longer may
-// have missed the change; a configuration must be in force 2.5 s after its acknowledgement.
-constexpr milliseconds max_config_lag{1200};
-// Number of configurations whose times are kept; the lag behind older ones exceeds the maximum.
-constexpr std::size_t max_configs_since = 16;
+// Number of changed routes up to which the leader sends the changes of the configuration to all
+// routers itself. More are passed on from router to router.
+constexpr std::size_t max_routes_to_all = 32;
 // Relative change of a rate or work time below which it is not sent again.
 constexpr double min_relative_change = 0.05;
 // Weight of one answer in a target's mean work time.
@@ -63,8 +61,8 @@
 void sync_server::begin() {
     followers_.clear();
     term_began_ = core_.now();
-    configs_since_.clear();
-    record_config(term_began_);
+    config_updates_.clear();
+    distribution_ = {};
     crash_watch_ = resume_crash_watch(core_.announced_crashes, core_.now());
     registries_.restart();
     registries_.add(core_.state.registry);
@@ -169,7 +167,7 @@
     record_reports(request->host, *request, now);
     pending_reply waiting{std::move(*request), std::move(respond), now,
                           now + detail::max_reply_delay};
-    if (is_behind(waiting.request, now)) {
+    if (is_behind(waiting.request)) {
         waiting.due = now;
     }
     // A router that calls again has given up its last call.
@@ -205,42 +203,85 @@
         caller.work_ms.clear();
     }
     caller.bytes_in_transit = 0;
-    caller.config_in_transit = false;
+    caller.config_version = request.config_version;
+    const auto version = core_.state.config.version;
+    update_transfers(distribution_, version, request.config_version == version ? request.host : "",
+                     now);
     caller.address = request.address;
     caller.failure_domain = request.failure_domain;
     caller.called_at = now;
     caller.is_current = true;
 }
 
-void sync_server::record_config(boot_time now) {
-    configs_since_.try_emplace(core_.state.config.version, now);
-    while (configs_since_.size() > detail::max_configs_since) {
-        configs_since_.erase(configs_since_.begin());
+const config_update* sync_server::missing_config(const sync_request& request) {
+    const auto version = core_.state.config.version;
+    if (request.config_version >= version) {
+        return nullptr;
     }
+    if (!config_updates_.empty() && config_updates_.begin()->second.version != version) {
+        config_updates_.clear();
+    }
+    const auto [known, added] = config_updates_.try_emplace(request.config_version);
+    if (added) {
+        known->second = from_.config_since(request.config_version);
+    }
+    return &known->second;
 }
 
-bool sync_server::must_send_config(const sync_request& request, boot_time now) const {
-    const auto missing = configs_since_.upper_bound(request.config_version);
-    if (request.config_version >= core_.state.config.version || missing == configs_since_.end()) {
-        return false;
+config_peer sync_server::peer_of(const std::string& host, const follower& router) const {
+    return {host, router.failure_domain,
+            std::string(region_of(core_.state.regions, router.failure_domain)), router.address};
+}
+
+std::vector<config_peer> sync_server::config_holders(boot_time now) const {
+    std::vector<config_peer> holders{{core_.settings.host, core_.settings.failure_domain,
+                                      core_.settings.region, core_.settings.peer_address}};
+    for (const auto& [host, router] : followers_) {
+        if (router.is_current && router.config_version == core_.state.config.version &&
+            now - router.called_at < detail::recently_called_time) {
+            holders.push_back(peer_of(host, router));
+        }
     }
-    if (request.store_lost) {
-        return true;
+    return holders;
+}
+
+void sync_server::add_config(sync_reply& reply, const sync_request& request, boot_time now) {
+    const auto* missing = missing_config(request);
+    if (missing == nullptr) {
+        return;
+    }
+    if (missing->routes.size() + missing->removed.size() <= detail::max_routes_to_all) {
+        reply.config = *missing;
+        return;
     }
     const auto caller = followers_.find(request.host);
-    const auto following_since = caller == followers_.end() ? now : caller->second.following_since;
-    const bool reads_itself =
-        now - std::max(missing->second, following_since) <= detail::max_config_lag;
-    // One at a time: the text is larger than all other state, and fills the leader's link.
-    return !reads_itself &&
-           std::none_of(followers_.begin(), followers_.end(), [&](const auto& other) {
-               return other.second.config_in_transit &&
-                      now - other.second.replied_at < detail::sync_call_time;
-           });
+    if (caller == followers_.end()) {
+        return;
+    }
+    const auto holders = config_holders(now);
+    const auto* source = choose_source(
+        distribution_, holders, peer_of(request.host, caller->second), detail::sync_call_time, now);
+    if (source == nullptr) {
+        return;
+    }
+    core_.log.write("config_source",
+                    {{"to", request.host},
+                     {"from", source->host},
+                     {"version", static_cast<std::int64_t>(core_.state.config.version)},
+                     {"routes", static_cast<std::int64_t>(missing->routes.size())},
+                     {"transfers", static_cast<std::int64_t>(distribution_.running.size())}});
+    if (source->host == core_.settings.host) {
+        reply.config = *missing;
+    } else {
+        reply.config_source = source->address;
+    }
 }
 
-bool sync_server::is_behind(const sync_request& request, boot_time now) const {
-    if (must_send_config(request, now) || request.registry_number != registries_.number()) {
+bool sync_server::is_behind(const sync_request& request) {
+    const auto* missing = missing_config(request);
+    if ((missing != nullptr &&
+         missing->routes.size() + missing->removed.size() <= detail::max_routes_to_all) ||
+        request.registry_number != registries_.number()) {
         return true;
     }
     return std::any_of(maps_.begin(), maps_.end(), [&](const auto& numbered) {
@@ -435,17 +476,13 @@
         std::max<std::int64_t>(-milliseconds_until(core_.state.registry_known_at, now), 0));
     reply.held_ms = static_cast<std::uint64_t>(-milliseconds_until(waiting.arrived_at, now));
     reply.config_version = core_.state.config.version;
-    const bool sends_config = must_send_config(request, now);
-    if (sends_config) {
-        reply.config_text = from_.config_text();
-    }
+    add_config(reply, request, now);
     reply.long_holds = from_.announces_long_holds();
     from_.fill_reply(reply);
     add_registry(reply, request);
     add_maps(reply, request, now);
     auto& caller = followers_[request.host];
     caller.replied_at = now;
-    caller.config_in_transit = sends_config;
     reply.number = ++caller.reply_number;
     add_quotas(reply, request.host, caller);
     add_work(reply, caller, now);
@@ -463,7 +500,6 @@
 }
 
 void sync_server::on_state_change() {
-    record_config(core_.now());
     for (const auto& [service, map] : core_.state.keys) {
         auto& maps = maps_[service];
         if (maps.last() == nullptr || *maps.last() != map) {
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -6,6 +6,8 @@
 #include "fleet_state.hpp"
 #include "internal_server.hpp"
 #include "lifetime.hpp"
+#include "mimosavalve/gateway/config_distribution.hpp"
+#include "mimosavalve/gateway/config_update.hpp"
 #include "mimosavalve/gateway/leader_term.hpp"
 #include "mimosavalve/gateway/quota_plan.hpp"
 
@@ -19,7 +21,7 @@
         std::function<void(const std::map<std::string, key_load>&)> add_key_loads;
         /// Adds the state of the other parts of the control side.
         std::function<void(sync_reply&)> fill_reply;
-        std::function<const std::string&()> config_text;
+        std::function<config_update(std::uint64_t version)> config_since;
         std::function<bool()> announces_long_holds;
     };
 
@@ -51,11 +53,10 @@
         std::size_t bytes_in_transit = 0;
         std::string address;
         std::string failure_domain;
-        boot_time called_at;        ///< When the router last called.
-        boot_time following_since;  ///< When this instance of it first called.
-        /// Whether the last reply carries the configuration, until the router has called again.
-        bool config_in_transit = false;
-        bool is_current = true;  ///< It has called with the present epoch.
+        boot_time called_at;               ///< When the router last called.
+        boot_time following_since;         ///< When this instance of it first called.
+        std::uint64_t config_version = 0;  ///< Its configuration at the last call.
+        bool is_current = true;            ///< It has called with the present epoch.
         // Values that the router has received up to the last reply.
         std::uint64_t reply_number = 0;
         std::optional<std::map<std::string, std::uint32_t>> concurrency;
@@ -72,12 +73,15 @@
     };
 
     void record_caller(const sync_request& request, boot_time now);
-    [[nodiscard]] bool is_behind(const sync_request& request, boot_time now) const;
-    /// Records when the leader got its present configuration.
-    void record_config(boot_time now);
-    /// Whether the router needs the text of the configuration from the leader, since it does not
-    /// get it from the store, and the text may be sent now.
-    [[nodiscard]] bool must_send_config(const sync_request& request, boot_time now) const;
+    [[nodiscard]] bool is_behind(const sync_request& request);
+    /// Changes of the configuration that a router lacks; nothing if it lacks none.
+    [[nodiscard]] const config_update* missing_config(const sync_request& request);
+    /// Adds the changes of the configuration that the router lacks, or another router from which it
+    /// gets them.
+    void add_config(sync_reply& reply, const sync_request& request, boot_time now);
+    /// Routers that have the leader's configuration.
+    [[nodiscard]] std::vector<config_peer> config_holders(boot_time now) const;
+    [[nodiscard]] config_peer peer_of(const std::string& host, const follower& router) const;
     void record_reports(const std::string& host, sync_request& request, boot_time now);
     void allocate_quotas(boot_time now);
     void find_crashes(boot_time now);
@@ -100,8 +104,9 @@
     sources from_;
     boot_time term_began_;                       ///< When this router became the leader.
     std::map<std::string, follower> followers_;  ///< By host.
-    /// When the leader got its latest configurations, by version.
-    std::map<std::uint64_t, boot_time> configs_since_;
+    /// Changes since earlier versions of the configuration, by version; kept for one version.
+    std::map<std::uint64_t, config_update> config_updates_;
+    config_distribution distribution_;
     std::vector<pending_reply> pending_replies_;
     bool replies_deferred_ = false;  ///< Whether replies to all pending calls are scheduled.
     state_history<registry_state> registries_;
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -76,6 +76,36 @@
     CHECK(fleet.repeated_runs() == 0);
 }
 
+TEST_CASE("a change of a large configuration is read from the store by the leader only [fleet]") {
+    constexpr int routes = 1400;
+    constexpr auto timeout = milliseconds(2000);
+    fleet_fixture fleet;
+    start_three_routers(fleet);
+    fleet.put_config(5, "orders", timeout, routes);
+    const auto serves = [&](const std::string& host, const std::string& path) {
+        return fleet.request_and_wait(host, path, 0).status == 200;
+    };
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        REQUIRE(fleet.run_until([&] { return serves(host, "/added-1399/x"); }));
+    }
+    fleet.run_for(milliseconds(1000));
+    const auto leader = fleet.leader();
+    std::map<std::string, std::size_t> before;
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        before[host] = fleet.store.answered_bytes(host);
+    }
+    for (const unsigned version : {6U, 7U, 8U}) {
+        fleet.put_config(version, "orders", timeout, routes + static_cast<int>(version));
+        fleet.run_for(milliseconds(700));
+    }
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        CHECK(serves(host, "/added-1407/x"));
+        if (host != leader) {
+            CHECK(fleet.store.answered_bytes(host) - before[host] < 100'000);
+        }
+    }
+}
+
 TEST_CASE("after the leader is killed another router becomes leader and keys stay served [fleet]") {
     fleet_fixture fleet;
     start_three_routers(fleet);
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -41,6 +41,12 @@
     /// revisions and lease ids are given out again.
     void restore_copy();
 
+    /// Size of the answers to the calls of a host.
+    [[nodiscard]] std::size_t answered_bytes(const std::string& host) const {
+        const auto found = answered_bytes_.find(host);
+        return found == answered_bytes_.end() ? 0 : found->second;
+    }
+
     gateway::milliseconds answer_delay{0};  ///< Time between carrying out a call and answering it.
     std::size_t max_page_items = 500;       ///< Maximum number of items of one page.
     std::uint32_t unanswered_writes = 0;  ///< Number of next writes to carry out without an answer.
@@ -102,6 +108,7 @@
     boost::asio::io_context& context_;
     std::map<std::string, std::unique_ptr<gateway::internal_server>> servers_;
     std::map<std::string, store_access> access_;
+    std::map<std::string, std::size_t> answered_bytes_;  ///< By host.
     stored_contents contents_;
     stored_contents copy_;
     std::uint64_t era_ = 0;
