Do not let slow followers hold up the leader's replies to others

Cause: the size of a reply counted as in transit until its router called again, for 0.9 s at most. A few routers that are slow, or behind a full link, filled the leader's allowance of 128 KB, and the replies to all others waited behind them.

The new test failed before: the replies to sound routers waited for those of the slow ones.

--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -23,9 +23,13 @@
 constexpr milliseconds evaluation_interval{200};
 constexpr milliseconds work_interval{1000};
 constexpr milliseconds load_line_interval{1000};
-// Size of the replies in transit from which further ones wait. The leader's own calls to the store
-// wait behind them: 0.1 s on a link of 10 Mbit/s. State that changes meanwhile is sent once.
+// Size of the replies in transit to one region from which further ones to it wait. The leader's own
+// calls to the store wait behind them: 0.1 s on a link of 10 Mbit/s. State that changes meanwhile
+// is sent once.
 constexpr std::size_t max_bytes_in_transit = 128U << 10U;
+// Time after which a reply no longer counts as in transit, although its router has not called
+// again: it has left the leader's link, and a slow router must not hold up the replies to others.
+constexpr milliseconds max_counted_transit{250};
 // Number of changed routes up to which the leader sends the changes of the configuration to all
 // routers itself. More are passed on from router to router.
 constexpr std::size_t max_routes_to_all = 32;
@@ -101,27 +105,31 @@
     send_due_replies();
 }
 
-std::size_t sync_server::bytes_in_transit(boot_time now) const {
-    std::size_t sum = 0;
+std::map<std::string, std::size_t> sync_server::bytes_in_transit(boot_time now) const {
+    std::map<std::string, std::size_t> by_region;
     for (const auto& [host, router] : followers_) {
-        // Later, the router has received the reply or given up the call.
-        if (now - router.replied_at < detail::sync_call_time) {
-            sum += router.bytes_in_transit;
+        if (now - router.replied_at < detail::max_counted_transit) {
+            by_region[region_of_host(host)] += router.bytes_in_transit;
         }
     }
-    return sum;
+    return by_region;
+}
+
+std::string sync_server::region_of_host(const std::string& host) const {
+    const auto found = followers_.find(host);
+    return found == followers_.end()
+               ? std::string()
+               : std::string(region_of(core_.state.regions, found->second.failure_domain));
 }
 
 void sync_server::send_due_replies() {
     const auto now = core_.now();
     auto in_transit = bytes_in_transit(now);
     for (auto& waiting : pending_replies_) {
-        if (in_transit >= detail::max_bytes_in_transit) {
-            break;
-        }
-        if (now >= waiting.due) {
+        auto& to_region = in_transit[region_of_host(waiting.request.host)];
+        if (now >= waiting.due && to_region < detail::max_bytes_in_transit) {
             reply_to(waiting);
-            in_transit += followers_[waiting.request.host].bytes_in_transit;
+            to_region += followers_[waiting.request.host].bytes_in_transit;
         }
     }
     std::erase_if(pending_replies_, [](const auto& waiting) { return !waiting.respond; });
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -90,8 +90,10 @@
     /// Replies to calls that are due, the oldest first, while few replies are in transit.
     void send_due_replies();
     void reply_to(pending_reply& waiting);
-    /// Size of the replies that routers may still be receiving.
-    [[nodiscard]] std::size_t bytes_in_transit(boot_time now) const;
+    /// Size of the replies that routers may still be receiving, by region.
+    [[nodiscard]] std::map<std::string, std::size_t> bytes_in_transit(boot_time now) const;
+    /// Region of a follower.
+    [[nodiscard]] std::string region_of_host(const std::string& host) const;
     void add_totals(const sync_reply& reply);
     void add_maps(sync_reply& reply, const sync_request& request, boot_time now) const;
     void add_registry(sync_reply& reply, const sync_request& request);
--- a/tests/gateway/sync_server_test.cpp
+++ b/tests/gateway/sync_server_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "registry_fixture.hpp"
 
@@ -169,6 +170,38 @@
     CHECK(std::count(leader.got_config.begin(), leader.got_config.end(), 8) == 1);
 }
 
+TEST_CASE("slow followers of one region do not hold up the replies to others [sync_server]") {
+    server_fixture leader;
+    leader.core.state.regions = {{"north-a", "north"}, {"south-a", "south"}};
+    leader.begin_following();
+    const auto is_slow = [](int number) { return number % 2 != 0; };
+    // Their replies are in transit when the next change comes.
+    leader.change_targets(1);
+    leader.in_transit.clear();
+    leader.advance(milliseconds(300));
+    for (int number = 0; number < followers; ++number) {
+        if (!is_slow(number)) {
+            leader.call(number);
+        }
+    }
+    leader.in_transit.clear();
+    leader.change_targets(2);
+    std::set<int> waiting;
+    for (int number = 0; number < followers; ++number) {
+        waiting.insert(number);
+    }
+    for (int round = 0; round < 10; ++round) {
+        for (const auto number : std::exchange(leader.in_transit, {})) {
+            waiting.erase(number);
+            if (!is_slow(number)) {
+                leader.call(number);
+            }
+        }
+    }
+    CHECK(
+        std::none_of(waiting.begin(), waiting.end(), [&](int number) { return !is_slow(number); }));
+}
+
 // Guards against a leader whose link is full for seconds, so that its followers learn late which
 // targets are leaving.
 TEST_CASE("a leader sends a large configuration to a few followers itself [sync_server]") {
