Keep the request limit that a target names, all routers together

What callers saw: a target in need that named 6.5 requests a second got 87 in 4 s (44 allowed); its answers came late, and its other work failed.

Cause: no part of the router read the header; it was passed on as any other field.

The limit is decoded in platform/ (notice_codec) and kept by instance of the target (target_notice). Routers report it with their calls; the leader divides it by demand, among as few routers as may send their first request at once, and lowers shares before it raises others, also those of an earlier leader. A share is valid for 5 s without the leader; without a share a router uses its part of half the limit. What is held back goes to another target, or is refused at once as not run. Limited targets get no quotas: a router whose quotas were all at a limited target let its requests wait for 2 s (found by the new fleet test). Absurd values are read as the nearest bound, logged and counted.

--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -12,6 +12,7 @@
 #include "mimosavalve/gateway/key_load.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
 #include "mimosavalve/gateway/state_update.hpp"
+#include "mimosavalve/gateway/target_notice.hpp"
 #include "mimosavalve/gateway/target_registry.hpp"
 
 namespace mimosavalve::gateway {
@@ -48,6 +49,8 @@
     /// the requests that did not queue at the target.
     std::map<std::string, work_report> work;
     crash_report crashes;  ///< Times of losses are sent as ages.
+    std::map<std::string, limit_report>
+        limits;  ///< Request limits that the router knows, by target.
 };
 
 /// Leader to router: state that the router does not have yet. Values that are unchanged since the
@@ -79,6 +82,9 @@
     std::optional<std::map<std::string, double>> rate_quotas;
     std::map<std::string, double> work_ms;  ///< Changed mean work times, by target.
     std::optional<crash_findings> crashes;
+    /// Requests per second allotted to the router, by limited target; negative: the limit has
+    /// ended.
+    std::map<std::string, double> limit_shares;
 };
 
 std::string encode(const sync_request& message);
--- a/include/mimosavalve/gateway/platform_port.hpp
+++ b/include/mimosavalve/gateway/platform_port.hpp
@@ -13,6 +13,7 @@
 #include "mimosavalve/gateway/http_message.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
 #include "mimosavalve/gateway/route_config.hpp"
+#include "mimosavalve/gateway/target_notice.hpp"
 #include "mimosavalve/gateway/target_registry.hpp"
 
 namespace mimosavalve::gateway {
@@ -62,8 +63,8 @@
 
 struct store_items {
     std::vector<store_item> items;
-    std::uint64_t revision = 0;  ///< Revision of the store.
-    bool has_more = false;       ///< There are more items than this page holds.
+    std::uint64_t revision = 0;     ///< Revision of the store.
+    bool has_more = false;          ///< There are more items than this page holds.
     milliseconds transfer_time{0};  ///< From the first bytes of the answer to its end.
 };
 
@@ -167,6 +168,8 @@
     std::function<std::optional<target_entry>(std::string_view id, std::string_view text)>
         decode_target;
     std::function<std::optional<target_load>(std::string_view)> decode_load;
+    /// Decodes what a target says about itself in the head of an answer. Null: nothing.
+    std::function<answer_notice(const message_head&)> decode_notice;
 };
 
 }  // namespace mimosavalve::gateway
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -15,6 +15,7 @@
 #include "mimosavalve/gateway/platform_port.hpp"
 #include "mimosavalve/gateway/rate_limiter.hpp"
 #include "mimosavalve/gateway/route_config.hpp"
+#include "mimosavalve/gateway/target_notice.hpp"
 #include "mimosavalve/gateway/target_registry.hpp"
 
 namespace mimosavalve::gateway {
@@ -67,6 +68,8 @@
     /// Until then, connections of earlier instances of the fleet's routers may still be open at the
     /// targets, so a smaller share of a target's connections is used.
     boot_time former_connections_until;
+    /// What targets have said in answers to this router, by target id.
+    std::map<std::string, target_notice, std::less<>> notices;
     /// Concurrency quotas by target id: requests that this router may have at a target of a service
     /// without keys at a time, allocated by the leader. Empty until the leader has allocated any.
     std::map<std::string, std::uint32_t, std::less<>> concurrency_quotas;
@@ -76,6 +79,13 @@
 /// states, since their connections may still be in use.
 std::vector<std::unique_ptr<target_state>> update_targets(routing_state& state, boot_time now);
 
+/// What a target's present instance has said; forgets what an earlier one said.
+target_notice& notice_of(routing_state& state, const target_state& target);
+
+/// Whether the target's present instance has named a request limit. Such targets get no quotas:
+/// what a quota would allow there could not be used, and quotas elsewhere would be too small.
+bool has_request_limit(const routing_state& state, const target_entry& target, boot_time now);
+
 /// Counts a request that is now in flight to the target.
 void record_send(target_state& target, boot_time now);
 /// Records the load that was received with an answer.
@@ -98,6 +108,7 @@
     target,
     wait_for_owner,  ///< The key has no usable owner now: retry when the map changes.
     wait_for_room,   ///< This router may send no more requests to any target now.
+    held_back,       ///< Every target that could run the request has said that it wants less.
     none,            ///< No target can run the request.
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -182,7 +182,10 @@
     const auto now = boot_clock::now();
     const choice_request request{&*route_, service_, key_, tried_targets_};
     const auto choice = choose_target(core_.state, request, now);
-    if (choice.kind == choice_kind::none) {
+    if (choice.kind == choice_kind::held_back) {
+        stop_waiting();
+        give_up("target-limit");
+    } else if (choice.kind == choice_kind::none) {
         stop_waiting();
         give_up("no-target");
     } else if (may_outlast_process(choice.target)) {
@@ -542,6 +545,36 @@
         if (load) {
             record_load(*target, *load, boot_clock::now());
         }
+        record_notice(*target);
+    }
+}
+
+void exchange::record_notice(const target_state& target) {
+    if (!core_.platform.decode_notice) {
+        return;
+    }
+    const auto notice = core_.platform.decode_notice(answer_);
+    const bool is_known = core_.state.notices.contains(target.entry.id);
+    if (!notice.request_limit && !is_known) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    const auto sent_at = now - std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_);
+    auto& known = notice_of(core_.state, target);
+    const auto said_at = known.limit_said_at;
+    const bool has_changed = record_limit(known, notice, sent_at, now);
+    if (!notice.problem.empty()) {
+        count(core_.metrics, "odd_notices");
+    }
+    if (has_changed || !notice.problem.empty()) {
+        core_.log.write("target_notice", {{"request", id_},
+                                          {"target", target.entry.id},
+                                          {"limit", std::to_string(known.request_limit)},
+                                          {"share", std::to_string(known.share.value_or(-1))},
+                                          {"last_said_ms", said_at == boot_time{}
+                                                               ? std::int64_t{-1}
+                                                               : -milliseconds_until(said_at, now)},
+                                          {"problem", std::string_view(notice.problem)}});
     }
 }
 
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -105,6 +105,8 @@
     void on_answer_end();
     void on_connection_lost(std::error_code error);
     void on_refusal();
+    /// Records what the target says about itself in the head of its answer.
+    void record_notice(const target_state& target);
     /// Target that has the request; null if it was removed or has restarted.
     [[nodiscard]] target_state* current_target() const;
     void detach_from_target();
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -215,6 +215,9 @@
                          {"registry", message.registry_number},
                          {"maps", message.map_numbers},
                          {"loads", std::move(loads)}};
+    for (const auto& [id, limit] : message.limits) {
+        body["limits"][id] = {limit.started_unix_ms, limit.request_limit, limit.age_ms, limit.held};
+    }
     const auto& crashes = message.crashes;
     if (!crashes.losses.empty() || !crashes.ended_instances.empty() ||
         !crashes.answered_suspects.empty()) {
@@ -246,6 +249,11 @@
         if (body.contains("crashes")) {
             out.crashes = detail::crashes_from_json(body.at("crashes"), boot_clock::now());
         }
+        if (body.contains("limits")) {
+            for (const auto& [id, limit] : body.at("limits").items()) {
+                out.limits[id] = {limit.at(0), limit.at(1), limit.at(2), limit.at(3)};
+            }
+        }
         for (const auto& [service, value] : body.at("loads").items()) {
             key_load load;
             load.keys_per_counter = std::max(value.at(0).get<std::uint32_t>(), 1U);
@@ -283,6 +291,9 @@
     if (!message.work_ms.empty()) {
         body["work_ms"] = message.work_ms;
     }
+    if (!message.limit_shares.empty()) {
+        body["limit_shares"] = message.limit_shares;
+    }
     if (message.crashes) {
         body["crashes"] = {message.crashes->suspects, message.crashes->quarantined};
     }
@@ -338,6 +349,9 @@
             out.config = detail::config_from_json(body.at("config_update"));
         }
         out.config_source = body.value("config_source", "");
+        if (body.contains("limit_shares")) {
+            out.limit_shares = body.at("limit_shares").get<std::map<std::string, double>>();
+        }
         if (body.contains("registry")) {
             out.registry = detail::registry_from_json(body.at("registry"));
         }
--- a/src/gateway/quota_plan.cpp
+++ b/src/gateway/quota_plan.cpp
@@ -73,7 +73,8 @@
     std::map<std::pair<std::string, std::string>, detail::region_targets> unkeyed_targets;
     for (const auto& [id, target] : state.targets) {
         const auto kind = state.config.services.find(target->entry.service);
-        if (kind == state.config.services.end() || !can_send_to(state, *target, now)) {
+        if (kind == state.config.services.end() || !can_send_to(state, *target, now) ||
+            has_request_limit(state, target->entry, now)) {
             continue;
         }
         if (kind->second.keyed) {
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -20,6 +20,7 @@
     out.key_loads = std::exchange(core.key_loads, {});
     out.demand = std::exchange(core.demand, {});
     out.crashes = std::exchange(core.crashes, {});
+    out.limits = reports_of(core.state.notices, core.now());
     for (auto& [id, target] : core.state.targets) {
         if (std::exchange(target->answered, false)) {
             out.work[id] = {std::exchange(target->unqueued_answers, 0),
@@ -28,6 +29,17 @@
     }
 }
 
+void apply_limit_shares(routing_state& state, const std::map<std::string, double>& shares,
+                        boot_time sent_at) {
+    for (const auto& [id, share] : shares) {
+        const auto target = state.targets.find(id);
+        if (target != state.targets.end() && share >= 0) {
+            notice_of(state, *target->second);
+        }
+    }
+    apply_shares(state.notices, shares, sent_at);
+}
+
 sync_client::sync_client(router_core& core, fleet_state& fleet, call_client& calls,
                          callbacks handlers)
     : core_(core), fleet_(fleet), calls_(calls), handlers_(std::move(handlers)) {}
@@ -121,6 +133,7 @@
     // it no earlier than `held_ms` after that.
     known_at_ = std::max(known_at_,
                          sent_at + milliseconds(reply.held_ms) - milliseconds(reply.store_age_ms));
+    apply_limit_shares(core_.state, reply.limit_shares, sent_at);
     heard_at_ = std::max(heard_at_, sent_at + milliseconds(reply.held_ms));
     core_.state.registry_known_at = std::max(core_.state.registry_known_at, known_at_);
     followed_epoch_ = reply.epoch;
--- a/src/gateway/sync_client.hpp
+++ b/src/gateway/sync_client.hpp
@@ -10,6 +10,10 @@
 /// Moves this router's reports since the last call into `out`.
 void collect_reports(router_core& core, sync_request& out);
 
+/// Applies the shares of request limits that the leader has allotted to this router.
+void apply_limit_shares(routing_state& state, const std::map<std::string, double>& shares,
+                        boot_time sent_at);
+
 /// Follows the leader. One call at a time carries this router's reports to the leader and returns
 /// state that has changed.
 class sync_client {
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -67,6 +67,8 @@
     term_began_ = core_.now();
     config_updates_.clear();
     distribution_ = {};
+    limits_.clear();
+    limit_shares_.clear();
     crash_watch_ = resume_crash_watch(core_.announced_crashes, core_.now());
     registries_.restart();
     registries_.add(core_.state.registry);
@@ -96,6 +98,7 @@
         collect_reports(core_, own);
         record_reports(core_.settings.host, own, now);
         allocate_quotas(now);
+        share_limits(now);
         find_crashes(now);
     }
     if (now >= next_load_line_) {
@@ -203,7 +206,16 @@
     if (request.long_holds_age_ms < never_ms) {
         caller.evidence.long_holds_reported_at = now - milliseconds(request.long_holds_age_ms);
     }
+    caller.held_shares.clear();
+    for (const auto& [id, limit] : request.limits) {
+        caller.held_shares[id] = limit.held;
+    }
     if (request.reply_number != caller.reply_number) {
+        // It may still receive the shares of the last reply.
+        for (const auto& [id, share] : caller.limit_shares) {
+            auto& held = caller.held_shares[id];
+            held = std::max(held, share);
+        }
         // The last reply did not arrive, so the values that it carried must be sent again.
         caller.concurrency.reset();
         caller.rates.reset();
@@ -315,6 +327,9 @@
         record_demand(demand_, service, host, requests, now);
     }
     add_report(crash_watch_, request.crashes, now);
+    for (const auto& [id, limit] : request.limits) {
+        record_report(limits_, id, limit, now);
+    }
     for (const auto& [id, report] : request.work) {
         const auto found = core_.state.targets.find(id);
         if (found == core_.state.targets.end()) {
@@ -346,6 +361,45 @@
     apply_rate_quotas(core_.state, quotas_.rates[core_.settings.host]);
 }
 
+void sync_server::share_limits(boot_time now) {
+    std::erase_if(limits_, [&](const auto& limit) {
+        const auto target = core_.state.targets.find(limit.first);
+        return target == core_.state.targets.end() ||
+               target->second->entry.started_unix_ms != limit.second.started_unix_ms ||
+               now - limit.second.said_at >=
+                   (limit.second.request_limit > 0 ? limit_lifetime : limit_end_time);
+    });
+    limit_shares_.clear();
+    // Until then, routers may hold shares of an earlier leader that this one does not know.
+    const bool may_raise = now - term_began_ >= limit_share_time;
+    for (const auto& [id, limit] : limits_) {
+        const auto& service = core_.state.targets.find(id)->second->entry.service;
+        std::vector<limit_sharer> sharers;
+        const auto add = [&](const std::string& host, double held) {
+            const auto demand = demand_of(demand_, id, host, now) +
+                                demand_of(demand_, demand_destination(service, {}), host, now);
+            sharers.push_back({host, demand, held});
+        };
+        const auto& own = core_.state.notices[id];
+        add(core_.settings.host, own.share && now < own.share_until ? *own.share : 0);
+        for (const auto& [host, router] : followers_) {
+            const auto held = router.held_shares.find(id);
+            const auto sent = router.limit_shares.find(id);
+            add(host, std::max(held == router.held_shares.end() ? 0 : held->second,
+                               sent == router.limit_shares.end() ? 0 : sent->second));
+        }
+        const auto shares = share_limit(limit.request_limit, sharers, may_raise);
+        for (const auto& sharer : sharers) {
+            if (limit.request_limit == 0) {
+                limit_shares_[sharer.host][id] = -1;
+            } else if (may_raise || sharer.held > 0) {
+                limit_shares_[sharer.host][id] = shares.at(sharer.host);
+            }
+        }
+    }
+    apply_limit_shares(core_.state, limit_shares_[core_.settings.host], now);
+}
+
 void sync_server::find_crashes(boot_time now) {
     auto found = gateway::find_crashes(crash_watch_, core_.state.targets, now);
     for (const auto fingerprint : found.quarantined) {
@@ -363,6 +417,21 @@
 }
 
 void sync_server::log_load() {
+    for (const auto& [id, limit] : limits_) {
+        double sum = 0;
+        std::int64_t sharers = 0;
+        for (const auto& [host, shares] : limit_shares_) {
+            const auto share = shares.find(id);
+            sum += share == shares.end() ? 0 : std::max(share->second, 0.0);
+            sharers += share != shares.end() && share->second > 0 ? 1 : 0;
+        }
+        core_.log.write("limit_shared",
+                        {{"target", id},
+                         {"limit", std::to_string(limit.request_limit)},
+                         {"age_ms", -milliseconds_until(limit.said_at, core_.now())},
+                         {"sharers", sharers},
+                         {"sum", std::to_string(sum)}});
+    }
     core_.log.write_always(
         "leader_load",
         {{"followers", static_cast<std::int64_t>(followers_.size())},
@@ -493,6 +562,10 @@
     caller.replied_at = now;
     reply.number = ++caller.reply_number;
     add_quotas(reply, request.host, caller);
+    const auto limit_shares = limit_shares_.find(request.host);
+    caller.limit_shares = limit_shares == limit_shares_.end() ? std::map<std::string, double>()
+                                                              : limit_shares->second;
+    reply.limit_shares = caller.limit_shares;
     add_work(reply, caller, now);
     add_crashes(reply, caller);
     // The leader shares the limits as well; its own rank is 0.
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -64,6 +64,8 @@
         std::map<std::string, double> work_ms;
         boot_time work_compared_at;
         std::optional<crash_findings> crashes;
+        std::map<std::string, double> limit_shares;  ///< Shares of the last reply, by target.
+        std::map<std::string, double> held_shares;   ///< Shares that it may be using, by target.
     };
     struct pending_reply {
         sync_request request;
@@ -84,6 +86,8 @@
     [[nodiscard]] config_peer peer_of(const std::string& host, const follower& router) const;
     void record_reports(const std::string& host, sync_request& request, boot_time now);
     void allocate_quotas(boot_time now);
+    /// Allots shares of the request limits that targets have named.
+    void share_limits(boot_time now);
     void find_crashes(boot_time now);
     /// Logs the work done for followers since the last call.
     void log_load();
@@ -115,6 +119,9 @@
     std::map<std::string, state_history<key_map>> maps_;  ///< By service.
     demand_rates demand_;
     quota_plan quotas_;
+    std::map<std::string, fleet_limit> limits_;  ///< By target.
+    /// Shares of these limits, by host, then by target; negative: the limit has ended.
+    std::map<std::string, std::map<std::string, double>> limit_shares_;
     crash_watch crash_watch_;
     boot_time next_evaluation_;
     struct reply_totals {
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -140,6 +140,9 @@
 std::uint32_t concurrency_at(const routing_state& state, const target_state& target,
                              const service& kind, boot_time now) {
     const auto limit = own_concurrency_limit(state, target, kind, now);
+    if (has_request_limit(state, target.entry, now)) {
+        return limit;
+    }
     if (state.concurrency_quotas.empty()) {
         return std::min(limit, initial_concurrency);
     }
@@ -147,6 +150,23 @@
     return quota == state.concurrency_quotas.end() ? 0 : std::min(limit, quota->second);
 }
 
+// Whether a request keeps what the target has said in its answers.
+bool is_within_notices(routing_state& state, const target_state& target, boot_time now) {
+    const auto known = state.notices.find(target.entry.id);
+    return known == state.notices.end() ||
+           known->second.started_unix_ms != target.entry.started_unix_ms ||
+           has_token(known->second, state.router_count, now);
+}
+
+// Counts a request to the target.
+target_choice chosen(routing_state& state, target_state* target) {
+    const auto known = state.notices.find(target->entry.id);
+    if (known != state.notices.end()) {
+        take_token(known->second);
+    }
+    return {choice_kind::target, target};
+}
+
 target_choice choose_owner(routing_state& state, const choice_request& request, const service& kind,
                            boot_time now) {
     const auto map = state.keys.find(request.service);
@@ -168,6 +188,9 @@
         return {choice_kind::wait_for_owner, nullptr};
     }
     auto& target = *found->second;
+    if (!is_within_notices(state, target, now)) {
+        return {choice_kind::held_back, &target};
+    }
     if (now < target.unreachable_until) {
         return {choice_kind::wait_for_owner, nullptr,
                 std::chrono::duration_cast<milliseconds>(target.unreachable_until - now)};
@@ -180,7 +203,7 @@
         !try_acquire(target.cold_rate_limiter, cold_rate_share(state, kind), one_second, now)) {
         return {choice_kind::wait_for_room, &target};
     }
-    return {choice_kind::target, &target};
+    return chosen(state, &target);
 }
 
 }  // namespace detail
@@ -200,6 +223,10 @@
             position = state.targets.erase(position);
         }
     }
+    std::erase_if(state.notices, [&](const auto& known) {
+        return !state.registry.targets.contains(known.first) &&
+               !state.registry.gone.contains(known.first);
+    });
     for (const auto& [id, entry] : state.registry.targets) {
         auto& target = state.targets[id];
         if (!target) {
@@ -215,6 +242,22 @@
     return removed;
 }
 
+bool has_request_limit(const routing_state& state, const target_entry& target, boot_time now) {
+    const auto known = state.notices.find(target.id);
+    return known != state.notices.end() &&
+           known->second.started_unix_ms == target.started_unix_ms &&
+           is_limited(known->second, now);
+}
+
+target_notice& notice_of(routing_state& state, const target_state& target) {
+    auto& known = state.notices[target.entry.id];
+    if (known.started_unix_ms != target.entry.started_unix_ms) {
+        known = {};
+        known.started_unix_ms = target.entry.started_unix_ms;
+    }
+    return known;
+}
+
 void record_send(target_state& target, boot_time now) {
     ++target.running;
     target.sent_at = now;
@@ -260,7 +303,11 @@
 
 double capacity_of(const routing_state& state, const target_state& target) {
     constexpr double ms_per_s = 1000;
-    return target.entry.slots * ms_per_s / work_ms_of(state, target);
+    const auto capacity = target.entry.slots * ms_per_s / work_ms_of(state, target);
+    const auto known = state.notices.find(target.entry.id);
+    const bool is_capped = known != state.notices.end() && known->second.request_limit > 0 &&
+                           known->second.started_unix_ms == target.entry.started_unix_ms;
+    return is_capped ? std::min(capacity, known->second.request_limit) : capacity;
 }
 
 void record_failure(target_state& target, bool connected, boot_time now) {
@@ -346,6 +393,7 @@
     target_choice best;
     std::vector<detail::candidate> free;
     target_state* cold = nullptr;
+    bool is_any_held_back = false;
     for (auto& [id, target] : state.targets) {
         if (target->entry.service != request.service || !can_send_to(state, *target, now) ||
             !is_in_home_region(state, target->entry, *request.request_route) ||
@@ -353,6 +401,10 @@
                 request.tried_targets.end()) {
             continue;
         }
+        if (!detail::is_within_notices(state, *target, now)) {
+            is_any_held_back = true;
+            continue;
+        }
         if (target->running >= detail::concurrency_at(state, *target, kind->second, now) ||
             detail::is_queue_full(*target, now) || now < target->avoid_until) {
             best.kind = choice_kind::wait_for_room;
@@ -376,11 +428,17 @@
     if (busy && cold != nullptr &&
         try_acquire(cold->cold_rate_limiter, detail::cold_rate_share(state, kind->second),
                     detail::one_second, now)) {
-        return {choice_kind::target, cold};
+        return detail::chosen(state, cold);
+    }
+    if (best.kind == choice_kind::target) {
+        return detail::chosen(state, best.target);
     }
     if (cold != nullptr && best.kind == choice_kind::none) {
         best.kind = choice_kind::wait_for_room;
     }
+    if (best.kind == choice_kind::none && is_any_held_back) {
+        best.kind = choice_kind::held_back;
+    }
     return best;
 }
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -5,6 +5,7 @@
 
 #include "base64.hpp"
 #include "config_codec.hpp"
+#include "notice_codec.hpp"
 #include "platform_settings.hpp"
 
 using namespace mimosavalve;
@@ -124,3 +125,20 @@
     std::filesystem::remove(path);
     CHECK_FALSE(platform::read_settings(path.string(), problem));
 }
+
+TEST_CASE("the limit that an answer names is read, and an absurd one reported [platform]") {
+    const auto decode = [](const std::string& value) {
+        gateway::message_head head;
+        head.fields.push_back({"server-limit", value});
+        return platform::decode_notice(head);
+    };
+    CHECK(decode("2.7").request_limit == 2.7);
+    CHECK(decode("2.7").problem.empty());
+    CHECK_FALSE(platform::decode_notice({}).request_limit);
+    for (const auto* odd : {"", "-1", "nan", "inf", "1e9999", "99999999999", "0", "five", "3 "}) {
+        CAPTURE(odd);
+        const auto notice = decode(odd);
+        CHECK(notice.request_limit);
+        CHECK_FALSE(notice.problem.empty());
+    }
+}
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -106,6 +106,30 @@
     }
 }
 
+TEST_CASE("all routers together keep the limit that a target names in its answers [fleet]") {
+    fleet_fixture fleet;
+    start_three_routers(fleet);
+    auto& limited = *fleet.targets.at("o1");
+    limited.request_limit = "2";
+    const auto send_for = [&](milliseconds time) {
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            for (const auto* host : {"h1", "h2", "h3"}) {
+                CHECK(fleet.request_and_wait(host, "/orders/x").status == 200);
+            }
+        }
+    };
+    send_for(milliseconds(1500));
+    const auto before = limited.run_count();
+    send_for(milliseconds(4000));
+    CHECK(limited.run_count() - before <= 17);  // Half more than the limit, and five requests.
+    limited.request_limit.clear();
+    send_for(milliseconds(2000));
+    const auto at_end = limited.run_count();
+    send_for(milliseconds(2000));
+    CHECK(limited.run_count() - at_end > 17);
+}
+
 TEST_CASE("after the leader is killed another router becomes leader and keys stay served [fleet]") {
     fleet_fixture fleet;
     start_three_routers(fleet);
