Give a new leader time before routers read the configuration themselves

After an outage of the store all routers had heard no leader for 2 s, and read the whole text at the moment at which the store came back; their turns were up to 10 s apart. Silence now counts from when the leader became known or the store was regained, and the reads are spread over 1 s at most.

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -24,6 +24,9 @@
 // Silence of the leader after which a router reads the operators' items; a change of the leader
 // takes less.
 constexpr milliseconds max_leader_silence{2000};
+// Time over which the reads of all routers are spread at most, since a configuration must be in
+// force in time.
+constexpr std::chrono::duration<double, std::milli> max_read_spread{1000};
 // Size of a route in an answer of the store, and the assumed rate of the link between regions.
 constexpr double stored_route_bytes = 280;
 constexpr double link_bytes_per_ms =
@@ -81,9 +84,9 @@
                  [this] { return lease_.valid_until(); }}),
       lease_(
           core, fleet_, calls, [this](boot_time now) { return server_.evidence(now); },
-          [this](boot_time now) { return server_.recent_followers(now); }) {
+          [this](boot_time now) { return server_.recent_followers(now); }),
+      read_turn_(detail::random_turn()) {
     fleet_.instance = detail::random_instance();
-    read_turn_ = detail::random_turn();
     core_.state.router_count = assumed_router_count;
     core_.state.router_rank = assumed_router_count - 1;
 }
@@ -105,6 +108,10 @@
 void fleet_control::tick() {
     const auto now = core_.now();
     election_.tick(now);
+    if (fleet_.leader.epoch != known_epoch_) {
+        known_epoch_ = fleet_.leader.epoch;
+        leader_known_at_ = now;
+    }
     if (fleet_.leading) {
         lead(now);
     } else {
@@ -126,12 +133,17 @@
 }
 
 bool fleet_control::must_read_operators(boot_time now) const {
+    if (fleet_.leading || core_.state.config.version == 0) {
+        return true;
+    }
     // All routers that read a large configuration at once would fill the link between the regions,
     // so that the leader's replies are late as well.
     const auto delay = std::chrono::duration_cast<milliseconds>(
-        detail::config_read_time(core_.state) * read_turn_);
-    return fleet_.leading || core_.state.config.version == 0 ||
-           now - client_.heard_at() >= detail::max_leader_silence + delay ||
+        std::min(detail::config_read_time(core_.state), detail::max_read_spread) * read_turn_);
+    // A new leader, or one that the store has been keeping from its work, needs time to be heard.
+    const auto silent_since =
+        std::max({client_.heard_at(), leader_known_at_, fleet_.store_lost_at});
+    return now - silent_since >= detail::max_leader_silence + delay ||
            (config_behind_since_ && now - *config_behind_since_ >= detail::max_config_lag + delay);
 }
 
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -19,7 +19,7 @@
     leader_identity leader;          ///< Current leader; epoch 0: unknown.
     std::uint64_t newest_epoch = 0;  ///< Highest epoch of any leader that this router has received.
     bool store_responsive = true;    ///< Whether the last call to the store was answered.
-    boot_time store_lost_at;         ///< Since when it is not responsive.
+    boot_time store_lost_at;         ///< When it was last lost or regained.
     /// Latest era of the store that this router has seen.
     std::optional<std::uint64_t> store_era;
     /// Whether this router has seen that the store came back older.
