Send nothing more to a target that says in an answer that it leaves

The routers only knew what the store says. The routers act at once, and report it, so that the leader moves the keys of such a target. The new fleet test failed before: 10 requests instead of 3, and the keys stayed.

--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -48,9 +48,11 @@
     /// Targets that answered since the last report, with the number and total work time of
     /// the requests that did not queue at the target.
     std::map<std::string, work_report> work;
-    crash_report crashes;  ///< Times of losses are sent as ages.
-    std::map<std::string, limit_report>
-        limits;  ///< Request limits that the router knows, by target.
+    crash_report
+        crashes;  /// Targets that have said that they leave, with the start of the instance.
+    std::map<std::string, std::uint64_t> leaving;
+    /// Request limits that the router knows, by target.
+    std::map<std::string, limit_report> limits;
 };
 
 /// Leader to router: state that the router does not have yet. Values that are unchanged since the
--- a/include/mimosavalve/gateway/target_notice.hpp
+++ b/include/mimosavalve/gateway/target_notice.hpp
@@ -15,7 +15,8 @@
 struct answer_notice {
     /// Requests per second that it takes from all hosts together.
     std::optional<double> request_limit;
-    std::string problem;  ///< Value that could not be read, or was out of range; empty if none.
+    bool leaving = false;  ///< It takes no new requests any more.
+    std::string problem;   ///< Value that could not be read, or was out of range; empty if none.
 };
 
 /// Bounds of a request limit. A target that names less still gets a request now and then, without
@@ -35,6 +36,7 @@
 /// What a router knows of a target from its answers.
 struct target_notice {
     std::uint64_t started_unix_ms = 0;  ///< Instance that said it.
+    bool leaving = false;               ///< For the rest of the instance's life.
     double request_limit = 0;           ///< Requests per second of all hosts; 0: none.
     boot_time limit_said_at;  ///< When an answer last named the limit or showed that it has ended.
     std::optional<double> share;  ///< Requests per second that the leader allotted to this router.
@@ -62,7 +64,7 @@
 /// A limit as one router knows it.
 struct limit_report {
     std::uint64_t started_unix_ms = 0;
-    double request_limit = 0;  ///< 0: it has ended.
+    double request_limit = 0;  ///< 0: none, or it has ended.
     std::uint64_t age_ms = 0;  ///< Time since an answer said it.
     double held = 0;           ///< Share that the router uses.
 };
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cmath>
 #include <random>
+#include <utility>
 
 #include "mimosavalve/core/error.hpp"
 
@@ -555,14 +556,16 @@
     }
     const auto notice = core_.platform.decode_notice(answer_);
     const bool is_known = core_.state.notices.contains(target.entry.id);
-    if (!notice.request_limit && !is_known) {
+    if (!notice.request_limit && !notice.leaving && notice.problem.empty() && !is_known) {
         return;
     }
     const auto now = boot_clock::now();
     const auto sent_at = now - std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_);
     auto& known = notice_of(core_.state, target);
     const auto said_at = known.limit_said_at;
-    const bool has_changed = record_limit(known, notice, sent_at, now);
+    const bool begins_to_leave =
+        notice.leaving && !std::exchange(known.leaving, known.leaving || notice.leaving);
+    const bool has_changed = record_limit(known, notice, sent_at, now) || begins_to_leave;
     if (!notice.problem.empty()) {
         count(core_.metrics, "odd_notices");
     }
@@ -570,6 +573,7 @@
         core_.log.write("target_notice", {{"request", id_},
                                           {"target", target.entry.id},
                                           {"limit", std::to_string(known.request_limit)},
+                                          {"leaving", std::int64_t{known.leaving}},
                                           {"share", std::to_string(known.share.value_or(-1))},
                                           {"last_said_ms", said_at == boot_time{}
                                                                ? std::int64_t{-1}
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -215,6 +215,9 @@
                          {"registry", message.registry_number},
                          {"maps", message.map_numbers},
                          {"loads", std::move(loads)}};
+    if (!message.leaving.empty()) {
+        body["leaving"] = message.leaving;
+    }
     for (const auto& [id, limit] : message.limits) {
         body["limits"][id] = {limit.started_unix_ms, limit.request_limit, limit.age_ms, limit.held};
     }
@@ -249,6 +252,9 @@
         if (body.contains("crashes")) {
             out.crashes = detail::crashes_from_json(body.at("crashes"), boot_clock::now());
         }
+        if (body.contains("leaving")) {
+            out.leaving = body.at("leaving").get<std::map<std::string, std::uint64_t>>();
+        }
         if (body.contains("limits")) {
             for (const auto& [id, limit] : body.at("limits").items()) {
                 out.limits[id] = {limit.at(0), limit.at(1), limit.at(2), limit.at(3)};
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -21,6 +21,11 @@
     out.demand = std::exchange(core.demand, {});
     out.crashes = std::exchange(core.crashes, {});
     out.limits = reports_of(core.state.notices, core.now());
+    for (const auto& [id, known] : core.state.notices) {
+        if (known.leaving) {
+            out.leaving.emplace(id, known.started_unix_ms);
+        }
+    }
     for (auto& [id, target] : core.state.targets) {
         if (std::exchange(target->answered, false)) {
             out.work[id] = {std::exchange(target->unqueued_answers, 0),
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -347,7 +347,10 @@
 }
 
 bool can_send_to(const routing_state& state, const target_state& target, boot_time /*now*/) {
-    return !target.entry.leaving &&
+    const auto known = state.notices.find(target.entry.id);
+    const bool says_it_leaves = known != state.notices.end() && known->second.leaving &&
+                                known->second.started_unix_ms == target.entry.started_unix_ms;
+    return !target.entry.leaving && !says_it_leaves &&
            !state.registry.evacuated_domains.contains(target.entry.failure_domain);
 }
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -142,3 +142,15 @@
         CHECK_FALSE(notice.problem.empty());
     }
 }
+
+TEST_CASE("an answer says that its target leaves only with the value 1 [platform]") {
+    const auto decode = [](const std::string& value) {
+        gateway::message_head head;
+        head.fields.push_back({"Server-Leaving", value});
+        return platform::decode_notice(head);
+    };
+    CHECK(decode("1").leaving);
+    CHECK(decode("1").problem.empty());
+    CHECK_FALSE(decode("0").leaving);
+    CHECK_FALSE(decode("yes").problem.empty());
+}
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -130,6 +130,36 @@
     CHECK(limited.run_count() - at_end > 17);
 }
 
+TEST_CASE("a target that says in an answer that it leaves gets no more requests [fleet]") {
+    fleet_fixture fleet;
+    start_three_routers(fleet);
+    auto& order_target = *fleet.targets.at("o1");
+    auto& owner = *fleet.targets.at("k1");
+    order_target.says_it_leaves = true;
+    owner.says_it_leaves = true;
+    const auto orders_before = order_target.run_count();
+    const auto send_round = [&] {
+        for (const auto* host : {"h1", "h2", "h3"}) {
+            for (int number = 0; number < 4; ++number) {
+                fleet.request_and_wait(host, "/orders/x");
+            }
+            fleet.request_and_wait(host, "/status/x", 0);
+            fleet.request_and_wait(host, "/status/x", last_key);
+        }
+    };
+    send_round();
+    CHECK(order_target.run_count() - orders_before <= 3);  // One of each router.
+    // The owner's keys move although the store does not say that it leaves.
+    CHECK(fleet.run_until([&] {
+        return fleet.targets.at("k2")->holds(0) && fleet.targets.at("k2")->holds(last_key);
+    }));
+    const auto look_ups = owner.run_count();
+    send_round();
+    CHECK(order_target.run_count() - orders_before <= 3);
+    CHECK(owner.run_count() == look_ups);
+    CHECK(fleet.request_and_wait("h1", "/status/x", 0).status == 200);
+}
+
 TEST_CASE("after the leader is killed another router becomes leader and keys stay served [fleet]") {
     fleet_fixture fleet;
     start_three_routers(fleet);
--- a/tests/platform/target_standin.cpp
+++ b/tests/platform/target_standin.cpp
@@ -167,6 +167,9 @@
         {wire::request_id_header, std::string(gateway::field_of(head, wire::request_id_header))});
     answer.fields.push_back(
         {wire::load_header, std::to_string(running_) + ",0," + std::to_string(max_running)});
+    if (says_it_leaves) {
+        answer.fields.push_back({wire::leaving_header, "1"});
+    }
     if (!request_limit.empty()) {
         answer.fields.push_back({wire::request_limit_header, request_limit});
     }
--- a/tests/platform/target_standin.hpp
+++ b/tests/platform/target_standin.hpp
@@ -50,9 +50,10 @@
     [[nodiscard]] std::uint32_t run_count() const { return run_count_; }
 
     bool leaving = false;
-    std::string request_limit;  ///< Limit that its answers name; empty: none.
-    bool silent = false;        ///< Answers nothing, like a host without power.
-    std::string slow_path;      ///< Path of requests that run for `slow_work_time`; empty: none.
+    bool says_it_leaves = false;  ///< In its answers; `leaving` is for the store.
+    std::string request_limit;    ///< Limit that its answers name; empty: none.
+    bool silent = false;          ///< Answers nothing, like a host without power.
+    std::string slow_path;        ///< Path of requests that run for `slow_work_time`; empty: none.
     gateway::milliseconds slow_work_time{10000};
     std::string crash_path;  ///< Path of requests that end the target; empty: none.
     bool crashed = false;
