Reject odd entries of targets, and bound what messages may make a process do

What operators saw: processes that read the list of targets ended again and again.

Cause, each shown by a test: (1) an entry with four billion slots made the leader list each slot when it divides concurrency, until its memory ended; numbers too large for their type were converted all the same. (2) A message of a peer or a value of the store that is nested a million deep exhausted the stack, since the CBOR decoder calls itself for each level.

--- a/include/mimosavalve/gateway/target_registry.hpp
+++ b/include/mimosavalve/gateway/target_registry.hpp
@@ -11,6 +11,10 @@
 
 namespace mimosavalve::gateway {
 
+/// Maximum number of slots of a target. The work of dividing them among routers grows with their
+/// number, so an entry with more is odd and names no target.
+inline constexpr std::uint32_t max_target_slots = 4096;
+
 /// Entry that a target writes about itself into the store.
 struct target_entry {
     std::string id;
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -16,8 +16,39 @@
     return out;
 }
 
+// Builds a value as far as its nesting is as deep as that of the messages below. The decoder calls
+// itself for each level, so that deeper ones could exhaust the stack.
+class bounded_builder : public nlohmann::detail::json_sax_dom_parser<json> {
+public:
+    explicit bounded_builder(json& out) : json_sax_dom_parser(out, false) {}
+
+    bool start_object(std::size_t size) {
+        return ++depth_ <= max_depth && json_sax_dom_parser::start_object(size);
+    }
+    bool end_object() {
+        --depth_;
+        return json_sax_dom_parser::end_object();
+    }
+    bool start_array(std::size_t size) {
+        return ++depth_ <= max_depth && json_sax_dom_parser::start_array(size);
+    }
+    bool end_array() {
+        --depth_;
+        return json_sax_dom_parser::end_array();
+    }
+
+private:
+    static constexpr int max_depth = 16;
+    int depth_ = 0;
+};
+
+// Value of a message; a discarded one if the bytes are no message.
 json from_bytes(std::string_view bytes) {
-    return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    json out;
+    bounded_builder builder(out);
+    const bool is_whole =
+        json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor, true);
+    return is_whole ? out : json(json::value_t::discarded);
 }
 
 json segments_to_json(const std::vector<key_segment>& segments) {
@@ -69,6 +100,7 @@
     for (const auto& item : value.at("targets")) {
         out.entries.push_back({item.at(0), item.at(1), item.at(2), item.at(3), item.at(4),
                                item.at(5), item.at(6), item.at(7), item.at(8)});
+        out.entries.back().slots = std::min(out.entries.back().slots, max_target_slots);
     }
     return out;
 }
