--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -24,6 +24,10 @@
 // Silence of the leader after which a router reads the operators' items; a change of the leader
 // takes less.
 constexpr milliseconds max_leader_silence{2000};
+// Number of routers that read the operators' items besides the leader: a sixteenth of them, which
+// the link between the regions can carry.
+constexpr std::uint32_t min_other_readers = 2;
+constexpr std::uint32_t routers_per_reader = 16;
 // Time over which the reads of all routers are spread at most, since a configuration must be in
 // force in time.
 constexpr std::chrono::duration<double, std::milli> max_read_spread{1000};
@@ -65,7 +69,8 @@
                    reply.evacuated_domains = operators_.evacuated();
                },
                [this](std::uint64_t version) { return operators_.config_since(version); },
-               [this] { return lease_.wants_long_holds(); }}),
+               [this] { return lease_.wants_long_holds(); },
+               [this](const std::string& address) { fetch_config(address); }}),
       client_(core, fleet_, calls, {[this](const sync_reply& reply) { apply_reply(reply); }}),
       registry_(core, fleet_,
                 [this] {
@@ -133,7 +138,10 @@
 }
 
 bool fleet_control::must_read_operators(boot_time now) const {
-    if (fleet_.leading || core_.state.config.version == 0) {
+    // The leader may be slow, so some others read as well, and the leader gets changes from them.
+    const auto readers =
+        std::max(detail::min_other_readers, core_.state.router_count / detail::routers_per_reader);
+    if (fleet_.leading || core_.state.config.version == 0 || core_.state.router_rank <= readers) {
         return true;
     }
     // All routers that read a large configuration at once would fill the link between the regions,
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -175,6 +175,9 @@
     }
     const auto now = core_.now();
     record_caller(*request, now);
+    if (request->config_version > core_.state.config.version && from_.fetch_config) {
+        from_.fetch_config(request->address);
+    }
     record_reports(request->host, *request, now);
     pending_reply waiting{std::move(*request), std::move(respond), now,
                           now + detail::max_reply_delay};
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -23,6 +23,8 @@
         std::function<void(sync_reply&)> fill_reply;
         std::function<config_update(std::uint64_t version)> config_since;
         std::function<bool()> announces_long_holds;
+        /// Gets the configuration from a router that has a newer one.
+        std::function<void(const std::string& address)> fetch_config = nullptr;
     };
 
     sync_server(router_core& core, fleet_state& fleet, sources from);
