--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -385,8 +385,8 @@
     for (const auto& [id, limit] : limits_) {
         const auto& service = core_.state.targets.find(id)->second->entry.service;
         std::vector<limit_sharer> sharers;
-        const auto add = [&](const std::string& host, double held) {
-            const auto demand = demand_of(demand_, id, host, now) +
+        const auto add = [&, &target = id](const std::string& host, double held) {
+            const auto demand = demand_of(demand_, target, host, now) +
                                 demand_of(demand_, demand_destination(service, {}), host, now);
             sharers.push_back({host, demand, held});
         };
