--- /dev/null
+++ b/src/gateway/exchange_answer.cpp
@@ -0,0 +1,400 @@
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "exchange.hpp"
+#include "exchange_detail.hpp"
+#include "mimosavalve/core/error.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// Maximum size of an answer that is passed on only once it is complete, so that the router can
+// still send an error if the target's answer breaks off.
+constexpr std::size_t max_whole_answer_bytes = 128U << 10U;
+// Number of unsent bytes of an answer at which the router stops reading from the target.
+constexpr std::size_t max_unsent_answer_bytes = 256U << 10U;
+constexpr std::uint32_t max_connects = 3;
+// Maximum number of sends that reach a target, including those refused without being run.
+constexpr std::uint32_t max_sends = 4;
+// Minimum time until the deadline for another send to be tried.
+constexpr std::int64_t min_remaining_ms = 10;
+
+double random_fraction() {
+    static std::minstd_rand source{std::random_device{}()};
+    return std::uniform_real_distribution<double>(0, 1)(source);
+}
+
+std::int64_t ms_between(exchange::steady::time_point from, exchange::steady::time_point to) {
+    return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
+}  // namespace detail
+
+target_state* exchange::current_target() const {
+    const auto found = core_.state.targets.find(target_id_);
+    return found != core_.state.targets.end() &&
+                   found->second->entry.started_unix_ms == target_instance_
+               ? found->second.get()
+               : nullptr;
+}
+
+void exchange::detach_from_target() {
+    connector_.reset();
+    if (target_id_.empty()) {
+        return;
+    }
+    auto* target = current_target();
+    if (target != nullptr) {
+        --target->running;
+    }
+    if (link_) {
+        link_->end_request();
+        // The target would read the next request as the rest of an incomplete body.
+        const bool is_body_sent =
+            body_complete_ && body_sent_ >= body_.size() && (!head_.chunked || body_end_sent_);
+        if (link_->is_reusable() && is_body_sent && target != nullptr) {
+            core_.idle_links[target_id_].push_back(std::move(link_));
+        } else {
+            if (target != nullptr) {
+                --target->open_connections;
+            }
+            // The link may be on the call stack, so it is destroyed later.
+            core_.defer([kept = std::shared_ptr<target_link>(std::move(link_))] {});
+        }
+    } else if (target != nullptr) {
+        --target->open_connections;
+    }
+    link_.reset();
+    target_id_.clear();
+    core_.wake_waiting();
+}
+
+void exchange::on_answer_head(const message_head& head) {
+    answer_ = head;
+    if (auto* target = current_target(); target != nullptr) {
+        const auto load = core_.platform.decode_load(field_of(head, core_.platform.headers.load));
+        if (load) {
+            record_load(*target, *load, boot_clock::now());
+        }
+        record_notice(*target);
+    }
+}
+
+void exchange::record_notice(const target_state& target) {
+    if (!core_.platform.decode_notice) {
+        return;
+    }
+    const auto notice = core_.platform.decode_notice(answer_);
+    const bool is_known = core_.state.notices.contains(target.entry.id);
+    if (!notice.request_limit && !notice.leaving && notice.problem.empty() && !is_known) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    const auto sent_at = now - std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_);
+    auto& known = notice_of(core_.state, target);
+    const auto said_at = known.limit_said_at;
+    const bool begins_to_leave =
+        notice.leaving && !std::exchange(known.leaving, known.leaving || notice.leaving);
+    const bool has_changed = record_limit(known, notice, sent_at, now) || begins_to_leave;
+    if (!notice.problem.empty()) {
+        count(core_.metrics, "odd_notices");
+    }
+    if (has_changed || !notice.problem.empty()) {
+        core_.log.write("target_notice", {{"request", id_},
+                                          {"target", target.entry.id},
+                                          {"limit", std::to_string(known.request_limit)},
+                                          {"leaving", std::int64_t{known.leaving}},
+                                          {"share", std::to_string(known.share.value_or(-1))},
+                                          {"last_said_ms", said_at == boot_time{}
+                                                               ? std::int64_t{-1}
+                                                               : -milliseconds_until(said_at, now)},
+                                          {"problem", std::string_view(notice.problem)}});
+    }
+}
+
+void exchange::on_answer_body(std::string_view data) {
+    answer_body_.append(data);
+    const bool is_signed = has_field(answer_, core_.platform.headers.signature);
+    if (!is_streaming_ && answer_body_.size() > detail::max_whole_answer_bytes) {
+        if (!is_signed) {
+            on_connection_lost(make_error_code(errc::malformed_message));
+            return;
+        }
+        is_streaming_ = true;
+        sink_.send_part(answer_head(answer_, answer_.content_length));
+    }
+    if (is_streaming_) {
+        sink_.send_part(std::move(answer_body_));
+        answer_body_.clear();
+        if (sink_.unsent_bytes() > detail::max_unsent_answer_bytes) {
+            link_->set_reading_enabled(false);
+        }
+    }
+}
+
+void exchange::resume_answer() {
+    if (is_streaming_ && link_) {
+        link_->set_reading_enabled(true);
+    }
+}
+
+void exchange::on_answer_end() {
+    const auto& names = core_.platform.headers;
+    const bool was_not_run =
+        has_field(answer_, names.not_run) || answer_.status == detail::status_misdirected;
+    const bool success =
+        answer_.status >= detail::status_ok && answer_.status < detail::status_multiple_choices;
+    if (was_not_run && !is_streaming_) {
+        verdict_ = earlier_sends_verdict_;
+        on_refusal();
+        return;
+    }
+    if (success && !has_field(answer_, names.signature)) {
+        // Not written by the target, so the request may or may not have run, as after a lost
+        // connection.
+        on_connection_lost(make_error_code(errc::malformed_message));
+        return;
+    }
+    verdict_ = traffic_verdict::ran;
+    const auto& suspects = core_.announced_crashes.suspects;
+    if (success && !suspects.empty() && fingerprint() && suspects.contains(*fingerprint_)) {
+        core_.crashes.answered_suspects.insert(*fingerprint_);
+    }
+    if (auto* target = current_target(); target != nullptr) {
+        // Latencies from another region include the transfer, and failures are often quick, so
+        // neither shows the duration of the work.
+        const bool queued =
+            !success || target->load.waiting > 0 || target->load.slots == 0 ||
+            region_of(core_.state.regions, target->entry.failure_domain) != core_.state.own_region;
+        record_answer(*target, std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_),
+                      queued);
+    }
+    answer_from_target();
+}
+
+bool exchange::try_acquire_attempt(bool reached_target) {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(answer_deadline_ - steady::now()).count();
+    if (left < detail::min_remaining_ms || !is_body_replayable_ || core_.stopping) {
+        return false;
+    }
+    if (!reached_target) {
+        return ++connect_failures_ < detail::max_connects;
+    }
+    return attempts_ < detail::max_sends &&
+           try_acquire_retry(core_.retry_budgets[service_], core_.settings.bounds,
+                             core_.state.router_count, boot_clock::now());
+}
+
+void exchange::on_refusal() {
+    const auto failed_target_id = target_id_;
+    const auto status = answer_.status;
+    const bool is_misdirected = status == detail::status_misdirected;
+    const auto load = core_.platform.decode_load(field_of(answer_, core_.platform.headers.load));
+    // A target with a fault that affects only some requests refuses those although it has room.
+    const bool refused_with_room = load && load->running < load->slots && load->waiting == 0;
+    detach_from_target();
+    count(core_.metrics, is_misdirected ? "target_misdirected" : "target_refused");
+    core_.log.write("target_refused", {{"request", id_},
+                                       {"target", failed_target_id},
+                                       {"status", std::int64_t{status}},
+                                       {"age_ms", age_ms()},
+                                       {"sends", std::int64_t{attempts_}}});
+    const bool is_request_keyed = is_keyed();
+    if (is_request_keyed && !is_misdirected && !refused_with_room) {
+        // Only the owner can run the request, and it has no room.
+        give_up("owner-full", estimate_wait());
+        return;
+    }
+    if (!try_acquire_attempt(true)) {
+        give_up("refused-by-target");
+        return;
+    }
+    if (is_request_keyed) {
+        tried_targets_.clear();
+    }
+    if (is_request_keyed && is_misdirected) {
+        // Waits until the key map changes or for the next redispatch: the target does not own the
+        // key.
+        waiting_ = true;
+        waiting_position_ = core_.waiting.insert(core_.waiting.end(), this);
+        return;
+    }
+    dispatch();
+}
+
+void exchange::on_connection_lost(std::error_code error) {
+    const auto failed_target_id = target_id_;
+    const bool has_sent = link_ != nullptr && link_->has_sent();
+    if (auto* target = current_target(); target != nullptr) {
+        record_failure(*target, has_sent, boot_clock::now());
+    }
+    if (const auto request_fingerprint = has_sent ? fingerprint() : std::nullopt) {
+        record_lost_connection(core_.crashes, instance_name(failed_target_id, target_instance_),
+                               *request_fingerprint, boot_clock::now());
+    }
+    detach_from_target();
+    count(core_.metrics, has_sent ? "target_connection_lost" : "target_unreachable");
+    core_.log.write("target_lost", {{"request", id_},
+                                    {"target", failed_target_id},
+                                    {"error", std::string_view(error.message())},
+                                    {"sent", std::int64_t{has_sent}},
+                                    {"age_ms", age_ms()}});
+    if (is_streaming_) {
+        finish("answer-broke-off", answer_.status);
+        sink_.abort();
+        return;
+    }
+    if (has_sent) {
+        earlier_sends_verdict_ = traffic_verdict::may_have_run;
+    }
+    verdict_ = earlier_sends_verdict_;
+    const bool can_retry =
+        !has_sent || (route_->kind == request_kind::idempotent && attempts_ < route_->max_attempts);
+    if (can_retry && try_acquire_attempt(has_sent)) {
+        if (!has_sent) {
+            tried_targets_.push_back(failed_target_id);
+        }
+        if (is_keyed()) {
+            tried_targets_.clear();
+        }
+        dispatch();
+        return;
+    }
+    give_up(has_sent ? "target-lost" : "target-unreachable");
+}
+
+void exchange::expire() {
+    if (done_) {
+        return;
+    }
+    deadline_position_.reset();
+    if (is_streaming_) {
+        finish("timeout-in-answer", answer_.status);
+        sink_.abort();
+        return;
+    }
+    refuse(verdict_ == traffic_verdict::not_run ? detail::status_unavailable
+                                                : detail::status_gateway_timeout,
+           "timeout");
+}
+
+void exchange::end_with_process() {
+    if (done_) {
+        return;
+    }
+    if (is_streaming_) {
+        finish("stopping", answer_.status);
+        sink_.abort();
+        return;
+    }
+    give_up("stopping");
+}
+
+void exchange::cancel() {
+    if (done_) {
+        return;
+    }
+    count(core_.metrics, "callers_left");
+    finish("caller-left", 0);
+}
+
+std::string exchange::answer_head(const message_head& head,
+                                  std::optional<std::uint64_t> length) const {
+    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
+    text.append(reason_phrase(head.status)).append("\r\n");
+    for (const auto& field : head.fields) {
+        if (!is_hop_by_hop(head, field.name)) {
+            append_field(text, field.name, field.value);
+        }
+    }
+    if (length) {
+        append_field(text, "Content-Length", std::to_string(*length));
+    }
+    if (!keep_alive_ || !length) {
+        append_field(text, "Connection", "close");
+    }
+    return text + "\r\n";
+}
+
+void exchange::answer_from_target() {
+    const auto status = answer_.status;
+    record_latency(core_.metrics, to_string(route_->kind),
+                   static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                                  steady::now() - arrived_)
+                                                  .count()));
+    keep_alive_ = keep_alive_ && !core_.stopping;
+    if (is_streaming_) {
+        if (!answer_.content_length) {
+            keep_alive_ = false;
+        }
+        finish("answered", status);
+        sink_.end();
+        return;
+    }
+    const bool without_body = head_.method == "HEAD";
+    auto text = answer_head(
+        answer_, without_body ? answer_.content_length.value_or(0) : answer_body_.size());
+    text.append(answer_body_);
+    finish("answered", status);
+    sink_.send_whole(std::move(text));
+}
+
+void exchange::give_up(std::string_view reason, const wait_estimate& estimate) {
+    refuse(verdict_ == traffic_verdict::not_run ? detail::status_unavailable
+                                                : detail::status_bad_gateway,
+           reason, estimate);
+}
+
+void exchange::refuse(unsigned status, std::string_view reason, const wait_estimate& estimate) {
+    message_head head;
+    head.status = status;
+    keep_alive_ = keep_alive_ && !core_.stopping;
+    head.fields.push_back({core_.platform.headers.request_id, id_});
+    head.fields.push_back({"Mimosavalve-Reason", std::string(reason)});
+    head.fields.push_back({"Mimosavalve-Verdict", std::string(to_string(verdict_))});
+    if (status == detail::status_unavailable) {
+        const auto requested_ms =
+            detail::parse_number(field_of(head_, core_.platform.headers.deadline));
+        const auto left = milliseconds(requested_ms.value_or(detail::default_timeout.count())) -
+                          milliseconds(age_ms());
+        const auto wait =
+            retry_after(estimate, std::max(left, milliseconds(0)), detail::random_fraction());
+        constexpr double ms_per_s = 1000;
+        head.fields.push_back({core_.platform.headers.retry_after,
+                               std::to_string(static_cast<double>(wait.count()) / ms_per_s)});
+    }
+    count(core_.metrics, "refused_" + std::string(reason));
+    finish(reason, status);
+    sink_.send_whole(answer_head(head, 0));
+}
+
+void exchange::finish(std::string_view outcome, unsigned status) {
+    done_ = true;
+    const auto target =
+        target_id_.empty() && !tried_targets_.empty() ? tried_targets_.back() : target_id_;
+    stop_waiting();
+    detach_from_target();
+    if (deadline_position_) {
+        core_.deadlines.erase(*deadline_position_);
+        deadline_position_.reset();
+    }
+    count(core_.metrics, "requests_finished");
+    core_.log.write("request",
+                    {{"request", id_},
+                     {"route", route_ ? std::string_view(route_->name) : "none"},
+                     {"config", static_cast<std::int64_t>(core_.state.config.version)},
+                     {"target", target},
+                     {"outcome", outcome},
+                     {"status", std::int64_t{status}},
+                     {"verdict", to_string(verdict_)},
+                     {"sends", std::int64_t{attempts_}},
+                     {"age_ms", age_ms()},
+                     {"sent_ms", attempts_ > 0 ? detail::ms_between(arrived_, sent_at_) : -1},
+                     {"connect_ms", attempts_ > 0 ? detail::ms_between(chosen_at_, sent_at_) : -1},
+                     {"registry_age_ms", std::int64_t{registry_age_.count()}}});
+}
+
+}  // namespace mimosavalve::gateway
--- /dev/null
+++ b/src/gateway/exchange_detail.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "mimosavalve/gateway/clock.hpp"
+
+namespace mimosavalve::gateway::detail {
+
+// For callers that name no deadline.
+inline constexpr milliseconds default_timeout{30000};
+
+inline constexpr unsigned status_ok = 200;
+inline constexpr unsigned status_multiple_choices = 300;
+inline constexpr unsigned status_bad_request = 400;
+inline constexpr unsigned status_not_found = 404;
+inline constexpr unsigned status_misdirected = 421;
+inline constexpr unsigned status_bad_gateway = 502;
+inline constexpr unsigned status_unavailable = 503;
+inline constexpr unsigned status_gateway_timeout = 504;
+
+/// Decimal number of a header field; nothing if `text` is anything else.
+std::optional<std::uint32_t> parse_number(std::string_view text);
+
+}  // namespace mimosavalve::gateway::detail
--- /dev/null
+++ b/src/gateway/target_choice.cpp
@@ -0,0 +1,272 @@
+#include "target_choice.hpp"
+
+#include <algorithm>
+#include <vector>
+
+#include "mimosavalve/gateway/target_table.hpp"
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// A load report describes the target for about the time of one request.
+constexpr milliseconds load_report_lifetime{400};
+// Added time of a request to another region or failure domain: a round trip and the transmission.
+// An upload consists of some hundred packets.
+constexpr double region_cost_ms = 45;
+constexpr double domain_cost_ms = 3;
+constexpr double upload_region_cost_ms = 2000;
+constexpr double upload_domain_cost_ms = 20;
+// After a pause a router may send two requests at once; more would lengthen the target's queue
+// needlessly.
+constexpr double max_rate_tokens = 2;
+// Concurrency limit per target until a router has received quotas from the leader.
+constexpr std::uint32_t initial_concurrency = 1;
+constexpr milliseconds one_second{1000};
+
+// Measured times of equal targets differ by about this fraction. A target that was avoided for a
+// smaller difference would never be measured again under light load.
+constexpr double equality_tolerance = 0.1;
+
+// Estimated number of requests of all routers at the target.
+double requests_at(const target_state& target, boot_time now) {
+    const auto own = static_cast<double>(target.running);
+    if (now - target.load_received_at >= load_report_lifetime) {
+        return own;
+    }
+    const auto reported = static_cast<double>(target.load.running + target.load.waiting);
+    return std::max(own, reported - static_cast<double>(target.own_in_flight_at_load) + own);
+}
+
+// Added time of the transfer to the target and back, in ms.
+double transfer_ms_of(const routing_state& state, const target_state& target,
+                      const route& request_route) {
+    if (target.entry.failure_domain == state.own_domain) {
+        return 0;
+    }
+    const bool same_region =
+        region_of(state.regions, target.entry.failure_domain) == state.own_region;
+    if (request_route.kind != request_kind::upload) {
+        return same_region ? domain_cost_ms : region_cost_ms;
+    }
+    // The inter-region link has little bandwidth: one large body delays all other traffic on it.
+    return same_region ? domain_cost_ms + upload_domain_cost_ms
+                       : region_cost_ms + upload_region_cost_ms;
+}
+
+// Expected time from the arrival at the target until the answer, in ms.
+double time_at_target_ms(const routing_state& state, const target_state& target, boot_time now) {
+    const double slots = std::max(target.entry.slots, 1U);
+    const double queue = std::max(requests_at(target, now) + 1 - slots, 0.0) / slots;
+    const double slowdown = now - target.load_received_at < load_report_lifetime
+                                ? std::max(target.load.slowdown, 0.1)
+                                : 1;
+    return (queue + 1) * work_ms_of(state, target) * slowdown;
+}
+
+struct candidate {
+    target_state* target = nullptr;
+    double transfer_ms = 0;
+    double total_ms = 0;
+};
+
+// Returns the fastest candidate, or among candidates that are about as fast and have the same
+// transfer time, the one whose last request was sent earliest.
+target_state* pick_candidate(std::span<const candidate> from) {
+    const auto fastest = std::min_element(
+        from.begin(), from.end(),
+        [](const candidate& one, const candidate& other) { return one.total_ms < other.total_ms; });
+    if (fastest == from.end()) {
+        return nullptr;
+    }
+    auto* picked = fastest->target;
+    for (const auto& each : from) {
+        if (each.transfer_ms == fastest->transfer_ms &&
+            each.total_ms <= fastest->total_ms * (1 + equality_tolerance) &&
+            each.target->sent_at < picked->sent_at) {
+            picked = each.target;
+        }
+    }
+    return picked;
+}
+
+// Whether the queue of the target has reached its maximum length.
+bool is_queue_full(const target_state& target, boot_time now) {
+    return requests_at(target, now) >= target.entry.slots + max_queued_at_target;
+}
+
+// This router's share of the requests that a cold target can handle in one second.
+double cold_rate_share(const routing_state& state, const service& kind) {
+    const auto limit = kind.cold_requests_per_second * state.bounds.cold_rate_factor +
+                       state.bounds.cold_rate_extra_per_second;
+    return share_of(limit, state.router_count, state.router_rank);
+}
+
+// Takes one token of this router's rate quota for the target, if there is a quota.
+bool try_acquire_token(target_state& target, boot_time now) {
+    if (target.rate_quota <= 0) {
+        return true;
+    }
+    const auto elapsed = std::chrono::duration<double>(now - target.rate_tokens_at).count();
+    target.rate_tokens =
+        std::min(target.rate_tokens + elapsed * target.rate_quota, max_rate_tokens);
+    target.rate_tokens_at = now;
+    if (target.rate_tokens < 1) {
+        return false;
+    }
+    target.rate_tokens -= 1;
+    return true;
+}
+
+// Maximum number of requests that this router may have at a target without keys: the lower of
+// `own_concurrency_limit` and the allocated quota, or 0 if the leader allocated none for this
+// target. Before any quota is received, `initial_concurrency` replaces the quota.
+std::uint32_t concurrency_at(const routing_state& state, const target_state& target,
+                             const service& kind, boot_time now) {
+    const auto limit = own_concurrency_limit(state, target, kind, now);
+    if (has_request_limit(state, target.entry, now)) {
+        return limit;
+    }
+    if (state.concurrency_quotas.empty()) {
+        return std::min(limit, initial_concurrency);
+    }
+    const auto quota = state.concurrency_quotas.find(target.entry.id);
+    return quota == state.concurrency_quotas.end() ? 0 : std::min(limit, quota->second);
+}
+
+// Whether a request keeps what the target has said in its answers.
+bool is_within_notices(routing_state& state, const target_state& target, boot_time now) {
+    const auto known = state.notices.find(target.entry.id);
+    return known == state.notices.end() ||
+           known->second.started_unix_ms != target.entry.started_unix_ms ||
+           has_token(known->second, state.router_count, now);
+}
+
+// Counts a request to the target.
+target_choice chosen(routing_state& state, target_state* target) {
+    const auto known = state.notices.find(target->entry.id);
+    if (known != state.notices.end()) {
+        take_token(known->second);
+    }
+    return {choice_kind::target, target};
+}
+
+target_choice choose_owner(routing_state& state, const choice_request& request, const service& kind,
+                           boot_time now) {
+    const auto map = state.keys.find(request.service);
+    if (map == state.keys.end()) {
+        return {choice_kind::wait_for_owner, nullptr};
+    }
+    const auto& segment = segment_of(map->second, *request.key);
+    if (segment.moving || segment.owner.empty()) {
+        const auto received_at = state.keys_received_at.find(request.service);
+        const auto since = received_at == state.keys_received_at.end() ? now : received_at->second;
+        return {choice_kind::wait_for_owner, nullptr,
+                milliseconds(std::max<std::int64_t>(
+                    milliseconds_until(since + milliseconds(segment.wait_ms), now), 0))};
+    }
+    const auto found = state.targets.find(segment.owner);
+    if (found == state.targets.end() || found->second->entry.service != request.service ||
+        !can_send_to(state, *found->second, now) ||
+        !is_in_home_region(state, found->second->entry, *request.request_route)) {
+        return {choice_kind::wait_for_owner, nullptr};
+    }
+    auto& target = *found->second;
+    if (!is_within_notices(state, target, now)) {
+        return {choice_kind::held_back, &target};
+    }
+    if (now < target.unreachable_until) {
+        return {choice_kind::wait_for_owner, nullptr,
+                std::chrono::duration_cast<milliseconds>(target.unreachable_until - now)};
+    }
+    if (target.running >= own_concurrency_limit(state, target, kind, now) ||
+        is_queue_full(target, now) || !try_acquire_token(target, now)) {
+        return {choice_kind::wait_for_room, &target};
+    }
+    if (is_cold(target, now) &&
+        !try_acquire(target.cold_rate_limiter, cold_rate_share(state, kind), one_second, now)) {
+        return {choice_kind::wait_for_room, &target};
+    }
+    return chosen(state, &target);
+}
+
+}  // namespace detail
+
+bool is_still_eligible(const routing_state& state, const target_state& target,
+                       const choice_request& request, boot_time now) {
+    if (!can_send_to(state, target, now)) {
+        return false;
+    }
+    const auto kind = state.config.services.find(std::string(request.service));
+    if (kind == state.config.services.end() || !kind->second.keyed || !request.key) {
+        return true;
+    }
+    const auto map = state.keys.find(request.service);
+    if (map == state.keys.end()) {
+        return false;
+    }
+    const auto& segment = segment_of(map->second, *request.key);
+    return !segment.moving && segment.owner == target.entry.id;
+}
+
+target_choice choose_target(routing_state& state, const choice_request& request, boot_time now) {
+    const auto kind = state.config.services.find(std::string(request.service));
+    if (kind == state.config.services.end()) {
+        return {};
+    }
+    if (kind->second.keyed && request.key) {
+        return detail::choose_owner(state, request, kind->second, now);
+    }
+    target_choice best;
+    std::vector<detail::candidate> free;
+    target_state* cold = nullptr;
+    bool is_any_held_back = false;
+    for (auto& [id, target] : state.targets) {
+        if (target->entry.service != request.service || !can_send_to(state, *target, now) ||
+            !is_in_home_region(state, target->entry, *request.request_route) ||
+            std::find(request.tried_targets.begin(), request.tried_targets.end(), id) !=
+                request.tried_targets.end()) {
+            continue;
+        }
+        if (!detail::is_within_notices(state, *target, now)) {
+            is_any_held_back = true;
+            continue;
+        }
+        if (target->running >= detail::concurrency_at(state, *target, kind->second, now) ||
+            detail::is_queue_full(*target, now) || now < target->avoid_until) {
+            best.kind = choice_kind::wait_for_room;
+            continue;
+        }
+        if (is_cold(*target, now)) {
+            cold = cold == nullptr || target->running < cold->running ? target.get() : cold;
+            continue;
+        }
+        const auto transfer_ms = detail::transfer_ms_of(state, *target, *request.request_route);
+        free.push_back({target.get(), transfer_ms,
+                        transfer_ms + detail::time_at_target_ms(state, *target, now)});
+    }
+    if (auto* picked = detail::pick_candidate(free); picked != nullptr) {
+        best = {choice_kind::target, picked};
+    }
+    // If the warm targets are busy, cold ones are used as well, within this router's share of
+    // the cold rate.
+    const bool busy = best.kind != choice_kind::target ||
+                      detail::requests_at(*best.target, now) >= best.target->entry.slots;
+    if (busy && cold != nullptr &&
+        try_acquire(cold->cold_rate_limiter, detail::cold_rate_share(state, kind->second),
+                    detail::one_second, now)) {
+        return detail::chosen(state, cold);
+    }
+    if (best.kind == choice_kind::target) {
+        return detail::chosen(state, best.target);
+    }
+    if (cold != nullptr && best.kind == choice_kind::none) {
+        best.kind = choice_kind::wait_for_room;
+    }
+    if (best.kind == choice_kind::none && is_any_held_back) {
+        best.kind = choice_kind::held_back;
+    }
+    return best;
+}
+
+}  // namespace mimosavalve::gateway
