Forward pipelined requests at once, and answer them in order

Change: a session holds up to 16 requests. Idempotent ones are forwarded when they arrive, each with its own admission, deadline (counted from its arrival, also while it waits unread behind others), retries and quotas; answers wait for those before them, 8 MB a host at most before connections fall back to one request at a time. Callers repeat what they sent behind an answer that closes the connection, whatever its kind. So an order behind other requests is forwarded only when their answers have left, nothing is read behind a request or answer that closes, and a stopping router closes with the answer to the last request that it has accepted. A malformed body no longer writes its 400 into an answer that has begun (found while writing the tests).

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,15 +1,21 @@
 #include "caller_session.hpp"
 
 #include <array>
+#include <utility>
 
 namespace mimosavalve::gateway {
 
 namespace detail {
 
 constexpr std::size_t session_read_bytes = 16384;
-// Maximum number of bytes of pipelined requests that are read before the current answer is
-// complete.
+// Maximum number of bytes that are read ahead while no further request may be begun.
 constexpr std::size_t max_read_ahead_bytes = 16384;
+// Maximum number of requests of one connection that are forwarded at a time. Each may hold an
+// answer of `max_whole_answer_bytes`.
+constexpr std::size_t max_pipelined_requests = 16;
+// Bytes of answers of all connections that wait for answers before them, from which on connections
+// forward one request at a time.
+constexpr std::size_t max_queued_answer_bytes = 8U << 20U;
 // Added to the configured idle timeout. Callers reuse connections only up to four fifths of it, so
 // a small margin suffices.
 constexpr std::chrono::milliseconds idle_margin{1000};
@@ -27,8 +33,9 @@
                                         close();
                                     } else if (is_closing_) {
                                         close_at_ = steady::now() + detail::linger_time;
-                                    } else if (exchange_) {
-                                        exchange_->resume_answer();
+                                    } else if (!requests_.empty() &&
+                                               requests_.front()->forwarding) {
+                                        requests_.front()->forwarding->resume_answer();
                                     }
                                 },
                                 [this](std::error_code) { on_caller_left(); }});
@@ -36,28 +43,29 @@
     connection_->set_reading_enabled(true);
 }
 
-caller_session::~caller_session() = default;
+caller_session::~caller_session() {
+    for (const auto& request : requests_) {
+        core_.queued_answer_bytes -= request->queued_answer.size();
+    }
+}
 
 void caller_session::start_parser() {
     message_limits bounds;
     bounds.max_header_bytes = core_.state.config.limits.max_header_bytes;
     bounds.max_body_bytes = core_.state.config.limits.max_body_bytes;
     message_events events;
-    events.head = [this](message_head head) { begin_exchange(std::move(head)); };
-    events.body = [this](std::string_view data) {
-        if (exchange_) {
-            exchange_->add_body(data);
-        }
-    };
+    events.head = [this](message_head head) { begin_request(std::move(head)); };
+    events.body = [this](std::string_view data) { requests_.back()->forwarding->add_body(data); };
     events.done = [this] {
         is_request_read_ = true;
-        if (exchange_) {
-            exchange_->end_body();
+        requests_.back()->is_read = true;
+        requests_.back()->forwarding->end_body();
+        if (requests_.back()->is_answered) {
+            defer(&caller_session::advance);
         }
     };
     parser_ = std::make_unique<message_parser>(message_kind::request, bounds, events);
     is_request_read_ = false;
-    answered_ = false;
 }
 
 void caller_session::read() {
@@ -81,18 +89,43 @@
         return;
     }
     input_.append(chunk.data(), got.bytes);
+    arrivals_.push_back({got.bytes, last_active_});
     parse_input();
 }
 
+bool caller_session::may_begin_request() const {
+    return requests_.empty() ||
+           (!ends_with_last_ && requests_.size() < detail::max_pipelined_requests &&
+            core_.queued_answer_bytes < detail::max_queued_answer_bytes);
+}
+
+void caller_session::consume_input(std::size_t bytes) {
+    input_.erase(0, bytes);
+    auto first = arrivals_.begin();
+    for (; first != arrivals_.end() && first->bytes <= bytes; ++first) {
+        bytes -= first->bytes;
+    }
+    if (first != arrivals_.end()) {
+        first->bytes -= bytes;
+    }
+    arrivals_.erase(arrivals_.begin(), first);
+}
+
 void caller_session::parse_input() {
-    if (is_closed_ || is_parsing_) {
+    if (is_closed_ || is_closing_ || is_parsing_) {
         return;
     }
-    while (!input_.empty() && !is_request_read_) {
+    while (!input_.empty()) {
+        if (!is_reading_body() && !may_begin_request()) {
+            break;
+        }
+        if (is_request_read_) {
+            start_parser();
+        }
         is_parsing_ = true;
         const auto fed = parser_->feed(input_);
         is_parsing_ = false;
-        input_.erase(0, fed.consumed);
+        consume_input(fed.consumed);
         if (fed.error != parse_error::none) {
             constexpr unsigned bad_request = 400;
             constexpr unsigned too_large = 413;
@@ -106,91 +139,183 @@
             break;
         }
     }
-    if (is_request_read_ && answered_) {
-        end_exchange();
-        return;
+    update_reading();
+}
+
+bool caller_session::is_reading_body() const {
+    return !is_request_read_ && parser_->has_head();
+}
+
+void caller_session::update_reading() {
+    connection_->set_reading_enabled(is_reading_body()
+                                         ? requests_.back()->forwarding->should_read_body()
+                                         : input_.size() < detail::max_read_ahead_bytes);
+}
+
+bool caller_session::must_be_first(const message_head& head) const {
+    if (requests_.empty()) {
+        return false;
     }
-    const bool should_read = is_request_read_ ? input_.size() < detail::max_read_ahead_bytes
-                                              : !exchange_ || exchange_->should_read_body();
-    connection_->set_reading_enabled(should_read);
+    const auto found = core_.state.routes.find(field_of(head, "host"), path_of(head));
+    return !found || core_.state.config.routes[*found].kind != request_kind::idempotent;
 }
 
-void caller_session::begin_exchange(message_head head) {
+void caller_session::begin_request(message_head head) {
     const bool expects_continue = !field_of(head, "expect").empty();
+    const bool waits = must_be_first(head);
+    const request_arrival arrived{arrivals_.front().at, requests_.size()};
+    auto& request = *requests_.emplace_back(std::make_unique<pending_request>());
+    request.forwarding =
+        std::make_unique<exchange>(core_, std::move(head), make_sink(request), arrived);
+    ends_with_last_ = !request.forwarding->keeps_connection_open();
+    if (!waits) {
+        request.is_started = true;
+        request.forwarding->start();
+    }
+    if (expects_continue && !request.forwarding->is_done()) {
+        deliver(request, "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+answer_sink caller_session::make_sink(pending_request& request) {
     answer_sink sink;
-    sink.send_whole = [this](const std::string& text) {
-        answered_ = true;
-        connection_->write(text);
-        if (is_request_read_ && !is_parsing_) {
-            defer(&caller_session::end_exchange);
-        }
+    sink.send_whole = [this, &request](const std::string& text) {
+        deliver(request, text);
+        end_answer(request);
     };
-    sink.send_part = [this](const std::string& text) { connection_->write(text); };
-    sink.end = [this] {
-        answered_ = true;
-        if (is_request_read_ && !is_parsing_) {
-            defer(&caller_session::end_exchange);
-        }
+    sink.send_part = [this, &request](const std::string& text) {
+        ends_with_last_ = ends_with_last_ || !request.forwarding->keeps_connection_open();
+        deliver(request, text);
+    };
+    sink.end = [this, &request] { end_answer(request); };
+    sink.abort = [this, &request] {
+        request.is_broken_off = true;
+        defer(&caller_session::advance);
     };
-    sink.abort = [this] { defer(&caller_session::abort); };
-    sink.room_changed = [this] {
-        if (!is_request_read_ && exchange_ && exchange_->should_read_body()) {
+    sink.room_changed = [this, &request] {
+        if (!request.is_read && request.forwarding->should_read_body()) {
             connection_->set_reading_enabled(true);
         }
     };
-    sink.unsent_bytes = [this] { return connection_->queued_bytes(); };
-    exchange_ = std::make_unique<exchange>(core_, std::move(head), std::move(sink));
-    exchange_->start();
-    if (expects_continue && !exchange_->is_done()) {
-        connection_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    sink.unsent_bytes = [this, &request] {
+        return connection_->queued_bytes() + request.queued_answer.size();
+    };
+    sink.is_last = [this, &request] { return requests_.back().get() == &request; };
+    return sink;
+}
+
+void caller_session::deliver(pending_request& request, std::string_view text) {
+    if (requests_.front().get() == &request) {
+        connection_->write(text);
+        return;
+    }
+    request.queued_answer.append(text);
+    core_.queued_answer_bytes += text.size();
+}
+
+void caller_session::end_answer(pending_request& request) {
+    request.is_answered = true;
+    request.closes = !request.forwarding->keeps_connection_open();
+    ends_with_last_ = ends_with_last_ || request.closes;
+    defer(&caller_session::advance);
+}
+
+void caller_session::advance() {
+    if (is_closed_ || is_closing_) {
+        return;
     }
+    while (!requests_.empty()) {
+        auto& first = *requests_.front();
+        if (!first.is_started) {
+            first.is_started = true;
+            first.forwarding->start();
+        }
+        if (!first.queued_answer.empty()) {
+            core_.queued_answer_bytes -= first.queued_answer.size();
+            connection_->write(std::exchange(first.queued_answer, {}));
+            if (first.forwarding) {
+                first.forwarding->resume_answer();
+            }
+        }
+        if (first.is_broken_off) {
+            abort();
+            return;
+        }
+        if (!first.is_answered || !first.is_read) {
+            break;
+        }
+        const bool closes = first.closes;
+        remove_first();
+        last_active_ = steady::now();
+        if (closes) {
+            start_closing();
+            return;
+        }
+    }
+    if (requests_.empty()) {
+        input_.shrink_to_fit();
+    }
+    parse_input();
+}
+
+void caller_session::remove_first() {
+    auto first = std::move(requests_.front());
+    requests_.erase(requests_.begin());
+    core_.defer([kept = std::shared_ptr<pending_request>(std::move(first))] {});
 }
 
 void caller_session::reject(unsigned status) {
-    if (!exchange_ || !exchange_->is_done()) {
+    core_.log.write("request_rejected", {{"status", std::int64_t{status}}});
+    const bool is_body_malformed = is_reading_body();
+    input_.clear();
+    arrivals_.clear();
+    is_request_read_ = true;
+    ends_with_last_ = true;
+    if (!is_body_malformed) {
+        requests_.push_back(std::make_unique<pending_request>());
+    }
+    auto& request = *requests_.back();
+    request.is_started = true;
+    request.is_read = true;
+    request.closes = true;
+    if (request.forwarding) {
+        request.forwarding->cancel();
+        request.is_broken_off = !request.is_answered && request.forwarding->has_begun_answer();
+    }
+    if (!request.is_answered && !request.is_broken_off) {
         std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
         text.append(reason_phrase(status));
         text.append("\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
-        connection_->write(text);
-    }
-    core_.log.write("request_rejected", {{"status", std::int64_t{status}}});
-    if (exchange_) {
-        exchange_->cancel();
+        request.is_answered = true;
+        deliver(request, text);
     }
-    start_closing();
+    defer(&caller_session::advance);
 }
 
 void caller_session::start_closing() {
     is_closing_ = true;
     close_at_ = steady::now() + detail::linger_time;
+    cancel_requests();
     input_.clear();
+    arrivals_.clear();
     connection_->finish_writing();
     connection_->set_reading_enabled(true);
 }
 
-void caller_session::end_exchange() {
-    if (is_closed_ || is_closing_ || !answered_ || !exchange_) {
-        return;
-    }
-    const bool keep_alive = exchange_->keeps_connection_open();
-    core_.defer([kept = std::shared_ptr<exchange>(std::move(exchange_))] {});
-    last_active_ = steady::now();
-    if (!keep_alive) {
-        start_closing();
-        return;
+void caller_session::cancel_requests() {
+    for (const auto& request : requests_) {
+        if (request->forwarding) {
+            request->forwarding->cancel();
+        }
     }
-    start_parser();
-    input_.shrink_to_fit();
-    connection_->set_reading_enabled(true);
-    if (!input_.empty()) {
-        parse_input();
+    while (!requests_.empty()) {
+        core_.queued_answer_bytes -= requests_.front()->queued_answer.size();
+        remove_first();
     }
 }
 
 void caller_session::on_caller_left() {
-    if (exchange_) {
-        exchange_->cancel();
-    }
+    cancel_requests();
     close();
 }
 
@@ -201,7 +326,7 @@
         }
         return;
     }
-    if (exchange_) {
+    if (!requests_.empty()) {
         return;
     }
     const auto& limits = core_.state.config.limits;
@@ -224,13 +349,20 @@
 }
 
 void caller_session::end_with_process() {
-    if (!exchange_ || is_closing_) {
+    if (requests_.empty() || is_closing_) {
         return;
     }
-    exchange_->end_with_process();
-    if (!is_request_read_) {
-        start_closing();
+    ends_with_last_ = true;
+    for (const auto& request : requests_) {
+        request->is_started = true;
+        if (request->forwarding) {
+            request->forwarding->end_with_process();
+        }
     }
+    is_request_read_ = true;
+    requests_.back()->is_read = true;
+    requests_.back()->closes = true;
+    defer(&caller_session::advance);
 }
 
 void caller_session::defer(void (caller_session::*step)()) {
@@ -242,6 +374,7 @@
 }
 
 void caller_session::abort() {
+    cancel_requests();
     connection_->reset();
     close();
 }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -62,11 +62,14 @@
     return best->service;
 }
 
-exchange::exchange(router_core& core, message_head head, answer_sink sink)
+exchange::exchange(router_core& core, message_head head, answer_sink sink,
+                   const request_arrival& arrival)
     : core_(core),
       head_(std::move(head)),
       sink_(std::move(sink)),
-      keep_alive_(head_.keep_alive && !core.stopping) {
+      arrived_(arrival.at),
+      ahead_(arrival.ahead),
+      keep_alive_(head_.keep_alive) {
     id_ = field_of(head_, core_.platform.headers.request_id);
     body_complete_ = !head_.chunked && head_.content_length.value_or(0) == 0;
 }
@@ -99,6 +102,10 @@
     route_ = core_.state.config.routes[*found];
     timeout = std::min(timeout, route_->timeout);
     answer_deadline_ = arrived_ + timeout;
+    if (answer_deadline_ <= steady::now()) {
+        refuse(detail::status_unavailable, "timeout");
+        return;
+    }
     deadline_position_ = core_.deadlines.emplace(answer_deadline_, this);
     core_.deadlines_changed();
     service_ = choose_service(core_, *route_);
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -29,6 +29,15 @@
     std::function<void()> room_changed;
     /// Number of bytes of the answer that the caller has not accepted yet.
     std::function<std::size_t()> unsent_bytes;
+    /// Whether no request behind this one has been accepted, so that the answer may close the
+    /// connection.
+    std::function<bool()> is_last;
+};
+
+/// How a request reached the router.
+struct request_arrival {
+    std::chrono::steady_clock::time_point at;
+    std::size_t ahead = 0;  ///< Unanswered requests before it on its connection.
 };
 
 /// Forwards one request of a caller to a target, and the answer back.
@@ -36,7 +45,8 @@
 public:
     using steady = std::chrono::steady_clock;
 
-    exchange(router_core& core, message_head head, answer_sink sink);
+    exchange(router_core& core, message_head head, answer_sink sink,
+             const request_arrival& arrival);
     ~exchange();
     exchange(const exchange&) = delete;
     exchange& operator=(const exchange&) = delete;
@@ -66,6 +76,8 @@
 
     [[nodiscard]] bool is_done() const { return done_; }
     [[nodiscard]] bool keeps_connection_open() const { return keep_alive_; }
+    /// Whether a part of the answer has been sent.
+    [[nodiscard]] bool has_begun_answer() const { return is_streaming_; }
     [[nodiscard]] std::uint32_t priority() const { return route_ ? route_->priority : 0; }
 
 private:
@@ -120,15 +132,18 @@
     /// Answers the caller in the name of the router.
     void refuse(unsigned status, std::string_view reason, const wait_estimate& estimate = {});
     void finish(std::string_view outcome, unsigned status);
+    /// Head of the answer to the caller. Decides whether the answer closes the connection: one of
+    /// unknown length does, and while the process stops, one with no request behind it.
     [[nodiscard]] std::string answer_head(const message_head& head,
-                                          std::optional<std::uint64_t> length) const;
+                                          std::optional<std::uint64_t> length);
     [[nodiscard]] std::int64_t age_ms() const;
 
     router_core& core_;
     message_head head_;
     answer_sink sink_;
     std::string id_;
-    steady::time_point arrived_ = steady::now();
+    steady::time_point arrived_;
+    std::size_t ahead_;  ///< See `request_arrival`.
     steady::time_point answer_deadline_;
     std::optional<route> route_;  // A copy, since the configuration may change during the request.
     std::string service_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -308,8 +308,8 @@
     finish("caller-left", 0);
 }
 
-std::string exchange::answer_head(const message_head& head,
-                                  std::optional<std::uint64_t> length) const {
+std::string exchange::answer_head(const message_head& head, std::optional<std::uint64_t> length) {
+    keep_alive_ = keep_alive_ && length && !(core_.stopping && sink_.is_last());
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
     text.append(reason_phrase(head.status)).append("\r\n");
     for (const auto& field : head.fields) {
@@ -320,7 +320,7 @@
     if (length) {
         append_field(text, "Content-Length", std::to_string(*length));
     }
-    if (!keep_alive_ || !length) {
+    if (!keep_alive_) {
         append_field(text, "Connection", "close");
     }
     return text + "\r\n";
@@ -332,11 +332,7 @@
                    static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
                                                   steady::now() - arrived_)
                                                   .count()));
-    keep_alive_ = keep_alive_ && !core_.stopping;
     if (is_streaming_) {
-        if (!answer_.content_length) {
-            keep_alive_ = false;
-        }
         finish("answered", status);
         sink_.end();
         return;
@@ -358,7 +354,6 @@
 void exchange::refuse(unsigned status, std::string_view reason, const wait_estimate& estimate) {
     message_head head;
     head.status = status;
-    keep_alive_ = keep_alive_ && !core_.stopping;
     head.fields.push_back({core_.platform.headers.request_id, id_});
     head.fields.push_back({"Mimosavalve-Reason", std::string(reason)});
     head.fields.push_back({"Mimosavalve-Verdict", std::string(to_string(verdict_))});
@@ -399,6 +394,7 @@
                      {"verdict", to_string(verdict_)},
                      {"sends", std::int64_t{attempts_}},
                      {"age_ms", age_ms()},
+                     {"ahead", static_cast<std::int64_t>(ahead_)},
                      {"sent_ms", attempts_ > 0 ? detail::ms_between(arrived_, sent_at_) : -1},
                      {"connect_ms", attempts_ > 0 ? detail::ms_between(chosen_at_, sent_at_) : -1},
                      {"registry_age_ms", std::int64_t{registry_age_.count()}}});
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -58,6 +58,8 @@
     /// before `answers_until`, however short their answers usually take.
     std::optional<std::chrono::steady_clock::time_point> estimates_until;
 
+    /// Bytes of answers that wait for the answers before them on their callers' connections.
+    std::size_t queued_answer_bytes = 0;
     /// Exchanges that wait for a target, in the order in which they are dispatched again.
     std::list<exchange*> waiting;
     /// Exchanges by the time of their final answer.
