Measure the work of a target from answers that waited, and believe reports of long queues for longer

Cause 1: the work time was learned only from answers without anything waiting at the target. An owner whose queue is never empty was never measured; its capacity was taken from the faster rest of its service, so its rate quotas were too high and the queue stayed full. Targets of this deployment never answer what they cannot queue. Change: the work time is latency / (1 + waiting / slots), from the load that the answer reports. Cause 2: a load report counted for 0.4 s, but a full queue takes longer to be served, and answers come more seldom then. Change: a report lasts until those that waited have been served, 2 s at most.

--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -32,10 +32,11 @@
     boot_time load_received_at;  ///< Time at which `load` was received.
     double work_ms = 0;          ///< Mean duration of its work without queueing; 0: not known.
     double answer_ms = 0;        ///< Running mean of the time from a send to its answer.
-    std::uint32_t unqueued_answers = 0;  ///< Answers without queueing since the last report.
-    double unqueued_sum_ms = 0;          ///< Sum of the durations of `unqueued_answers`.
-    bool answered = false;               ///< Whether it answered any request since the last report.
-    boot_time answered_at;               ///< Leader only: last report of an answer to any router.
+    std::uint32_t work_samples =
+        0;                   ///< Answers that show the duration of its work, since the last report.
+    double work_sum_ms = 0;  ///< Sum of the durations of `work_samples`.
+    bool answered = false;   ///< Whether it answered any request since the last report.
+    boot_time answered_at;   ///< Leader only: last report of an answer to any router.
     std::uint32_t consecutive_failures = 0;  ///< Requests in a row that ended without an answer.
     boot_time avoid_until;                   ///< Set after consecutive failures.
     std::uint32_t consecutive_failed_connects = 0;  ///< Failed connects in a row.
@@ -94,10 +95,18 @@
 void record_send(target_state& target, boot_time now);
 /// Records the load that was received with an answer.
 void record_load(target_state& target, const target_load& load, boot_time now);
-/// Records the answer, successful or not, to a request that was run. `queued`: `latency` does not
-/// show the duration of the target's work, since the request may have waited, failed or crossed
-/// regions.
-void record_answer(target_state& target, milliseconds latency, bool queued);
+/// Records the answer, successful or not, to a request that was run. `shows_work`: `latency` tells
+/// how long the target works, since the request succeeded and did not cross regions.
+void record_answer(target_state& target, milliseconds latency, bool shows_work);
+
+/// Estimates the duration of the work of an answered request, in ms, from the time until its answer
+/// and the load that the answer reported: as many requests waited before it as wait now. Without
+/// this, an owner whose queue is never empty would never be measured.
+double work_time_of(milliseconds latency, const target_load& load);
+
+/// Leader only: records durations of the target's work that a router reports, `count` of them with
+/// this sum.
+void record_work(target_state& target, std::uint32_t count, double sum_ms);
 
 /// Mean duration of a target's work, in ms; the mean of its service's targets if its own is not
 /// known.
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -172,11 +172,11 @@
     if (auto* target = current_target(); target != nullptr) {
         // Latencies from another region include the transfer, and failures are often quick, so
         // neither shows the duration of the work.
-        const bool queued =
-            !success || target->load.waiting > 0 || target->load.slots == 0 ||
-            region_of(core_.state.regions, target->entry.failure_domain) != core_.state.own_region;
+        const bool shows_work =
+            success && target->load.slots > 0 &&
+            region_of(core_.state.regions, target->entry.failure_domain) == core_.state.own_region;
         record_answer(*target, std::chrono::duration_cast<milliseconds>(steady::now() - sent_at_),
-                      queued);
+                      shows_work);
     }
     answer_from_target();
 }
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -28,8 +28,8 @@
     }
     for (auto& [id, target] : core.state.targets) {
         if (std::exchange(target->answered, false)) {
-            out.work[id] = {std::exchange(target->unqueued_answers, 0),
-                            std::exchange(target->unqueued_sum_ms, 0)};
+            out.work[id] = {std::exchange(target->work_samples, 0),
+                            std::exchange(target->work_sum_ms, 0)};
         }
     }
 }
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -35,8 +35,6 @@
 constexpr std::size_t max_routes_to_all = 32;
 // Relative change of a rate or work time below which it is not sent again.
 constexpr double min_relative_change = 0.05;
-// Weight of one answer in a target's mean work time.
-constexpr double work_weight = 0.1;
 
 bool differs(double sent, double now) {
     return std::abs(now - sent) > sent * min_relative_change;
@@ -349,10 +347,7 @@
         if (report.count == 0) {
             continue;
         }
-        auto& work_ms = found->second->work_ms;
-        const double mean = report.sum_ms / report.count;
-        const double weight = std::min(report.count * detail::work_weight, 1.0);
-        work_ms = work_ms == 0 ? mean : work_ms + (mean - work_ms) * weight;
+        record_work(*found->second, report.count, report.sum_ms);
     }
 }
 
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -13,6 +13,8 @@
 
 // A load report describes the target for about the time of one request.
 constexpr milliseconds load_report_lifetime{400};
+// Maximum for a target with a long queue.
+constexpr milliseconds max_load_report_lifetime{2000};
 // Added time of a request to another region or failure domain: a round trip and the transmission.
 // An upload consists of some hundred packets.
 constexpr double region_cost_ms = 45;
@@ -30,10 +32,19 @@
 // smaller difference would never be measured again under light load.
 constexpr double equality_tolerance = 0.1;
 
+// Time for which a load report describes the target: until those that waited have been served, as
+// others come meanwhile.
+milliseconds report_lifetime(const routing_state& state, const target_state& target) {
+    const double slots = std::max(target.load.slots, 1U);
+    const auto drained_ms = target.load.waiting * work_ms_of(state, target) / slots;
+    return std::clamp(milliseconds(static_cast<std::int64_t>(drained_ms)), load_report_lifetime,
+                      max_load_report_lifetime);
+}
+
 // Estimated number of requests of all routers at the target.
-double requests_at(const target_state& target, boot_time now) {
+double requests_at(const routing_state& state, const target_state& target, boot_time now) {
     const auto own = static_cast<double>(target.running);
-    if (now - target.load_received_at >= load_report_lifetime) {
+    if (now - target.load_received_at >= report_lifetime(state, target)) {
         return own;
     }
     const auto reported = static_cast<double>(target.load.running + target.load.waiting);
@@ -59,7 +70,7 @@
 // Expected time from the arrival at the target until the answer, in ms.
 double time_at_target_ms(const routing_state& state, const target_state& target, boot_time now) {
     const double slots = std::max(target.entry.slots, 1U);
-    const double queue = std::max(requests_at(target, now) + 1 - slots, 0.0) / slots;
+    const double queue = std::max(requests_at(state, target, now) + 1 - slots, 0.0) / slots;
     const double slowdown = now - target.load_received_at < load_report_lifetime
                                 ? std::max(target.load.slowdown, 0.1)
                                 : 1;
@@ -93,8 +104,8 @@
 }
 
 // Whether the queue of the target has reached its maximum length.
-bool is_queue_full(const target_state& target, boot_time now) {
-    return requests_at(target, now) >= target.entry.slots + max_queued_at_target;
+bool is_queue_full(const routing_state& state, const target_state& target, boot_time now) {
+    return requests_at(state, target, now) >= target.entry.slots + max_queued_at_target;
 }
 
 // This router's share of the requests that a cold target can handle in one second.
@@ -207,7 +218,7 @@
                 std::chrono::duration_cast<milliseconds>(target.unreachable_until - now)};
     }
     if (target.running >= own_concurrency_limit(state, target, kind, now) ||
-        is_queue_full(target, now) || !try_acquire_token(target, now)) {
+        is_queue_full(state, target, now) || !try_acquire_token(target, now)) {
         return {choice_kind::wait_for_room, &target};
     }
     if (is_cold(target, now) &&
@@ -270,7 +281,7 @@
         }
         const auto concurrency = std::max(detail::concurrency_at(state, *target, kind->second, now),
                                           may_replace_quotas ? detail::initial_concurrency : 0);
-        if (target->running >= concurrency || detail::is_queue_full(*target, now) ||
+        if (target->running >= concurrency || detail::is_queue_full(state, *target, now) ||
             now < target->avoid_until) {
             best.kind = choice_kind::wait_for_room;
             continue;
@@ -289,7 +300,7 @@
     // If the warm targets are busy, cold ones are used as well, within this router's share of
     // the cold rate.
     const bool busy = best.kind != choice_kind::target ||
-                      detail::requests_at(*best.target, now) >= best.target->entry.slots;
+                      detail::requests_at(state, *best.target, now) >= best.target->entry.slots;
     if (busy && cold != nullptr &&
         try_acquire(cold->cold_rate_limiter, detail::cold_rate_share(state, kind->second),
                     detail::one_second, now)) {
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds avoidance_time{1000};
 // Weight of an answer in the running mean, which thus covers about ten answers.
 constexpr double answer_mean_weight = 0.1;
+// Weight of one answer in a target's mean work time.
+constexpr double work_weight = 0.1;
 // Assumed duration of work before the first answer.
 constexpr double default_work_ms = 100;
 
@@ -86,7 +88,7 @@
     target.load_received_at = now;
 }
 
-void record_answer(target_state& target, milliseconds latency, bool queued) {
+void record_answer(target_state& target, milliseconds latency, bool shows_work) {
     target.consecutive_failures = 0;
     target.avoid_until = {};
     target.consecutive_failed_connects = 0;
@@ -96,12 +98,23 @@
                                              : target.answer_ms + (time_ms - target.answer_ms) *
                                                                       detail::answer_mean_weight;
     target.answered = true;
-    if (!queued) {
-        ++target.unqueued_answers;
-        target.unqueued_sum_ms += static_cast<double>(latency.count());
+    if (shows_work) {
+        ++target.work_samples;
+        target.work_sum_ms += work_time_of(latency, target.load);
     }
 }
 
+void record_work(target_state& target, std::uint32_t count, double sum_ms) {
+    const double mean = sum_ms / count;
+    const double weight = std::min(count * detail::work_weight, 1.0);
+    target.work_ms = target.work_ms == 0 ? mean : target.work_ms + (mean - target.work_ms) * weight;
+}
+
+double work_time_of(milliseconds latency, const target_load& load) {
+    const double slots = std::max(load.slots, 1U);
+    return static_cast<double>(latency.count()) / (1 + load.waiting / slots);
+}
+
 double work_ms_of(const routing_state& state, const target_state& target) {
     if (target.work_ms > 0) {
         return target.work_ms;
