Do not send a request that has waited if its caller has left unnoticed

Change: a request older than 0.25 s is sent only if its caller's connection shows no end (one receive with MSG_PEEK), when the target is chosen and when its connection has opened. Test: path_test, both moments; without the check the target receives the request.

--- a/include/mimosavalve/gateway/stream.hpp
+++ b/include/mimosavalve/gateway/stream.hpp
@@ -43,6 +43,8 @@
     void set_reading_enabled(bool enabled);
 
     read_result read(std::span<char> into);
+    /// Whether the peer has closed or reset the connection and no bytes are unread before that.
+    [[nodiscard]] bool has_peer_closed();
 
     /// Sends as much as the kernel accepts now and queues the rest.
     void write(std::string_view data);
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -200,6 +200,7 @@
     sink.unsent_bytes = [this, &request] {
         return connection_->queued_bytes() + request.queued_answer.size();
     };
+    sink.has_caller_left = [this] { return connection_->has_peer_closed(); };
     sink.is_last = [this, &request] { return requests_.back().get() == &request; };
     return sink;
 }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds connect_timeout{300};
 // Time reserved for running a request after its owner is known.
 constexpr milliseconds min_time_with_owner{100};
+// Age of a request from which on its caller may have left.
+constexpr milliseconds caller_check_age{250};
 // A stopping router expects no answer to take longer than this multiple of the mean. Of
 // exponentially distributed times, three in ten thousand do.
 constexpr double max_answer_time_factor = 8;
@@ -297,7 +299,18 @@
     }
 }
 
+bool exchange::cancel_if_caller_left() {
+    if (age_ms() < detail::caller_check_age.count() || !sink_.has_caller_left()) {
+        return false;
+    }
+    cancel();
+    return true;
+}
+
 void exchange::open_link(target_state& target) {
+    if (cancel_if_caller_left()) {
+        return;
+    }
     chosen_at_ = steady::now();
     target_id_ = target.entry.id;
     target_instance_ = target.entry.started_unix_ms;
@@ -336,6 +349,9 @@
 }
 
 void exchange::send_on_new(std::unique_ptr<stream> connection) {
+    if (cancel_if_caller_left()) {
+        return;
+    }
     const auto* target = current_target();
     const choice_request request{&*route_, service_, key_, tried_targets_};
     if (target != nullptr && is_still_eligible(core_.state, *target, request, boot_clock::now())) {
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -32,6 +32,8 @@
     /// Whether no request behind this one has been accepted, so that the answer may close the
     /// connection.
     std::function<bool()> is_last;
+    /// Whether the caller has closed its connection, also if that has not been read yet.
+    std::function<bool()> has_caller_left;
 };
 
 /// How a request reached the router.
@@ -102,6 +104,9 @@
     /// Estimates the wait for room at the targets that may run the request.
     [[nodiscard]] wait_estimate estimate_wait() const;
     void open_link(target_state& target);
+    /// Cancels a request that has waited if its caller has left meanwhile: a busy process may read
+    /// that only after it has sent the request.
+    bool cancel_if_caller_left();
     /// Sends the request on a connection that has been opened for it, unless the target may no
     /// longer get it: then another one is chosen.
     void send_on_new(std::unique_ptr<stream> connection);
--- a/src/gateway/stream.cpp
+++ b/src/gateway/stream.cpp
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <charconv>
@@ -90,6 +91,17 @@
     return result;
 }
 
+bool stream::has_peer_closed() {
+    if (!socket_.is_open()) {
+        return true;
+    }
+    std::array<char, 1> first{};
+    boost::system::error_code error;
+    const auto count = socket_.receive(boost::asio::buffer(first), MSG_PEEK, error);
+    return count == 0 && error != boost::asio::error::would_block &&
+           error != boost::asio::error::try_again;
+}
+
 void stream::write(std::string_view data) {
     if (!socket_.is_open()) {
         return;
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -277,6 +277,34 @@
     CHECK(path.core.crashes.ended_instances.empty());
 }
 
+TEST_CASE("a request that has waited is not sent if its caller has left unnoticed [path]") {
+    for (const bool leaves_while_connecting : {false, true}) {
+        CAPTURE(leaves_while_connecting);
+        path_fixture path(request_kind::idempotent);
+        path.make_target_owner();
+        assign(path.core.state.keys["orders"], {0, key_count - 1, "", 0, false, 1, 0});
+        path.send("GET /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nKey: 7\r\n\r\n");
+        path.settle();
+        REQUIRE(path.core.waiting.size() == 1);
+        auto* request = path.core.waiting.front();
+        path.context.run_for(milliseconds(260));
+        path.context.restart();
+        path.make_target_owner();
+        if (leaves_while_connecting) {
+            request->redispatch_if_waiting();
+            path.caller.close();
+        } else {
+            path.caller.close();
+            request->redispatch_if_waiting();
+            CHECK(request->is_done());
+        }
+        path.settle();
+        CHECK(path.target.received.empty());
+        CHECK(path.core.state.targets["t1"]->running == 0);
+        CHECK(path.core.metrics.counters["callers_left"] == 1);
+    }
+}
+
 TEST_CASE("the target's connection is closed when the caller leaves [path]") {
     path_fixture path(request_kind::idempotent);
     path.target.script = {""};
