Use targets of a domain that comes back from an evacuation as cold ones

The target had started in an evacuated domain and got its first requests from all routers at once when the evacuation ended; it was cold, and its entry did not say so in time. Change: when an evacuation ends, the targets of the domain are cold for the cold time of their service. Test: routing_test, fails without it.

--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -41,7 +41,8 @@
     boot_time avoid_until;                   ///< Set after consecutive failures.
     std::uint32_t consecutive_failed_connects = 0;  ///< Failed connects in a row.
     boot_time unreachable_until;                    ///< Set after consecutive failed connects.
-    boot_time cold_until;                           ///< Latest reported end of the cold time.
+    bool is_evacuated = false;                      ///< Its failure domain was evacuated lately.
+    boot_time cold_until;                           ///< Latest known end of the cold time.
     rate_limiter cold_rate_limiter;                 ///< This router's share of the cold rate.
     double rate_quota = 0;     ///< Maximum requests per second of this router; 0: no limit.
     double rate_tokens = 0;    ///< Tokens of the bucket that `rate_quota` fills.
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -1,6 +1,7 @@
 #include "mimosavalve/gateway/target_table.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "target_choice.hpp"
 
@@ -56,6 +57,13 @@
                 std::max(target->cold_until, now + milliseconds(entry.remaining_cold_ms));
         }
         target->entry = entry;
+        // A target that was idle for an evacuation may have become cold, and says so too late.
+        const bool is_evacuated = state.registry.evacuated_domains.contains(entry.failure_domain);
+        const auto kind = state.config.services.find(entry.service);
+        if (std::exchange(target->is_evacuated, is_evacuated) && !is_evacuated &&
+            kind != state.config.services.end()) {
+            target->cold_until = std::max(target->cold_until, now + kind->second.cold_time);
+        }
     }
     return removed;
 }
--- a/tests/gateway/routing_test.cpp
+++ b/tests/gateway/routing_test.cpp
@@ -139,6 +139,22 @@
     CHECK(choose_target(state, request, start).kind == choice_kind::none);
 }
 
+TEST_CASE(
+    "targets of a domain that comes back from an evacuation are used as cold ones [targets]") {
+    auto state = make_state();
+    state.config.services["orders"].cold_time = seconds(3);
+    state.registry.evacuated_domains = {"a2"};
+    update_targets(state, start);
+    state.registry.evacuated_domains.clear();
+    const auto back = start + seconds(10);
+    update_targets(state, back);
+    CHECK(is_cold(*state.targets.at("t2"), back + milliseconds(2999)));
+    CHECK_FALSE(is_cold(*state.targets.at("t2"), back + seconds(3)));
+    CHECK_FALSE(is_cold(*state.targets.at("t1"), back));
+    update_targets(state, back + seconds(2));
+    CHECK_FALSE(is_cold(*state.targets.at("t2"), back + seconds(3)));
+}
+
 TEST_CASE("requests of a route with home regions are sent only there [targets]") {
     auto state = make_state();
     auto request_route = state.config.routes[1];
