--- a/review/common/fleet.cpp
+++ b/review/common/fleet.cpp
@@ -85,16 +85,38 @@
                 if (request.how != ending::complete) {
                     break;
                 }
-                if (!serve_(*this, request.content, from)) {
+                if (has_crashed_ || !serve_(*this, request.content, from) || has_crashed_) {
                     break;
                 }
             }
+            if (has_crashed_) {
+                from.reset();
+            }
             const std::lock_guard closing(guard_);
             std::erase(open_, descriptor);
         });
     }
 }
 
+bool worker::work_for(milliseconds time) const {
+    const auto end = clock::now() + time;
+    while (!has_crashed_ && clock::now() < end) {
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    return !has_crashed_;
+}
+
+void worker::crash() {
+    has_crashed_ = true;
+    is_ending_ = true;
+    shutdown(listener_, SHUT_RDWR);
+    const std::lock_guard lock(guard_);
+    for (const int descriptor : open_) {
+        // Wakes the thread of the connection, which resets it.
+        shutdown(descriptor, SHUT_RD);
+    }
+}
+
 std::int64_t worker::cold_ms() const {
     const auto left =
         std::chrono::duration_cast<milliseconds>(cold_until_.load() - clock::now()).count();
@@ -296,7 +318,14 @@
         next += heartbeat;
         const std::lock_guard lock(guard_);
         for (auto& each : workers_) {
-            write_entry(*each);
+            if (!each->has_crashed() && !each->is_cut_off()) {
+                missed_beats_[each->settings().id] = 0;
+                write_entry(*each);
+            } else if (++missed_beats_[each->settings().id] == 3) {
+                const auto key = "servers/" + each->settings().id;
+                with_store([&](auto& store) { store.remove(key); });
+                record_.line("the store removes " + key);
+            }
         }
     }
 }
--- a/review/common/fleet.hpp
+++ b/review/common/fleet.hpp
@@ -61,6 +61,14 @@
     bool answer(connection& to, const message& request, const std::string& body) const;
     /// Sends a 503 which says that the request has not run.
     bool refuse(connection& to, const message& request) const;
+    /// Works for this time; false if the worker crashes meanwhile.
+    [[nodiscard]] bool work_for(std::chrono::milliseconds time) const;
+    /// Resets all connections, and refuses new ones. It stays so.
+    void crash();
+    [[nodiscard]] bool has_crashed() const { return has_crashed_; }
+    /// Cuts the worker off from the store, or heals that. Requests still reach it.
+    void set_cut_off(bool on) { is_cut_off_ = on; }
+    [[nodiscard]] bool is_cut_off() const { return is_cut_off_; }
     /// The worker is cold until then.
     void be_cold_until(clock::time_point until) { cold_until_ = until; }
     [[nodiscard]] std::int64_t cold_ms() const;
@@ -77,6 +85,8 @@
     std::uint64_t sequence_ = 0;
     std::atomic<clock::time_point> cold_until_{clock::time_point{}};
     std::atomic<bool> is_ending_{false};
+    std::atomic<bool> has_crashed_{false};
+    std::atomic<bool> is_cut_off_{false};
     int listener_;
     std::mutex guard_;
     std::vector<int> open_;
@@ -113,7 +123,8 @@
     /// Whether the process has ended by itself; also `false` for one that this class killed.
     [[nodiscard]] bool has_ended(const std::string& node);
     worker& add_worker(worker::options chosen, worker::handler serve);
-    /// Writes the worker's entry now; a heartbeat does so every 870 ms.
+    /// Writes the worker's entry now; a heartbeat does so every 870 ms. The entry of a worker that
+    /// has crashed or is cut off from the store is removed after three intervals of silence.
     void write_entry(worker& of);
     void put_config(unsigned version, const std::vector<route>& routes,
                     const std::vector<std::string>& services, double cold_per_s);
@@ -148,6 +159,7 @@
     std::unique_ptr<mimosavalve::platform::testing::store_standin> store_;
     std::mutex guard_;
     std::vector<std::unique_ptr<worker>> workers_;
+    std::map<std::string, int> missed_beats_;  ///< In a row, by worker.
     std::atomic<bool> is_ending_{false};
     std::thread store_thread_;
     std::thread heart_;
