--- a/include/mimosavalve/gateway/gateway_metrics.hpp
+++ b/include/mimosavalve/gateway/gateway_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -17,6 +18,8 @@
 
 void count(gateway_metrics& metrics, std::string_view name, std::uint64_t by = 1);
 void record_latency(gateway_metrics& metrics, std::string_view kind, std::uint64_t microseconds);
+void record_latency(gateway_metrics& metrics, std::string_view kind,
+                    std::chrono::steady_clock::duration latency);
 
 /// Formats all metrics as text, one value a line.
 std::string format_metrics(const gateway_metrics& metrics);
--- a/include/mimosavalve/gateway/stream.hpp
+++ b/include/mimosavalve/gateway/stream.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -45,6 +46,8 @@
     read_result read(std::span<char> into);
     /// Whether the peer has closed or reset the connection and no bytes are unread before that.
     [[nodiscard]] bool has_peer_closed();
+    /// Time since the kernel received the last bytes of the peer; nothing if it does not tell.
+    [[nodiscard]] std::optional<std::chrono::milliseconds> time_since_receipt();
 
     /// Sends as much as the kernel accepts now and queues the rest.
     void write(std::string_view data);
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -70,6 +70,7 @@
 
 void caller_session::read() {
     std::array<char, detail::session_read_bytes> chunk{};
+    const auto unread = is_reading_body() ? std::nullopt : connection_->time_since_receipt();
     const auto got = connection_->read(chunk);
     if (got.would_block) {
         return;
@@ -89,7 +90,7 @@
         return;
     }
     input_.append(chunk.data(), got.bytes);
-    arrivals_.push_back({got.bytes, last_active_});
+    arrivals_.push_back({got.bytes, last_active_, unread});
     parse_input();
 }
 
@@ -163,7 +164,7 @@
 void caller_session::begin_request(message_head head) {
     const bool expects_continue = !field_of(head, "expect").empty();
     const bool waits = must_be_first(head);
-    const request_arrival arrived{arrivals_.front().at, requests_.size()};
+    const request_arrival arrived{arrivals_.front().at, requests_.size(), arrivals_.front().unread};
     auto& request = *requests_.emplace_back(std::make_unique<pending_request>());
     request.forwarding =
         std::make_unique<exchange>(core_, std::move(head), make_sink(request), arrived);
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -53,6 +53,7 @@
     struct arrival {
         std::size_t bytes = 0;
         steady::time_point at;
+        std::optional<milliseconds> unread;  ///< See `request_arrival`.
     };
 
     void read();
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -44,26 +44,6 @@
 
 }  // namespace detail
 
-const std::string& choose_service(router_core& core, const route& request_route) {
-    if (request_route.services.size() == 1) {
-        return request_route.services.front().service;
-    }
-    double total = 0;
-    const weighted_service* best = nullptr;
-    double best_credit = 0;
-    for (const auto& part : request_route.services) {
-        total += part.weight;
-        auto& credit = core.split_credit[request_route.name + "\n" + part.service];
-        credit += part.weight;
-        if (part.weight > 0 && (best == nullptr || credit > best_credit)) {
-            best = &part;
-            best_credit = credit;
-        }
-    }
-    core.split_credit[request_route.name + "\n" + best->service] -= total;
-    return best->service;
-}
-
 exchange::exchange(router_core& core, message_head head, answer_sink sink,
                    const request_arrival& arrival)
     : core_(core),
@@ -71,6 +51,7 @@
       sink_(std::move(sink)),
       arrived_(arrival.at),
       ahead_(arrival.ahead),
+      unread_(arrival.unread),
       keep_alive_(head_.keep_alive) {
     id_ = field_of(head_, core_.platform.headers.request_id);
     body_complete_ = !head_.chunked && head_.content_length.value_or(0) == 0;
@@ -158,7 +139,9 @@
 void exchange::dispatch() {
     const auto now = boot_clock::now();
     const choice_request request{&*route_, service_, key_, tried_targets_};
+    const auto began = steady::now();
     const auto choice = choose_target(core_.state, request, now);
+    record_latency(core_.metrics, "choice", steady::now() - began);
     if (choice.kind == choice_kind::held_back) {
         stop_waiting();
         wait_estimate estimate;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -40,6 +40,8 @@
 struct request_arrival {
     std::chrono::steady_clock::time_point at;
     std::size_t ahead = 0;  ///< Unanswered requests before it on its connection.
+    /// Time from the receipt by the kernel until the read; nothing if not known.
+    std::optional<milliseconds> unread;
 };
 
 /// Forwards one request of a caller to a target, and the answer back.
@@ -149,6 +151,7 @@
     std::string id_;
     steady::time_point arrived_;
     std::size_t ahead_;  ///< See `request_arrival`.
+    std::optional<milliseconds> unread_;
     steady::time_point answer_deadline_;
     std::optional<route> route_;  // A copy, since the configuration may change during the request.
     std::string service_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -328,10 +328,7 @@
 
 void exchange::answer_from_target() {
     const auto status = answer_.status;
-    record_latency(core_.metrics, to_string(route_->kind),
-                   static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
-                                                  steady::now() - arrived_)
-                                                  .count()));
+    record_latency(core_.metrics, to_string(route_->kind), steady::now() - arrived_);
     if (is_streaming_) {
         finish("answered", status);
         sink_.end();
@@ -395,6 +392,7 @@
                      {"sends", std::int64_t{attempts_}},
                      {"age_ms", age_ms()},
                      {"ahead", static_cast<std::int64_t>(ahead_)},
+                     {"unread_ms", unread_ ? unread_->count() : -1},
                      {"sent_ms", attempts_ > 0 ? detail::ms_between(arrived_, sent_at_) : -1},
                      {"connect_ms", attempts_ > 0 ? detail::ms_between(chosen_at_, sent_at_) : -1},
                      {"registry_age_ms", std::int64_t{registry_age_.count()}}});
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -112,7 +112,20 @@
     }
 }
 
+void fleet_control::watch_loop() {
+    const auto max_lag =
+        record_check(core_.loop, std::chrono::steady_clock::now(), detail::control_tick);
+    record_latency(core_.metrics, "loop_lag", core_.loop.lag);
+    if (max_lag) {
+        core_.log.write_always("loop_late",
+                               {{"lag_ms", max_lag->count()},
+                                {"waiting", static_cast<std::int64_t>(core_.waiting.size())},
+                                {"leading", std::int64_t{fleet_.leading}}});
+    }
+}
+
 void fleet_control::tick() {
+    watch_loop();
     const auto now = core_.now();
     election_.tick(now);
     if (fleet_.leader.epoch != known_epoch_) {
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -35,6 +35,7 @@
 
 private:
     void tick();
+    void watch_loop();
     /// Whether this router has to read the registry itself.
     [[nodiscard]] bool must_read_registry(boot_time now) const;
     /// Whether this router has to read the operators' items itself.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -19,6 +19,12 @@
     found->second.record(microseconds);
 }
 
+void record_latency(gateway_metrics& metrics, std::string_view kind,
+                    std::chrono::steady_clock::duration latency) {
+    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(latency);
+    record_latency(metrics, kind, static_cast<std::uint64_t>(microseconds.count()));
+}
+
 std::string format_metrics(const gateway_metrics& metrics) {
     std::string out;
     for (const auto& [name, value] : metrics.counters) {
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "loop_watch.hpp"
 #include "mimosavalve/gateway/crash_watch.hpp"
 #include "mimosavalve/gateway/gateway_metrics.hpp"
 #include "mimosavalve/gateway/gateway_settings.hpp"
@@ -45,6 +46,7 @@
     std::map<std::string, key_load> key_loads;  ///< Load by keyed service since the last report.
     /// Requests by destination (see quota_allocation.hpp) since the last report.
     std::map<std::string, std::uint32_t> demand;
+    loop_watch loop;
     crash_report crashes;              ///< Observations about crashes since the last report.
     crash_findings announced_crashes;  ///< Findings that the leader last announced.
     std::map<std::string, std::vector<std::unique_ptr<target_link>>> idle_links;  ///< By target id.
--- a/src/gateway/stream.cpp
+++ b/src/gateway/stream.cpp
@@ -102,6 +102,16 @@
            error != boost::asio::error::try_again;
 }
 
+std::optional<std::chrono::milliseconds> stream::time_since_receipt() {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+        size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 void stream::write(std::string_view data) {
     if (!socket_.is_open()) {
         return;
