Check that the caller is still there before each send

Cause: only requests that the router had held for 0.25 s were checked. A request that is read late is new to the router, and its caller's close lies unread behind it. Unread bytes of the caller hid a close as well. Evidence: 'a request that is first read after its caller has left is not sent' failed: the target got it. Change: every send looks at the caller's connection; behind unread bytes, the kernel's state of the connection tells. Result: the test passes. One more call of the kernel for each send.

--- a/include/mimosavalve/gateway/stream.hpp
+++ b/include/mimosavalve/gateway/stream.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -44,7 +46,8 @@
     void set_reading_enabled(bool enabled);
 
     read_result read(std::span<char> into);
-    /// Whether the peer has closed or reset the connection and no bytes are unread before that.
+    /// Whether the peer has closed or reset the connection, also if bytes before that are unread
+    /// and the kernel tells.
     [[nodiscard]] bool has_peer_closed();
     /// Time since the kernel received the last bytes of the peer; nothing if it does not tell.
     [[nodiscard]] std::optional<std::chrono::milliseconds> time_since_receipt();
@@ -65,6 +68,7 @@
     [[nodiscard]] bool is_open() const { return socket_.is_open(); }
 
 private:
+    [[nodiscard]] std::optional<tcp_info> kernel_info();
     void arm_read();
     void arm_write();
     void flush();
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -20,8 +20,6 @@
 constexpr milliseconds connect_timeout{300};
 // Time reserved for running a request after its owner is known.
 constexpr milliseconds min_time_with_owner{100};
-// Age of a request from which on its caller may have left.
-constexpr milliseconds caller_check_age{250};
 // A stopping router expects no answer to take longer than this multiple of the mean. Of
 // exponentially distributed times, three in ten thousand do.
 constexpr double max_answer_time_factor = 8;
@@ -283,7 +281,7 @@
 }
 
 bool exchange::cancel_if_caller_left() {
-    if (age_ms() < detail::caller_check_age.count() || !sink_.has_caller_left()) {
+    if (!sink_.has_caller_left()) {
         return false;
     }
     cancel();
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -106,8 +106,8 @@
     /// Estimates the wait for room at the targets that may run the request.
     [[nodiscard]] wait_estimate estimate_wait() const;
     void open_link(target_state& target);
-    /// Cancels a request that has waited if its caller has left meanwhile: a busy process may read
-    /// that only after it has sent the request.
+    /// Cancels the request if its caller has left: an event loop that runs late reads that only
+    /// after it has sent the request.
     bool cancel_if_caller_left();
     /// Sends the request on a connection that has been opened for it, unless the target may no
     /// longer get it: then another one is chosen.
--- a/src/gateway/stream.cpp
+++ b/src/gateway/stream.cpp
@@ -1,7 +1,6 @@
 #include "mimosavalve/gateway/stream.hpp"
 
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -98,18 +97,27 @@
     std::array<char, 1> first{};
     boost::system::error_code error;
     const auto count = socket_.receive(boost::asio::buffer(first), MSG_PEEK, error);
-    return count == 0 && error != boost::asio::error::would_block &&
-           error != boost::asio::error::try_again;
+    if (count > 0) {
+        const auto info = kernel_info();
+        return info && (info->tcpi_state == TCP_CLOSE_WAIT || info->tcpi_state == TCP_CLOSE);
+    }
+    return error != boost::asio::error::would_block && error != boost::asio::error::try_again;
 }
 
-std::optional<std::chrono::milliseconds> stream::time_since_receipt() {
+std::optional<tcp_info> stream::kernel_info() {
     tcp_info info{};
     socklen_t size = sizeof info;
     if (getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
         size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) {
         return std::nullopt;
     }
-    return std::chrono::milliseconds(info.tcpi_last_data_recv);
+    return info;
+}
+
+std::optional<std::chrono::milliseconds> stream::time_since_receipt() {
+    const auto info = kernel_info();
+    return info ? std::optional(std::chrono::milliseconds(info->tcpi_last_data_recv))
+                : std::nullopt;
 }
 
 void stream::write(std::string_view data) {
