Count the age of a request from its receipt by the kernel

Callers saw: orders that got 504 up to 0.7 s after their time-out (CONFIG: held on). Cause: the clock of a request began when the router read it, so its time-out and the deadline that its target is given came as much too late as the event loop ran. Evidence: the target of the order in the users' record was given 1.8 s when its caller had 1.1 s left; 'a request that lay unread beyond its time-out ...' and 'the time that a request lay unread counts ...' of test_late_loop failed (sent after the time-out; 999 ms instead of at most 600). Change: the time since the last receipt (TCP_INFO) is subtracted from the time of the read. What the kernel does not tell counts as zero, as before.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -90,7 +90,7 @@
         return;
     }
     input_.append(chunk.data(), got.bytes);
-    arrivals_.push_back({got.bytes, last_active_, unread});
+    arrivals_.push_back({got.bytes, last_active_ - unread.value_or(milliseconds(0)), unread});
     parse_input();
 }
 
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -38,7 +38,7 @@
 
 /// How a request reached the router.
 struct request_arrival {
-    std::chrono::steady_clock::time_point at;
+    std::chrono::steady_clock::time_point at;  ///< Receipt by the kernel, or the read if not known.
     std::size_t ahead = 0;  ///< Unanswered requests before it on its connection.
     /// Time from the receipt by the kernel until the read; nothing if not known.
     std::optional<milliseconds> unread;
