Choose once in a round for all requests that wait for the same targets

Cause: each answer of a target, and every 25 ms, the router chose a target anew for each waiting request, and estimated its wait by going through all others. On a busy host most of these choices end with the same 'no room': the work of an answer grew with the number of waiting requests times the targets. Change: once a round has found no room for a destination (owner of the key, or service and home regions), later requests for it share that result and the estimate; each is still refused when it will be late. dispatch_waiting is a free function. Result: 'requests that wait for the same targets share one choice in a round': 1 choice for 8 waiting requests, 8 before; a free slot is still used by the request that waits longest.

--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +16,12 @@
 
 namespace mimosavalve::gateway {
 
+/// What one round over the waiting requests has found: destinations without room, with the wait
+/// there. Later requests for them are not dispatched in this round.
+struct dispatch_round {
+    std::map<std::string, wait_estimate, std::less<>> full;
+};
+
 /// Receives the answer of an exchange.
 struct answer_sink {
     /// Sends a complete answer, head and body.
@@ -39,7 +46,7 @@
 /// How a request reached the router.
 struct request_arrival {
     std::chrono::steady_clock::time_point at;  ///< Receipt by the kernel, or the read if not known.
-    std::size_t ahead = 0;  ///< Unanswered requests before it on its connection.
+    std::size_t ahead = 0;                     ///< Unanswered requests before it on its connection.
     /// Time from the receipt by the kernel until the read; nothing if not known.
     std::optional<milliseconds> unread;
 };
@@ -70,7 +77,7 @@
     void cancel();
 
     /// Dispatches a waiting request again, since a target may be free or the owner known.
-    void redispatch_if_waiting();
+    void redispatch_if_waiting(dispatch_round& round);
     /// Gives the final answer because the deadline has passed. The caller of this function has
     /// removed the exchange from `router_core::deadlines`.
     void expire();
@@ -94,8 +101,12 @@
     /// while too little of the body has arrived.
     std::optional<std::uint64_t> fingerprint();
     void dispatch();
+    void dispatch(dispatch_round& round);
     /// Queues the request if it may still be answered in time, else refuses it at once.
-    void wait_or_refuse(const target_choice& choice);
+    void wait_or_refuse(const target_choice& choice, wait_estimate estimate);
+    /// Name of the targets that may run the request: the owner of its key, or those of a service
+    /// and its home regions.
+    [[nodiscard]] std::string destination() const;
     /// Whether the process is stopping and may end before the request is answered if it is sent to
     /// `target` now; null: to any target of its service.
     [[nodiscard]] bool may_outlast_process(const target_state* target) const;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -182,14 +182,7 @@
     }
 
     void redispatch_waiting() {
-        const std::vector<exchange*> waiting(core_.waiting.begin(), core_.waiting.end());
-        for (auto* request : waiting) {
-            // Answering one request may remove others from the list.
-            if (std::find(core_.waiting.begin(), core_.waiting.end(), request) !=
-                core_.waiting.end()) {
-                request->redispatch_if_waiting();
-            }
-        }
+        dispatch_waiting(core_);
         if (!core_.waiting.empty() && !redispatch_armed_) {
             redispatch_armed_ = true;
             redispatch_timer_.expires_after(redispatch_interval);
--- a/src/gateway/router_core.cpp
+++ b/src/gateway/router_core.cpp
@@ -1,5 +1,9 @@
 #include "router_core.hpp"
 
+#include <algorithm>
+
+#include "exchange.hpp"
+
 namespace mimosavalve::gateway {
 
 const std::string& choose_service(router_core& core, const route& request_route) {
@@ -22,4 +26,15 @@
     return best->service;
 }
 
+void dispatch_waiting(router_core& core) {
+    dispatch_round round;
+    const std::vector<exchange*> waiting(core.waiting.begin(), core.waiting.end());
+    for (auto* request : waiting) {
+        // Answering one request may remove others from the list.
+        if (std::find(core.waiting.begin(), core.waiting.end(), request) != core.waiting.end()) {
+            request->redispatch_if_waiting(round);
+        }
+    }
+}
+
 }  // namespace mimosavalve::gateway
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -78,4 +78,7 @@
 /// each stays within one request of its share.
 const std::string& choose_service(router_core& core, const route& request_route);
 
+/// Dispatches the waiting requests again, in their order.
+void dispatch_waiting(router_core& core);
+
 }  // namespace mimosavalve::gateway
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -49,7 +49,7 @@
             "Content-Length: 4\r\n\r\nbody");
         path.settle();
         if (!path.core.waiting.empty()) {
-            path.core.waiting.front()->redispatch_if_waiting();
+            dispatch_waiting(path.core);
         }
         CHECK(path.receive("hello").find("200 OK") != std::string::npos);
         CHECK(path.core.waiting.empty());
@@ -291,11 +291,11 @@
         path.context.restart();
         path.make_target_owner();
         if (leaves_while_connecting) {
-            request->redispatch_if_waiting();
+            dispatch_waiting(path.core);
             path.caller.close();
         } else {
             path.caller.close();
-            request->redispatch_if_waiting();
+            dispatch_waiting(path.core);
             CHECK(request->is_done());
         }
         path.settle();
@@ -643,7 +643,7 @@
     path.core.state.targets["t1"]->answer_ms = 50;
     path.core.stopping = true;
     path.core.answers_until = std::chrono::steady_clock::now() + milliseconds(300);
-    path.core.waiting.front()->redispatch_if_waiting();
+    dispatch_waiting(path.core);
     const auto answer = path.receive("<closed>");
     CHECK(answer.starts_with("HTTP/1.1 503"));
     CHECK(answer.find("not-run") != std::string::npos);
--- a/tests/gateway/pipeline_test.cpp
+++ b/tests/gateway/pipeline_test.cpp
@@ -25,15 +25,7 @@
         core.state.concurrency_quotas["t1"] = slots;
         update_targets(core.state, boot_clock::now());
         core.wake_waiting = [this] {
-            boost::asio::post(context, [this] {
-                const std::vector<exchange*> waiting(core.waiting.begin(), core.waiting.end());
-                for (auto* each : waiting) {
-                    if (std::find(core.waiting.begin(), core.waiting.end(), each) !=
-                        core.waiting.end()) {
-                        each->redispatch_if_waiting();
-                    }
-                }
-            });
+            boost::asio::post(context, [this] { dispatch_waiting(core); });
         };
     }
     static std::string look_up(const std::string& id, const std::string& fields = "") {
--- a/tests/late_loop/late_loop_test.cpp
+++ b/tests/late_loop/late_loop_test.cpp
@@ -119,3 +119,28 @@
     CAPTURE(many.count());
     CHECK(many <= few * 30);
 }
+
+TEST_CASE("requests that wait for the same targets share one choice in a round [late_loop]") {
+    path_fixture path(request_kind::idempotent);
+    path.core.state.concurrency_quotas["t1"] = 4;
+    path.settle();
+    constexpr int requests = 12;
+    for (int number = 0; number < requests; ++number) {
+        path.get("r" + std::to_string(number));
+    }
+    path.settle();
+    REQUIRE(path.core.waiting.size() == requests - 4);
+    const auto& choices = path.core.metrics.latencies["choice"];
+    const auto before = choices.total();
+    dispatch_waiting(path.core);
+    CHECK(path.core.waiting.size() == requests - 4);
+    CHECK(choices.total() == before + 1);
+    // A free slot is used by the request that waits longest, and by no other.
+    path.target.answer(
+        0, "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 0\r\n\r\n");
+    path.settle();
+    dispatch_waiting(path.core);
+    path.settle();
+    CHECK(path.core.waiting.size() == requests - 5);
+    CHECK(path.target.received.size() == 5);
+}
