Announce work times by number instead of comparing all targets for each router

Cause: once a second the leader compared the work times of all targets with what it had sent to each router, and kept a copy of them for each: 265,000 look-ups a second and as many entries with 295 routers and 899 targets. For each call it looked up the region of each router and of each waiting call. Change: changed work times get a number; a router gets those above its own. A lost reply repeats what it carried, as before. A follower's region is kept; calls that are not due are passed over first.

--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -10,6 +10,7 @@
 #include "mimosavalve/gateway/config_update.hpp"
 #include "mimosavalve/gateway/leader_term.hpp"
 #include "mimosavalve/gateway/quota_plan.hpp"
+#include "work_times.hpp"
 
 namespace mimosavalve::gateway {
 
@@ -55,6 +56,7 @@
         std::size_t bytes_in_transit = 0;
         std::string address;
         std::string failure_domain;
+        std::string region;
         boot_time called_at;               ///< When the router last called.
         boot_time following_since;         ///< When this instance of it first called.
         std::uint64_t config_version = 0;  ///< Its configuration at the last call.
@@ -63,8 +65,8 @@
         std::uint64_t reply_number = 0;
         std::optional<std::map<std::string, std::uint32_t>> concurrency;
         std::optional<std::map<std::string, double>> rates;
-        std::map<std::string, double> work_ms;
-        boot_time work_compared_at;
+        std::uint64_t work_number = 0;          ///< See `work_times`.
+        std::uint64_t earlier_work_number = 0;  ///< `work_number` before the last reply.
         std::optional<crash_findings> crashes;
         std::map<std::string, double> limit_shares;  ///< Shares of the last reply, by target.
         std::map<std::string, double> held_shares;   ///< Shares that it may be using, by target.
@@ -98,13 +100,11 @@
     void reply_to(pending_reply& waiting);
     /// Size of the replies that routers may still be receiving, by region.
     [[nodiscard]] std::map<std::string, std::size_t> bytes_in_transit(boot_time now) const;
-    /// Region of a follower.
-    [[nodiscard]] std::string region_of_host(const std::string& host) const;
     void add_totals(const sync_reply& reply);
     void add_maps(sync_reply& reply, const sync_request& request, boot_time now) const;
     void add_registry(sync_reply& reply, const sync_request& request);
     void add_quotas(sync_reply& reply, const std::string& host, follower& caller) const;
-    void add_work(sync_reply& reply, follower& caller, boot_time now) const;
+    void add_work(sync_reply& reply, follower& caller) const;
     void add_crashes(sync_reply& reply, follower& caller) const;
 
     router_core& core_;
@@ -125,6 +125,8 @@
     /// Shares of these limits, by host, then by target; negative: the limit has ended.
     std::map<std::string, std::map<std::string, double>> limit_shares_;
     crash_watch crash_watch_;
+    work_times work_;
+    boot_time next_work_;
     boot_time next_evaluation_;
     struct reply_totals {
         std::int64_t replies = 0;
