Limit the answers of targets to commands, also those with a length

A target that answers a grant with 'Content-Length:' and goes on sending fills the leader's memory, 160 MB on most hosts; other answers counted up to 16 MB each, for hundreds of targets. Evidence: 'an answer without end is not kept': 1,000,000,000 bytes were kept with a limit of 16,384. Change: the parser counts the body itself. Answers to grants and releases are limited to 16 KB. Result: the test passes for heads, no answer at all, bodies without and with a length, chunks, chunk lines and trailers; the same for trailers on the request path, which held before.

--- a/include/mimosavalve/gateway/call_client.hpp
+++ b/include/mimosavalve/gateway/call_client.hpp
@@ -47,8 +47,11 @@
     /// `errc::target_unreachable`, which reports that the call was never sent.
     using handler = std::function<void(std::error_code, call_answer)>;
 
-    /// At most `max_connections` calls to one endpoint run at a time; further calls are queued.
-    explicit call_client(boost::asio::io_context& context, std::size_t max_connections = 8);
+    /// At most `max_connections` calls to one endpoint run at a time; further calls are queued. A
+    /// call whose answer has a body of more than `max_answer_bytes` fails with
+    /// `errc::malformed_message`.
+    explicit call_client(boost::asio::io_context& context, std::size_t max_connections = 8,
+                         std::uint64_t max_answer_bytes = 16ULL << 20U);
     ~call_client();
     call_client(const call_client&) = delete;
     call_client& operator=(const call_client&) = delete;
@@ -71,6 +74,7 @@
 
     boost::asio::io_context& context_;
     std::size_t max_connections_;
+    std::uint64_t max_answer_bytes_;
     std::uint64_t next_number_ = 1;
     struct endpoint_state {
         std::size_t active_calls = 0;
--- a/src/gateway/call_client.cpp
+++ b/src/gateway/call_client.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t call_read_bytes = 16384;
 // Maximum pause in an answer that arrives after the call's deadline.
 constexpr std::chrono::milliseconds max_transfer_pause{800};
-constexpr std::uint64_t max_answer_bytes = 16ULL << 20U;
 
 std::string request_text_of(const call& request, const tcp::endpoint& to) {
     std::string text = request.method + " " + request.request_target + " HTTP/1.1\r\n";
@@ -62,8 +61,9 @@
     explicit pending_call(boost::asio::io_context& context) : timer(context) {}
 };
 
-call_client::call_client(boost::asio::io_context& context, std::size_t max_connections)
-    : context_(context), max_connections_(max_connections) {}
+call_client::call_client(boost::asio::io_context& context, std::size_t max_connections,
+                         std::uint64_t max_answer_bytes)
+    : context_(context), max_connections_(max_connections), max_answer_bytes_(max_answer_bytes) {}
 call_client::~call_client() = default;
 
 void call_client::send(const tcp::endpoint& to, call request, call_deadline deadline,
@@ -164,7 +164,7 @@
     events.head = [&pending](message_head head) { pending.answer.head = std::move(head); };
     events.body = [&pending](std::string_view part) { pending.answer.body.append(part); };
     message_limits bounds;
-    bounds.max_body_bytes = detail::max_answer_bytes;
+    bounds.max_body_bytes = max_answer_bytes_;
     pending.parser = std::make_unique<message_parser>(message_kind::answer, bounds, events);
     pending.connection->set_callbacks(
         {[this, &pending] { read(pending); },
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -41,6 +41,10 @@
 constexpr milliseconds stop_step_interval{100};
 // Maximum number of connections to one target for grants.
 constexpr std::size_t max_grant_connections = 6;
+// Maximum number of connections to one target for releases.
+constexpr std::size_t max_release_connections = 8;
+// Maximum body of a target's answer to a command, which holds a few fields at most.
+constexpr std::uint64_t max_command_answer_bytes = 16U << 10U;
 
 struct file_version {
     std::int64_t seconds = 0;
@@ -64,8 +68,8 @@
           log_(STDOUT_FILENO),
           core_(context_, std::move(settings), log_),
           client_(context_),
-          grant_client_(context_, max_grant_connections),
-          release_client_(context_),
+          grant_client_(context_, max_grant_connections, max_command_answer_bytes),
+          release_client_(context_, max_release_connections, max_command_answer_bytes),
           control_(core_, client_),
           sweep_timer_(context_),
           redispatch_timer_(context_),
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -27,8 +27,11 @@
 template <bool IsRequest>
 class collecting_parser final : public http::basic_parser<IsRequest> {
 public:
-    explicit collecting_parser(message_events events) : events_(std::move(events)) {
+    collecting_parser(message_events events, const message_limits& limits)
+        : events_(std::move(events)), max_body_bytes_(limits.max_body_bytes) {
         this->eager(true);
+        this->header_limit(limits.max_header_bytes);
+        this->body_limit(limits.max_body_bytes);
     }
 
     [[nodiscard]] bool is_ambiguous() const { return head_.chunked && head_.content_length; }
@@ -77,6 +80,12 @@
     }
     std::size_t on_body_impl(text_view body, error_code& error) override {
         error = {};
+        // Beast does not limit the body of an answer with a length.
+        body_bytes_ += body.size();
+        if (body_bytes_ > max_body_bytes_) {
+            error = http::make_error_code(http::error::body_limit);
+            return 0;
+        }
         if (events_.body && !body.empty()) {
             events_.body(view_of(body));
         }
@@ -99,6 +108,8 @@
 
     message_events events_;
     message_head head_;
+    std::uint64_t max_body_bytes_;
+    std::uint64_t body_bytes_ = 0;
 };
 
 parse_error error_of(const boost::beast::error_code& error) {
@@ -149,18 +160,12 @@
                                message_events events)
     : implementation_(std::make_unique<implementation>()) {
     implementation_->max_unparsed_bytes = limits.max_header_bytes;
-    const auto set_limits = [&](auto& parser) {
-        parser.header_limit(limits.max_header_bytes);
-        parser.body_limit(limits.max_body_bytes);
-    };
     if (kind == message_kind::request) {
         implementation_->request =
-            std::make_unique<detail::collecting_parser<true>>(std::move(events));
-        set_limits(*implementation_->request);
+            std::make_unique<detail::collecting_parser<true>>(std::move(events), limits);
     } else {
         implementation_->answer =
-            std::make_unique<detail::collecting_parser<false>>(std::move(events));
-        set_limits(*implementation_->answer);
+            std::make_unique<detail::collecting_parser<false>>(std::move(events), limits);
     }
 }
 
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -1,6 +1,7 @@
 #include "mimosavalve/gateway/target_link.hpp"
 
 #include <array>
+#include <limits>
 
 #include "mimosavalve/core/error.hpp"
 
@@ -81,7 +82,10 @@
             body(part);
         }
     };
-    parser_ = std::make_unique<message_parser>(message_kind::answer, message_limits{}, events);
+    message_limits limits;
+    // Long answers are passed on in parts, so their length needs no limit.
+    limits.max_body_bytes = std::numeric_limits<std::uint64_t>::max();
+    parser_ = std::make_unique<message_parser>(message_kind::answer, limits, events);
     if (!expects_body_) {
         parser_->expect_no_body();
     }
--- a/tests/gateway/call_client_test.cpp
+++ b/tests/gateway/call_client_test.cpp
@@ -9,6 +9,7 @@
 #include "gateway/internal_server.hpp"
 #include "gateway/lifetime.hpp"
 #include "mimosavalve/core/error.hpp"
+#include "path_fixture.hpp"
 
 using namespace mimosavalve::gateway;
 
@@ -318,3 +319,38 @@
     CHECK(ended[1]);
     CHECK(ended[1] != mimosavalve::errc::target_unreachable);
 }
+
+TEST_CASE("an answer without end is not kept [call_client]") {
+    using namespace mimosavalve::gateway::testing;
+    constexpr std::uint64_t max_answer_bytes = 16384;
+    // What the kernel keeps for both ends of a connection.
+    constexpr std::size_t max_filler_bytes = 12U << 20U;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& begin :
+         {std::string("HTTP/1.1 200 OK\r\nFiller: "), std::string("no answer "),
+          std::string("HTTP/1.1 200 OK\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n"),
+          chunked + "3b9aca00\r\n", chunked + "5;extension=", chunked + "0\r\nTrailer: "}) {
+        CAPTURE(begin);
+        boost::asio::io_context context;
+        scripted_target target(context);
+        target.script = {std::string(endless) + begin};
+        call_client client(context, 1, max_answer_bytes);
+        std::optional<std::error_code> ended;
+        client.send(*parse_endpoint(target.address()), {"GET", "/", "", "", {}, {}, {}},
+                    std::chrono::steady_clock::now() + std::chrono::seconds(5),
+                    [&](std::error_code error, const call_answer& answer) {
+                        ended = error;
+                        CHECK(answer.body.size() <= max_answer_bytes);
+                    });
+        for (int round = 0; round < 400 && !ended; ++round) {
+            context.run_for(milliseconds(5));
+            context.restart();
+        }
+        REQUIRE(ended);
+        CHECK(*ended == make_error_code(mimosavalve::errc::malformed_message));
+        context.run_for(milliseconds(30));
+        CHECK(target.endless_connections == 0);
+        CHECK(target.filler_bytes < max_filler_bytes);
+    }
+}
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -454,6 +454,16 @@
     CHECK(path.target.filler_bytes < max_filler_bytes);
 }
 
+TEST_CASE("trailers without end are not kept [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {std::string(endless) + chunked_answer + "0\r\nTrailer: "};
+    path.post("r1");
+    CHECK(path.receive("\r\n\r\n").find("502") != std::string::npos);
+    path.settle();
+    CHECK(path.target.endless_connections == 0);
+    CHECK(path.target.filler_bytes < max_filler_bytes);
+}
+
 TEST_CASE("a body without end waits for a caller that does not read, and ends in time [path]") {
     path_fixture path(request_kind::non_idempotent);
     path.target.script = {std::string(endless) +
