Close a peer's connection that sends on and on before it has its answer

Cause: (report of other operators: bytes without end) while a call of another router waits for the leader's reply, all that its connection sends was kept. Change: more than 64 KB of it close the connection.

--- a/src/gateway/internal_server.cpp
+++ b/src/gateway/internal_server.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t server_read_bytes = 16384;
 constexpr std::size_t max_sessions = 512;
 constexpr std::uint64_t max_request_body_bytes = 1U << 20U;
+// Maximum number of bytes kept of what a peer sends before it has the answer to its request.
+constexpr std::size_t max_unread_bytes = 64U << 10U;
 // Pause after a failed accept, since without free file descriptors an immediate retry would fail
 // again and only use processor time.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
@@ -92,6 +94,9 @@
     }
     from.input.append(chunk.data(), got.bytes);
     if (from.answering) {
+        if (from.input.size() > detail::max_unread_bytes) {
+            close(from.number);
+        }
         return;
     }
     if (!from.parser) {
--- a/tests/gateway/call_client_test.cpp
+++ b/tests/gateway/call_client_test.cpp
@@ -354,3 +354,30 @@
         CHECK(target.filler_bytes < max_filler_bytes);
     }
 }
+
+TEST_CASE("bytes without end behind a call that has no answer yet are not kept [call_client]") {
+    boost::asio::io_context context;
+    internal_server::respond answer;
+    internal_server server(context, {boost::asio::ip::address_v4::loopback(), 0},
+                           [&](const message_head&, const std::string&,
+                               const internal_server::respond& respond) { answer = respond; });
+    tcp::socket peer(context);
+    peer.connect(server.address());
+    peer.non_blocking(true);
+    const std::string call = "POST /sync HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(peer, boost::asio::buffer(call));
+    const std::string filler(std::size_t{64} << 10U, 'x');
+    std::size_t sent = 0;
+    boost::system::error_code error;
+    for (int round = 0; round < 400 && error != boost::asio::error::connection_reset &&
+                        error != boost::asio::error::broken_pipe;
+         ++round) {
+        context.run_for(milliseconds(1));
+        context.restart();
+        sent += peer.write_some(boost::asio::buffer(filler), error);
+    }
+    REQUIRE(answer);
+    CHECK((error == boost::asio::error::connection_reset ||
+           error == boost::asio::error::broken_pipe));
+    CHECK(sent < (std::size_t{12} << 20U));
+}
