Accept all connections that wait, not one for each turn of the event loop

Callers saw: requests on new connections lay unread for many turns of a late loop (order of the users' record: 0.7 s; look-up: over 1 s). Cause: the acceptor took one connection and waited for the next turn. With turns of 0.2 to 0.4 s, and several new connections a second on each host, the backlog grows. 'all connections that wait ...' failed (1 of 20). Change: the listener accepts until none waits, 64 at most. Result: 20 of 20 in one turn.

--- a/src/gateway/internal_server.cpp
+++ b/src/gateway/internal_server.cpp
@@ -15,6 +15,8 @@
 // Pause after a failed accept, since without free file descriptors an immediate retry would fail
 // again and only use processor time.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
+// Connections that are accepted before other events are handled.
+constexpr std::size_t max_accepts_per_turn = 64;
 
 }  // namespace detail
 
@@ -28,25 +30,36 @@
 }
 
 void listener::accept() {
-    acceptor_.async_accept(
-        [this, alive = std::weak_ptr<bool>(alive_)](auto error, tcp::socket socket) {
-            if (alive.expired() || error == boost::asio::error::operation_aborted) {
-                return;
+    acceptor_.async_wait(
+        tcp::acceptor::wait_read, [this, alive = std::weak_ptr<bool>(alive_)](auto error) {
+            if (!alive.expired() && error != boost::asio::error::operation_aborted) {
+                accept_waiting();
             }
-            if (error) {
-                retry_timer_.expires_after(detail::accept_retry_delay);
-                retry_timer_.async_wait([this, alive](auto failed) {
-                    if (!failed && !alive.expired()) {
-                        accept();
-                    }
-                });
-                return;
-            }
-            on_accepted_(std::make_unique<stream>(std::move(socket)));
-            accept();
         });
 }
 
+void listener::accept_waiting() {
+    for (std::size_t count = 0; count < detail::max_accepts_per_turn; ++count) {
+        boost::system::error_code error;
+        tcp::socket socket(acceptor_.get_executor());
+        acceptor_.accept(socket, error);
+        if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
+            break;
+        }
+        if (error) {
+            retry_timer_.expires_after(detail::accept_retry_delay);
+            retry_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](auto failed) {
+                if (!failed && !alive.expired()) {
+                    accept();
+                }
+            });
+            return;
+        }
+        on_accepted_(std::make_unique<stream>(std::move(socket)));
+    }
+    accept();
+}
+
 struct internal_server::session {
     std::uint64_t number = 0;
     std::unique_ptr<stream> connection;
--- a/src/gateway/internal_server.hpp
+++ b/src/gateway/internal_server.hpp
@@ -23,6 +23,7 @@
 
 private:
     void accept();
+    void accept_waiting();
 
     tcp::acceptor acceptor_;
     boost::asio::steady_timer retry_timer_;
--- a/tests/late_loop/late_loop_test.cpp
+++ b/tests/late_loop/late_loop_test.cpp
@@ -144,3 +144,19 @@
     CHECK(path.core.waiting.size() == requests - 5);
     CHECK(path.target.received.size() == 5);
 }
+
+TEST_CASE("all connections that wait are accepted in one turn of the event loop [late_loop]") {
+    boost::asio::io_context context;
+    std::vector<std::unique_ptr<stream>> accepted;
+    const listener router(
+        context, {boost::asio::ip::address_v4::loopback(), 0},
+        [&](std::unique_ptr<stream> connection) { accepted.push_back(std::move(connection)); });
+    boost::asio::io_context caller_context;
+    std::vector<tcp::socket> callers;
+    constexpr std::size_t caller_count = 20;
+    for (std::size_t number = 0; number < caller_count; ++number) {
+        callers.emplace_back(caller_context).connect(router.address());
+    }
+    context.run_one();
+    CHECK(accepted.size() == caller_count);
+}
