--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -19,6 +19,9 @@
 // Added to the configured idle timeout. Callers reuse connections only up to four fifths of it, so
 // a small margin suffices.
 constexpr std::chrono::milliseconds idle_margin{1000};
+// Time in which the first request of a new connection arrives: a caller sends it as soon as the
+// connection is open.
+constexpr std::chrono::milliseconds first_request_time{500};
 // Time for the caller to close its side after the last answer. Most callers do so at once.
 constexpr std::chrono::milliseconds linger_time{1000};
 
@@ -343,6 +346,11 @@
     if (is_busy() || is_closing_) {
         return;
     }
+    // The first request of a new connection may be on its way.
+    const bool is_new = !is_request_read_ && !parser_->has_started();
+    if (is_new && steady::now() - last_active_ < detail::first_request_time) {
+        return;
+    }
     // A close with unread bytes would reset the connection.
     read();
     if (!is_busy() && !is_closing_) {
