--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -583,6 +583,22 @@
     CHECK(path.receive("<") == "<closed>");
 }
 
+TEST_CASE("a stop does not close a new connection before its first request arrives [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.settle();
+    REQUIRE(path.sessions.size() == 1);
+    path.core.stopping = true;
+    path.core.answers_until = std::chrono::steady_clock::now();
+    path.sessions.front()->close_if_idle();
+    path.post("r1");
+    CHECK(path.receive("\r\n\r\n").find("HTTP/1.1 503") == 0);
+    path_fixture silent(request_kind::non_idempotent);
+    silent.context.run_for(milliseconds(550));
+    silent.context.restart();
+    silent.sessions.front()->close_if_idle();
+    CHECK(silent.closed_sessions == 1);
+}
+
 TEST_CASE("a caller that keeps its connection open after the last answer is closed [path]") {
     path_fixture path(request_kind::non_idempotent);
     path.target.script = {good_answer};
