Wait for the log line of the new leader in its test

Change: it waits for the line, up to the time limit of the fixture, and before the store serves those routers again, which it did not require before.

--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -274,10 +274,14 @@
     fleet.write_store_entry(leaving);
     CHECK(fleet.run_until([&] { return fleet.targets.at("k2")->holds(0); }));
     for (const auto* host : {"h1", "h2", "h3"}) {
-        fleet.store.set_access(host, store_access::served);
         // The announcement of the new leader also reaches routers that the store refuses.
-        CHECK(fleet.log_of(host).find("\"event\":\"leader_known\",\"host\":\"" + successor) !=
-              std::string::npos);
+        CHECK(fleet.run_until([&] {
+            return fleet.log_of(host).find("\"event\":\"leader_known\",\"host\":\"" + successor) !=
+                   std::string::npos;
+        }));
+    }
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        fleet.store.set_access(host, store_access::served);
     }
     CHECK(fleet.run_until_serving());
     CHECK(fleet.history.violations.empty());
