Look for keys without an owner without comparing ranges with targets

Cause: twenty times a second the leader looked through all ranges for each target (candidates) and through all targets for each range (unassigned keys), and built the differences of maps and registry anew for each router. Change: ordered sets; loads are computed only if some key is unassigned; a difference is kept until the state changes.

--- a/include/mimosavalve/gateway/state_update.hpp
+++ b/include/mimosavalve/gateway/state_update.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "mimosavalve/gateway/key_map.hpp"
@@ -49,8 +50,11 @@
 template <typename State>
 class state_history {
 public:
+    using update = decltype(whole_update(std::declval<const State&>()));
+
     /// Adds a state under the next number.
     void add(State state) {
+        updates_.clear();
         states_.push_back({++number_, std::move(state)});
         if (states_.size() > max_states) {
             states_.pop_front();
@@ -59,6 +63,7 @@
     /// Discards all states and skips a number, since routers may have received the current number
     /// in an earlier term.
     void restart() {
+        updates_.clear();
         states_.clear();
         ++number_;
     }
@@ -77,6 +82,19 @@
         return nullptr;
     }
 
+    /// Changes from the state with this number to the last one; the whole state if that one is not
+    /// kept any more. Requires a last state. It is built once for all routers that have the same
+    /// state: the cost of a change would otherwise grow with routers times targets.
+    const update& update_since(std::uint64_t number) {
+        const auto [known, added] = updates_.try_emplace(number);
+        if (added) {
+            const auto* before = find(number);
+            known->second = before == nullptr ? whole_update(states_.back().state)
+                                              : difference(*before, states_.back().state);
+        }
+        return known->second;
+    }
+
 private:
     // A state is added about every 0.2 s while targets are replaced, and a router far from a busy
     // leader gets a reply every few seconds. Whole states would keep the leader busy.
@@ -88,6 +106,7 @@
     };
     std::uint64_t number_ = 0;
     std::deque<numbered> states_;
+    std::map<std::uint64_t, update> updates_;  ///< To the last state, by the number of the earlier.
 };
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -1,6 +1,9 @@
 #include "key_decider.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
+#include <utility>
 
 #include "control_timing.hpp"
 #include "key_decider_detail.hpp"
@@ -313,25 +316,23 @@
 
 std::vector<key_candidate> key_decider::candidates_of(const std::string& name,
                                                       boot_time now) const {
+    std::set<std::pair<std::string_view, std::uint64_t>> owners;
+    if (const auto map = core_.state.keys.find(name); map != core_.state.keys.end()) {
+        for (const auto& segment : map->second.segments) {
+            owners.emplace(segment.owner, segment.owner_instance);
+        }
+    }
     std::vector<key_candidate> warm;
     std::vector<key_candidate> cold;
-    for (const auto& [id, target] : core_.state.targets) {
+    for (const auto* target : targets_of(core_.state, name)) {
         const auto& entry = target->entry;
-        if (entry.service != name || !can_send_to(core_.state, *target, now)) {
-            continue;
-        }
-        if (is_unresponsive(id, now)) {
+        if (!can_send_to(core_.state, *target, now) || is_unresponsive(entry.id, now)) {
             continue;
         }
-        const key_candidate candidate{id, entry.started_unix_ms, capacity_of(core_.state, *target)};
+        const key_candidate candidate{entry.id, entry.started_unix_ms,
+                                      capacity_of(core_.state, *target)};
         // An owner that has turned cold keeps its keys: moving them would make more targets slow.
-        const auto map = core_.state.keys.find(name);
-        const bool owns = map != core_.state.keys.end() &&
-                          std::any_of(map->second.segments.begin(), map->second.segments.end(),
-                                      [&](const auto& segment) {
-                                          return segment.owner == entry.id &&
-                                                 segment.owner_instance == entry.started_unix_ms;
-                                      });
+        const bool owns = owners.contains({entry.id, entry.started_unix_ms});
         (is_cold(*target, now) && !owns ? cold : warm).push_back(candidate);
     }
     auto& chosen = warm.empty() ? cold : warm;
--- a/src/gateway/key_plan.cpp
+++ b/src/gateway/key_plan.cpp
@@ -4,6 +4,9 @@
 #include <cmath>
 #include <limits>
 #include <numeric>
+#include <set>
+#include <string_view>
+#include <utility>
 
 namespace mimosavalve::gateway {
 
@@ -68,10 +71,19 @@
     return best;
 }
 
-bool has_candidate_owner(const key_segment& segment, const std::vector<key_candidate>& candidates) {
-    return std::any_of(candidates.begin(), candidates.end(), [&](const auto& candidate) {
-        return candidate.id == segment.owner && candidate.instance == segment.owner_instance;
-    });
+// Candidates by id and instance, so that a plan looks up each range's owner among them.
+using candidate_set = std::set<std::pair<std::string_view, std::uint64_t>>;
+
+candidate_set set_of(const std::vector<key_candidate>& candidates) {
+    candidate_set out;
+    for (const auto& candidate : candidates) {
+        out.emplace(candidate.id, candidate.instance);
+    }
+    return out;
+}
+
+bool has_candidate_owner(const key_segment& segment, const candidate_set& candidates) {
+    return candidates.contains({segment.owner, segment.owner_instance});
 }
 
 // Narrowest range within a segment whose rate is at least `wanted`; the whole segment if none is.
@@ -173,7 +185,13 @@
 std::vector<planned_move> plan_unassigned(const key_map& map, const key_rates& rates,
                                           const std::vector<key_candidate>& candidates) {
     std::vector<planned_move> moves;
-    if (candidates.empty()) {
+    const auto known = detail::set_of(candidates);
+    // Most plans find nothing to assign, so the loads are computed only where there is something.
+    const bool has_unassigned =
+        std::any_of(map.segments.begin(), map.segments.end(), [&](const auto& segment) {
+            return !segment.moving && !detail::has_candidate_owner(segment, known);
+        });
+    if (candidates.empty() || !has_unassigned) {
         return moves;
     }
     auto loads = detail::loads_of(map, rates, candidates);
@@ -183,7 +201,7 @@
                         [](double sum, const auto& load) { return sum + load.second.fair_rate; }) /
         static_cast<double>(loads.size()) / 2;
     for (const auto& segment : map.segments) {
-        if (segment.moving || detail::has_candidate_owner(segment, candidates)) {
+        if (segment.moving || detail::has_candidate_owner(segment, known)) {
             continue;
         }
         std::uint32_t first = segment.first;
@@ -307,6 +325,7 @@
                                              const std::vector<key_candidate>& candidates,
                                              std::size_t max_moves) {
     std::vector<planned_move> moves;
+    const auto known = detail::set_of(candidates);
     for (std::size_t at = 0; at + 1 < map.segments.size() && moves.size() < max_moves; ++at) {
         const auto& left = map.segments[at];
         std::size_t end = at;
@@ -315,7 +334,7 @@
                !map.segments[end + 1].moving) {
             ++end;
         }
-        if (end > at && !left.moving && detail::has_candidate_owner(left, candidates)) {
+        if (end > at && !left.moving && detail::has_candidate_owner(left, known)) {
             moves.push_back({left.first, map.segments[end].last, left.owner, left.owner_instance});
             at = end;
         }
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -101,7 +101,7 @@
     /// Size of the replies that routers may still be receiving, by region.
     [[nodiscard]] std::map<std::string, std::size_t> bytes_in_transit(boot_time now) const;
     void add_totals(const sync_reply& reply);
-    void add_maps(sync_reply& reply, const sync_request& request, boot_time now) const;
+    void add_maps(sync_reply& reply, const sync_request& request, boot_time now);
     void add_registry(sync_reply& reply, const sync_request& request);
     void add_quotas(sync_reply& reply, const std::string& host, follower& caller) const;
     void add_work(sync_reply& reply, follower& caller) const;
--- a/src/gateway/sync_server_reply.cpp
+++ b/src/gateway/sync_server_reply.cpp
@@ -41,17 +41,15 @@
     totals_.work_times += size_of(reply.work_ms);
 }
 
-void sync_server::add_maps(sync_reply& reply, const sync_request& request, boot_time now) const {
-    for (const auto& [service, maps] : maps_) {
+void sync_server::add_maps(sync_reply& reply, const sync_request& request, boot_time now) {
+    for (auto& [service, maps] : maps_) {
         reply.map_numbers[service] = maps.number();
         const auto known = request.map_numbers.find(service);
         const auto requested = known == request.map_numbers.end() ? 0 : known->second;
         if (requested == maps.number() || maps.last() == nullptr) {
             continue;
         }
-        const auto* before = maps.find(requested);
-        auto update =
-            before == nullptr ? whole_update(*maps.last()) : difference(*before, *maps.last());
+        auto update = maps.update_since(requested);
         const auto updated = core_.state.keys_received_at.find(service);
         const auto age = updated == core_.state.keys_received_at.end()
                              ? std::int64_t{0}
@@ -69,10 +67,8 @@
     if (request.registry_number == registries_.number() || registries_.last() == nullptr) {
         return;
     }
-    const auto* before = registries_.find(request.registry_number);
-    totals_.whole_registries += before == nullptr ? 1 : 0;
-    reply.registry = before == nullptr ? whole_update(*registries_.last())
-                                       : difference(*before, *registries_.last());
+    reply.registry = registries_.update_since(request.registry_number);
+    totals_.whole_registries += reply.registry->whole ? 1 : 0;
 }
 
 void sync_server::add_quotas(sync_reply& reply, const std::string& host, follower& caller) const {
