Treat downloads as idempotent requests with large answers

Cause: the kind "download" of a route was unknown, so that its requests counted as not idempotent: never sent again after a lost answer, and never pipelined. Change: a fourth kind of request; its number is used between routers, and routers of an earlier version still treat it as not idempotent. The tests use the new kind and do not compile before.

--- a/include/mimosavalve/gateway/route_config.hpp
+++ b/include/mimosavalve/gateway/route_config.hpp
@@ -11,11 +11,17 @@
 namespace mimosavalve::gateway {
 
 /// Kind of a request, which decides whether it may be sent again after it reached a target. Uploads
-/// are non-idempotent requests with large bodies.
-enum class request_kind { idempotent, non_idempotent, upload };
+/// are non-idempotent requests with large bodies, downloads idempotent ones with large answers. The
+/// numbers are used on the wire between routers.
+enum class request_kind { idempotent = 0, non_idempotent = 1, upload = 2, download = 3 };
 
 std::string_view to_string(request_kind kind);
 
+/// Whether a request may be sent again although it may have run.
+constexpr bool is_idempotent(request_kind kind) {
+    return kind == request_kind::idempotent || kind == request_kind::download;
+}
+
 struct weighted_service {
     std::string service;
     double weight = 1;
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -161,7 +161,7 @@
         return false;
     }
     const auto found = core_.state.routes.find(field_of(head, "host"), path_of(head));
-    return !found || core_.state.config.routes[*found].kind != request_kind::idempotent;
+    return !found || !is_idempotent(core_.state.config.routes[*found].kind);
 }
 
 void caller_session::begin_request(message_head head) {
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -259,7 +259,7 @@
     }
     verdict_ = earlier_sends_verdict_;
     const bool can_retry =
-        !has_sent || (route_->kind == request_kind::idempotent && attempts_ < route_->max_attempts);
+        !has_sent || (is_idempotent(route_->kind) && attempts_ < route_->max_attempts);
     if (can_retry && try_acquire_attempt(has_sent)) {
         if (!has_sent) {
             tried_targets_.push_back(failed_target_id);
--- a/src/gateway/peer_codec.cpp
+++ b/src/gateway/peer_codec.cpp
@@ -121,7 +121,7 @@
     out.prefix = value.at(2);
     const auto kind = rules.at(0).get<std::uint32_t>();
     // Requests of an unknown kind must not be retried.
-    out.kind = kind <= static_cast<std::uint32_t>(request_kind::upload)
+    out.kind = kind <= static_cast<std::uint32_t>(request_kind::download)
                    ? static_cast<request_kind>(kind)
                    : request_kind::non_idempotent;
     out.timeout = milliseconds(rules.at(1).get<std::int64_t>());
--- a/src/gateway/route_config.cpp
+++ b/src/gateway/route_config.cpp
@@ -55,6 +55,8 @@
             return "non-idempotent";
         case request_kind::upload:
             return "upload";
+        case request_kind::download:
+            return "download";
     }
     return "unknown";
 }
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -139,6 +139,19 @@
     CHECK(path.target.received[0].find("Expected: t2") != std::string::npos);
 }
 
+// The kind was unknown, so that a lost answer failed the download although it may be repeated.
+TEST_CASE("a download whose answer is lost is sent to another target [path]") {
+    path_fixture path(request_kind::download);
+    auto second = path.core.state.registry.targets.at("t1");
+    second.id = "t2";
+    path.core.state.registry.targets.emplace("t2", second);
+    update_targets(path.core.state, boot_clock::now());
+    path.target.script = {"CLOSE", good_answer};
+    path.get("r1");
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+    CHECK(path.target.received.size() == 2);
+}
+
 TEST_CASE("a non-idempotent request whose answer is lost is not sent again [path]") {
     path_fixture path(request_kind::non_idempotent);
     path.target.script = {"CLOSE", good_answer};
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -41,6 +41,27 @@
     CHECK(config->limits.idle_timeout == std::chrono::milliseconds(9000));
 }
 
+TEST_CASE("each kind of request is decoded [platform]") {
+    using gateway::request_kind;
+    const std::pair<std::string, request_kind> kinds[] = {
+        {"safe", request_kind::idempotent},      {"unsafe", request_kind::non_idempotent},
+        {"upload", request_kind::upload},        {"download", request_kind::download},
+        {"other", request_kind::non_idempotent},
+    };
+    for (const auto& [word, kind] : kinds) {
+        CAPTURE(word);
+        std::string problem;
+        const auto config = platform::decode_config(
+            R"({"version":"01","resources":[{"resourceKind":"routes","metadata":{"name":"r"},)"
+            R"("spec":{"host":"h","prefix":"/","service":"s","kind":")" +
+                word + R"("}}]})",
+            problem);
+        REQUIRE(config);
+        CHECK(config->routes.at(0).kind == kind);
+        CHECK(gateway::is_idempotent(kind) == (word == "safe" || word == "download"));
+    }
+}
+
 TEST_CASE("an invalid configuration is rejected with a reason [platform]") {
     for (const auto* text : {"", "7", "[]", "{}", R"({"version":"xyz"})", R"({"version":12})",
                              R"({"version":"0c","resources":[7]})"}) {
