Add the fields of sync messages that the new parts share

Capacity and lateness of a router, wrong owners, queueing at targets; the largest capacity, a successor, service rates and overflow shares. Routers of an earlier version send none of them and ignore those that they get.

--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -20,6 +20,25 @@
 /// Age, in ms, of an event that has never happened.
 inline constexpr std::uint64_t never_ms = 1'000'000'000;
 
+/// A target's answer that it does not hold the keys of a range of which it was known as the owner.
+struct misdirected_report {
+    std::string service;
+    std::uint32_t first_key = 0;  ///< Of the range.
+    std::string target;
+    std::uint64_t target_instance = 0;  ///< Start of its process, Unix ms.
+    std::uint64_t fence = 0;            ///< Fence of the range as the router knows it.
+
+    bool operator==(const misdirected_report&) const = default;
+};
+
+/// Time that answered requests had waited in targets' queues, as the targets reported it.
+struct queue_report {
+    std::uint32_t answers = 0;
+    double sum_ms = 0;
+
+    bool operator==(const queue_report&) const = default;
+};
+
 /// Router to leader, about every 300 ms: the versions that the router has, and its reports.
 struct sync_request {
     std::string host;
@@ -48,11 +67,21 @@
     /// Targets that answered since the last report, with the number and total work time of
     /// the requests that did not queue at the target.
     std::map<std::string, work_report> work;
-    crash_report
-        crashes;  /// Targets that have said that they leave, with the start of the instance.
+    crash_report crashes;
+    /// Targets that have said that they leave, with the start of the instance.
     std::map<std::string, std::uint64_t> leaving;
     /// Request limits that the router knows, by target.
     std::map<std::string, limit_report> limits;
+    double capacity = 1;       ///< Share of a processor core that its host has, in cores.
+    std::uint64_t lag_ms = 0;  ///< Maximum lateness of its event loop since the last call.
+    /// Owners that have answered since the last report that they do not hold the keys.
+    std::vector<misdirected_report> misdirected;
+    /// Targets at whose address another one has answered since the last report, with the start of
+    /// the instance that was expected there.
+    std::map<std::string, std::uint64_t> moved;
+    /// Queueing at targets without keys since the last report, by destination (see
+    /// service_room.hpp).
+    std::map<std::string, queue_report> queues;
 };
 
 /// Leader to router: state that the router does not have yet. Values that are unchanged since the
@@ -87,6 +116,13 @@
     /// Requests per second allotted to the router, by limited target; negative: the limit has
     /// ended.
     std::map<std::string, double> limit_shares;
+    double top_capacity = 0;  ///< Largest capacity of the fleet's hosts, in cores; 0: not known.
+    std::string successor;    ///< Host that is to lead next; empty: no transfer is in progress.
+    /// Requests per second that the router may send, by destination (see service_room.hpp).
+    std::optional<std::map<std::string, double>> service_rates;
+    /// Fraction of its requests for a service that the router may send to other failure domains, by
+    /// service, then by domain.
+    std::optional<std::map<std::string, std::map<std::string, double>>> overflow;
 };
 
 std::string encode(const sync_request& message);
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -34,7 +34,19 @@
                          {"reply", message.reply_number},
                          {"registry", message.registry_number},
                          {"maps", message.map_numbers},
-                         {"loads", std::move(loads)}};
+                         {"loads", std::move(loads)},
+                         {"capacity", message.capacity},
+                         {"lag", message.lag_ms}};
+    for (const auto& each : message.misdirected) {
+        body["misdirected"].push_back(
+            {each.service, each.first_key, each.target, each.target_instance, each.fence});
+    }
+    if (!message.moved.empty()) {
+        body["moved"] = message.moved;
+    }
+    for (const auto& [destination, report] : message.queues) {
+        body["queue"][destination] = {report.answers, report.sum_ms};
+    }
     if (!message.leaving.empty()) {
         body["leaving"] = message.leaving;
     }
@@ -80,6 +92,20 @@
                 out.limits[id] = {limit.at(0), limit.at(1), limit.at(2), limit.at(3)};
             }
         }
+        // Routers of earlier versions send none of the following.
+        out.capacity = body.value("capacity", 1.0);
+        out.lag_ms = body.value("lag", std::uint64_t{0});
+        for (const auto& each : body.value("misdirected", detail::json::array())) {
+            out.misdirected.push_back({each.at(0), each.at(1), each.at(2), each.at(3), each.at(4)});
+        }
+        if (body.contains("moved")) {
+            out.moved = body.at("moved").get<std::map<std::string, std::uint64_t>>();
+        }
+        if (body.contains("queue")) {
+            for (const auto& [destination, report] : body.at("queue").items()) {
+                out.queues[destination] = {report.at(0), report.at(1)};
+            }
+        }
         for (const auto& [service, value] : body.at("loads").items()) {
             key_load load;
             load.keys_per_counter = std::max(value.at(0).get<std::uint32_t>(), 1U);
@@ -111,6 +137,18 @@
     if (message.concurrency_quotas) {
         body["places"] = *message.concurrency_quotas;
     }
+    if (message.top_capacity > 0) {
+        body["top_capacity"] = message.top_capacity;
+    }
+    if (!message.successor.empty()) {
+        body["successor"] = message.successor;
+    }
+    if (message.service_rates) {
+        body["service_rates"] = *message.service_rates;
+    }
+    if (message.overflow) {
+        body["overflow"] = *message.overflow;
+    }
     if (message.rate_quotas) {
         body["rates"] = *message.rate_quotas;
     }
@@ -160,6 +198,15 @@
         if (body.contains("places")) {
             out.concurrency_quotas = body.at("places").get<std::map<std::string, std::uint32_t>>();
         }
+        out.top_capacity = body.value("top_capacity", 0.0);
+        out.successor = body.value("successor", "");
+        if (body.contains("service_rates")) {
+            out.service_rates = body.at("service_rates").get<std::map<std::string, double>>();
+        }
+        if (body.contains("overflow")) {
+            out.overflow =
+                body.at("overflow").get<std::map<std::string, std::map<std::string, double>>>();
+        }
         if (body.contains("rates")) {
             out.rate_quotas = body.at("rates").get<std::map<std::string, double>>();
         }
