--- a/include/mimosavalve/gateway/state_update.hpp
+++ b/include/mimosavalve/gateway/state_update.hpp
@@ -5,7 +5,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "mimosavalve/gateway/key_map.hpp"
@@ -46,12 +45,10 @@
 registry_state applied(const registry_state& state, const registry_update& update);
 
 /// Keeps the last `max_states` numbered states, so that a router that has one of them gets a
-/// difference instead of the whole state.
-template <typename State>
+/// difference instead of the whole state. `Update`: type of the differences.
+template <typename State, typename Update = State>
 class state_history {
 public:
-    using update = decltype(whole_update(std::declval<const State&>()));
-
     /// Adds a state under the next number.
     void add(State state) {
         updates_.clear();
@@ -85,7 +82,7 @@
     /// Changes from the state with this number to the last one; the whole state if that one is not
     /// kept any more. Requires a last state. It is built once for all routers that have the same
     /// state: the cost of a change would otherwise grow with routers times targets.
-    const update& update_since(std::uint64_t number) {
+    const Update& update_since(std::uint64_t number) {
         const auto [known, added] = updates_.try_emplace(number);
         if (added) {
             const auto* before = find(number);
@@ -106,7 +103,7 @@
     };
     std::uint64_t number_ = 0;
     std::deque<numbered> states_;
-    std::map<std::uint64_t, update> updates_;  ///< To the last state, by the number of the earlier.
+    std::map<std::uint64_t, Update> updates_;  ///< To the last state, by the number of the earlier.
 };
 
 }  // namespace mimosavalve::gateway
--- a/tests/late_loop/leader_cost_test.cpp
+++ b/tests/late_loop/leader_cost_test.cpp
@@ -65,10 +65,12 @@
 
 std::chrono::nanoseconds plan_time(int router_count) {
     const fleet planned(router_count);
+    dispatch_state dispatch;
     auto shortest = std::chrono::nanoseconds::max();
     for (int round = 0; round < 5; ++round) {
         const auto began = steady::now();
-        const auto plan = plan_quotas(planned.state, planned.demand, planned.routers, start);
+        const auto plan =
+            plan_quotas(planned.state, planned.demand, planned.routers, dispatch, start);
         shortest = std::min<std::chrono::nanoseconds>(shortest, steady::now() - began);
         REQUIRE(plan.concurrency.size() == static_cast<std::size_t>(router_count));
     }
@@ -128,7 +130,7 @@
 
 TEST_CASE("a difference is built once for all routers that have the same state [late_loop]") {
     // Building it anew for each reply cost the leader routers times ranges for each change.
-    state_history<key_map> maps;
+    state_history<key_map, key_map_update> maps;
     maps.add(key_owners(2).map);
     const auto earlier = maps.number();
     maps.add(key_owners(3).map);
