Forward requests for scarce services to two dispatchers

Cause: with more routers than slots, each router has less than one request at the service on average, so requests queue at slow targets while slots of others idle; the customer's swaps had a median of 1,120 ms for an objective of 1,000 ms. Change: the leader names two routers on large hosts for a service and region with fewer than 1.5 slots for each router; the others forward their requests to them. Fleets of equal hosts are served as before.

--- a/include/mimosavalve/gateway/gateway_settings.hpp
+++ b/include/mimosavalve/gateway/gateway_settings.hpp
@@ -32,10 +32,13 @@
     std::string failure_domain;
     std::string region;
     region_map regions;
-    std::string caller_address;    ///< "IP:PORT" that callers connect to.
-    std::string ready_address;     ///< "IP:PORT" for the health checks of the balancer.
-    std::string peer_address;      ///< "IP:PORT" for the fleet's other routers.
-    std::string metrics_address;   ///< "IP:PORT" where metrics are read.
+    std::string caller_address;   ///< "IP:PORT" that callers connect to.
+    std::string ready_address;    ///< "IP:PORT" for the health checks of the balancer.
+    std::string peer_address;     ///< "IP:PORT" for the fleet's other routers.
+    std::string metrics_address;  ///< "IP:PORT" where metrics are read.
+    /// "IP:PORT" for requests that other routers forward; empty: none are accepted.
+    std::string forward_address;
+    double capacity = 1;           ///< Share of a processor core that the host has, in cores.
     std::string store_address;     ///< "IP:PORT" of the store.
     milliseconds min_lease{1000};  ///< Minimum duration of a store lease.
     platform_bounds bounds;
--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -9,6 +9,7 @@
 
 #include "mimosavalve/gateway/config_update.hpp"
 #include "mimosavalve/gateway/crash_watch.hpp"
+#include "mimosavalve/gateway/dispatch_plan.hpp"
 #include "mimosavalve/gateway/key_load.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
 #include "mimosavalve/gateway/state_update.hpp"
@@ -31,14 +32,6 @@
     bool operator==(const misdirected_report&) const = default;
 };
 
-/// Time that answered requests had waited in targets' queues, as the targets reported it.
-struct queue_report {
-    std::uint32_t answers = 0;
-    double sum_ms = 0;
-
-    bool operator==(const queue_report&) const = default;
-};
-
 /// Router to leader, about every 300 ms: the versions that the router has, and its reports.
 struct sync_request {
     std::string host;
@@ -79,9 +72,8 @@
     /// Targets at whose address another one has answered since the last report, with the start of
     /// the instance that was expected there.
     std::map<std::string, std::uint64_t> moved;
-    /// Queueing at targets without keys since the last report, by destination (see
-    /// service_room.hpp).
-    std::map<std::string, queue_report> queues;
+    /// Address for forwarded requests (see dispatch_plan.hpp); empty: it accepts none.
+    std::string forward_address;
 };
 
 /// Leader to router: state that the router does not have yet. Values that are unchanged since the
@@ -118,8 +110,8 @@
     std::map<std::string, double> limit_shares;
     double top_capacity = 0;  ///< Largest capacity of the fleet's hosts, in cores; 0: not known.
     std::string successor;    ///< Host that is to lead next; empty: no transfer is in progress.
-    /// Requests per second that the router may send, by destination (see service_room.hpp).
-    std::optional<std::map<std::string, double>> service_rates;
+    /// Dispatchers that are named, if they have changed.
+    std::optional<dispatcher_names> dispatchers;
     /// Fraction of its requests for a service that the router may send to other failure domains, by
     /// service, then by domain.
     std::optional<std::map<std::string, std::map<std::string, double>>> overflow;
--- a/include/mimosavalve/gateway/quota_plan.hpp
+++ b/include/mimosavalve/gateway/quota_plan.hpp
@@ -3,11 +3,19 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
+#include "mimosavalve/gateway/dispatch_plan.hpp"
 #include "mimosavalve/gateway/quota_allocation.hpp"
 
 namespace mimosavalve::gateway {
 
+/// What the leader knows of routers that could be dispatchers, and whom it has named.
+struct dispatch_state {
+    std::vector<dispatch_candidate> candidates;
+    dispatcher_map named;
+};
+
 /// Quotas that the leader allocates to the routers; it plans them anew several times a second.
 struct quota_plan {
     quotas_by_host concurrency;  ///< By host, then by target.
@@ -24,9 +32,11 @@
 std::uint32_t sharing_router_count(std::uint32_t known_routers, milliseconds leading_for);
 
 /// Divides among the routers the concurrency limits of targets without keys, and the request rates
-/// of owners near their capacity. `routers`: failure domain by host. See `allocate_concurrency` and
-/// `allocate_rates` for the loads that this handles.
+/// of owners near their capacity. `routers`: failure domain by host. Names dispatchers; the limits
+/// of targets to which these send are divided among them only. See `allocate_concurrency`,
+/// `allocate_rates` and dispatch_plan.hpp for the loads that this handles.
 quota_plan plan_quotas(const routing_state& state, const demand_rates& demand,
-                       const std::map<std::string, std::string>& routers, boot_time now);
+                       const std::map<std::string, std::string>& routers, dispatch_state& dispatch,
+                       boot_time now);
 
 }  // namespace mimosavalve::gateway
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "mimosavalve/gateway/clock.hpp"
+#include "mimosavalve/gateway/dispatch_plan.hpp"
 #include "mimosavalve/gateway/gateway_settings.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
 #include "mimosavalve/gateway/platform_port.hpp"
@@ -72,6 +73,7 @@
     /// `targets` by service, kept by `update_targets` and `set_work_ms`.
     std::map<std::string, service_targets, std::less<>> targets_by_service;
     region_map regions;
+    std::string own_host;
     std::string own_domain;
     std::string own_region;
     platform_bounds bounds;
@@ -85,6 +87,7 @@
     /// Concurrency quotas by target id: requests that this router may have at a target of a service
     /// without keys at a time, allocated by the leader. Empty until the leader has allocated any.
     std::map<std::string, std::uint32_t, std::less<>> concurrency_quotas;
+    dispatch_table dispatchers;  ///< Routers to which requests are forwarded.
 };
 
 /// Updates `targets` from the registry. A restarted target gets a new state. Returns the removed
@@ -154,6 +157,9 @@
     std::string_view service;
     std::optional<std::uint32_t> key;
     std::span<const std::string> tried_targets;  ///< Ids of targets that already had the request.
+    /// Whether the router may have one request at each target without a quota, since no dispatcher
+    /// can be reached.
+    bool ignores_quotas = false;
 };
 
 /// Chooses the target of a request: for keyed services the owner of the key, else the target with
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -22,14 +22,19 @@
 // Time in which the first request of a new connection arrives: a caller sends it as soon as the
 // connection is open.
 constexpr std::chrono::milliseconds first_request_time{500};
+// Maximum size of what a router adds to the head of a request that it forwards.
+constexpr std::uint32_t max_forwarding_bytes = 1024;
 // Time for the caller to close its side after the last answer. Most callers do so at once.
 constexpr std::chrono::milliseconds linger_time{1000};
 
 }  // namespace detail
 
 caller_session::caller_session(router_core& core, std::unique_ptr<stream> connection,
-                               std::function<void(caller_session*)> on_closed)
-    : core_(core), connection_(std::move(connection)), on_closed_(std::move(on_closed)) {
+                               std::function<void(caller_session*)> on_closed, bool is_forwarding)
+    : core_(core),
+      connection_(std::move(connection)),
+      on_closed_(std::move(on_closed)),
+      is_forwarding_(is_forwarding) {
     connection_->set_callbacks({[this] { read(); },
                                 [this] {
                                     if (is_closing_ && has_caller_finished_) {
@@ -54,7 +59,8 @@
 
 void caller_session::start_parser() {
     message_limits bounds;
-    bounds.max_header_bytes = core_.state.config.limits.max_header_bytes;
+    bounds.max_header_bytes = core_.state.config.limits.max_header_bytes +
+                              (is_forwarding_ ? detail::max_forwarding_bytes : 0);
     bounds.max_body_bytes = core_.state.config.limits.max_body_bytes;
     message_events events;
     events.head = [this](message_head head) { begin_request(std::move(head)); };
@@ -167,7 +173,8 @@
 void caller_session::begin_request(message_head head) {
     const bool expects_continue = !field_of(head, "expect").empty();
     const bool waits = must_be_first(head);
-    const request_arrival arrived{arrivals_.front().at, requests_.size(), arrivals_.front().unread};
+    const request_arrival arrived{arrivals_.front().at, requests_.size(), arrivals_.front().unread,
+                                  is_forwarding_};
     auto& request = *requests_.emplace_back(std::make_unique<pending_request>());
     request.forwarding =
         std::make_unique<exchange>(core_, std::move(head), make_sink(request), arrived);
--- a/src/gateway/caller_session.hpp
+++ b/src/gateway/caller_session.hpp
@@ -23,8 +23,9 @@
 
     /// `on_closed` is called once, after which the owner deletes the session, but not within that
     /// call.
+    /// `is_forwarding`: the connection is that of another router, which forwards requests.
     caller_session(router_core& core, std::unique_ptr<stream> connection,
-                   std::function<void(caller_session*)> on_closed);
+                   std::function<void(caller_session*)> on_closed, bool is_forwarding = false);
     ~caller_session();
     caller_session(const caller_session&) = delete;
     caller_session& operator=(const caller_session&) = delete;
@@ -90,6 +91,7 @@
     router_core& core_;
     std::unique_ptr<stream> connection_;
     std::function<void(caller_session*)> on_closed_;
+    bool is_forwarding_;  ///< See the constructor.
     std::unique_ptr<message_parser> parser_;
     std::vector<std::unique_ptr<pending_request>> requests_;  ///< In the order of their arrival.
     std::string input_;
--- /dev/null
+++ b/src/gateway/dispatch_plan.cpp
@@ -0,0 +1,174 @@
+#include "mimosavalve/gateway/dispatch_plan.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+
+namespace mimosavalve::gateway {
+
+namespace detail {
+
+// Two, so that the loss of one leaves the service.
+constexpr std::size_t dispatchers_per_destination = 2;
+// Slots for each router from which the routers have requests enough to use their own quotas.
+constexpr double max_slots_per_router = 1.5;
+// Demand as a fraction of the capacity from which requests queue at slow targets, and below which
+// dispatchers are given up.
+constexpr double begin_utilization = 0.4;
+constexpr double end_utilization = 0.3;
+// Capacity of a dispatcher relative to that of the smallest host: it carries the requests of all
+// routers, so a fleet of equal hosts has none.
+constexpr double min_capacity_ratio = 4;
+constexpr milliseconds avoidance_time{1000};
+
+std::size_t duties_of(const dispatcher_map& map, const std::string& host) {
+    return static_cast<std::size_t>(
+        std::count_if(map.begin(), map.end(), [&](const auto& destination) {
+            return std::any_of(destination.second.begin(), destination.second.end(),
+                               [&](const auto& named) { return named.host == host; });
+        }));
+}
+
+bool is_needed(const dispatch_input& input, bool is_in_force) {
+    const double from = is_in_force ? end_utilization : begin_utilization;
+    return input.slots > 0 &&
+           input.slots < max_slots_per_router * static_cast<double>(input.routers) &&
+           input.demand > input.capacity * from;
+}
+
+bool is_named(const std::vector<dispatch_candidate>& named, const std::string& host) {
+    return std::any_of(named.begin(), named.end(),
+                       [&](const auto& each) { return each.host == host; });
+}
+
+}  // namespace detail
+
+std::string region_destination(std::string_view service, std::string_view region) {
+    std::string name(service);
+    return name.append("\n@").append(region);
+}
+
+void plan_dispatchers(dispatcher_map& next, const dispatcher_map& current,
+                      const dispatch_input& input, std::span<const dispatch_candidate> candidates) {
+    const auto before = current.find(input.destination);
+    if (!detail::is_needed(input, before != current.end()) || candidates.empty()) {
+        return;
+    }
+    const double smallest = std::min_element(candidates.begin(), candidates.end(),
+                                             [](const auto& one, const auto& two) {
+                                                 return one.capacity < two.capacity;
+                                             })
+                                ->capacity;
+    std::vector<dispatch_candidate> able;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(able),
+                 [&](const auto& each) {
+                     return each.region == input.region && !each.is_late && !each.address.empty() &&
+                            each.capacity >= smallest * detail::min_capacity_ratio;
+                 });
+    const auto is_better = [&](const dispatch_candidate& one, const dispatch_candidate& two) {
+        const auto rank = [&](const dispatch_candidate& each) {
+            const bool stays =
+                before != current.end() && detail::is_named(before->second, each.host);
+            return std::tuple(!stays, -each.capacity, detail::duties_of(next, each.host),
+                              each.host);
+        };
+        return rank(one) < rank(two);
+    };
+    std::sort(able.begin(), able.end(), is_better);
+    able.resize(std::min(able.size(), detail::dispatchers_per_destination));
+    if (!able.empty()) {
+        next.emplace(input.destination, std::move(able));
+    }
+}
+
+dispatcher_names names_of(const dispatcher_map& dispatchers) {
+    dispatcher_names names;
+    for (const auto& [destination, named] : dispatchers) {
+        for (const auto& each : named) {
+            names[destination].emplace_back(each.host, each.address);
+        }
+    }
+    return names;
+}
+
+void apply_dispatchers(dispatch_table& table, const dispatcher_names& named) {
+    std::map<std::string, std::vector<dispatch_peer>, std::less<>> next;
+    for (const auto& [destination, hosts] : named) {
+        auto& peers = next[destination];
+        const auto known = table.by_destination.find(destination);
+        for (const auto& [host, address] : hosts) {
+            dispatch_peer peer{host, address, {}};
+            if (known != table.by_destination.end()) {
+                for (const auto& before : known->second) {
+                    peer.avoid_until = before.host == host ? before.avoid_until : peer.avoid_until;
+                }
+            }
+            peers.push_back(std::move(peer));
+        }
+    }
+    table.by_destination = std::move(next);
+}
+
+dispatch_choice choose_dispatcher(dispatch_table& table, const dispatch_request& request,
+                                  boot_time now) {
+    if (table.by_destination.empty()) {
+        return {};
+    }
+    std::vector<std::string_view> regions(request.home_regions.begin(), request.home_regions.end());
+    if (regions.empty()) {
+        regions.push_back(request.own_region);
+    }
+    // The own region first, if it is one of several.
+    std::stable_partition(regions.begin(), regions.end(),
+                          [&](auto region) { return region == request.own_region; });
+    bool is_named = false;
+    for (const auto region : regions) {
+        const auto found = table.by_destination.find(region_destination(request.service, region));
+        if (found == table.by_destination.end() || found->second.empty()) {
+            continue;
+        }
+        auto& peers = found->second;
+        const bool is_own = std::any_of(peers.begin(), peers.end(), [&](const auto& peer) {
+            return peer.host == request.own_host;
+        });
+        if (is_own) {
+            return {};
+        }
+        is_named = true;
+        for (std::size_t tried = 0; now < table.valid_until && tried < peers.size(); ++tried) {
+            auto& peer = peers[table.turn++ % peers.size()];
+            if (now >= peer.avoid_until) {
+                return {dispatch_kind::forward, &peer};
+            }
+        }
+    }
+    return {is_named ? dispatch_kind::direct_without_quota : dispatch_kind::direct, nullptr};
+}
+
+std::optional<dispatch_rank> rank_of(const dispatch_table& table, std::string_view destination,
+                                     std::string_view host) {
+    const auto found = table.by_destination.find(destination);
+    if (found == table.by_destination.end()) {
+        return std::nullopt;
+    }
+    const auto& peers = found->second;
+    const auto own = std::find_if(peers.begin(), peers.end(),
+                                  [&](const auto& peer) { return peer.host == host; });
+    if (own == peers.end()) {
+        return std::nullopt;
+    }
+    return dispatch_rank{static_cast<std::uint32_t>(own - peers.begin()),
+                         static_cast<std::uint32_t>(peers.size())};
+}
+
+void record_unreachable(dispatch_table& table, std::string_view host, boot_time now) {
+    for (auto& [destination, peers] : table.by_destination) {
+        for (auto& peer : peers) {
+            if (peer.host == host) {
+                peer.avoid_until = now + detail::avoidance_time;
+            }
+        }
+    }
+}
+
+}  // namespace mimosavalve::gateway
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -45,6 +45,7 @@
       arrived_(arrival.at),
       ahead_(arrival.ahead),
       unread_(arrival.unread),
+      is_forwarded_(arrival.is_forwarded),
       keep_alive_(head_.keep_alive) {
     id_ = field_of(head_, core_.platform.headers.request_id);
     body_complete_ = !head_.chunked && head_.content_length.value_or(0) == 0;
@@ -66,6 +67,9 @@
     const auto requested_ms =
         detail::parse_number(field_of(head_, core_.platform.headers.deadline));
     auto timeout = requested_ms ? milliseconds(*requested_ms) : detail::default_timeout;
+    if (is_forwarded_) {
+        read_forwarding(timeout);
+    }
     if (core_.state.config.version == 0) {
         refuse(detail::status_unavailable, "no-configuration");
         return;
@@ -84,10 +88,14 @@
     }
     deadline_position_ = core_.deadlines.emplace(answer_deadline_, this);
     core_.deadlines_changed();
-    service_ = choose_service(core_, *route_);
+    if (service_.empty()) {
+        service_ = choose_service(core_, *route_);
+    }
     key_ = detail::parse_number(field_of(head_, core_.platform.headers.key));
     const auto now = boot_clock::now();
-    ++core_.demand[demand_destination(service_, route_->home_regions)];
+    if (!is_forwarded_) {
+        ++core_.demand[demand_destination(service_, route_->home_regions)];
+    }
     record_first_attempt(core_.retry_budgets[service_], core_.settings.bounds, now);
     if (is_keyed()) {
         if (*key_ >= key_count) {
@@ -158,13 +166,17 @@
     }
     ++target.open_connections;
     count(core_.metrics, "target_connections_opened");
+    connect();
+}
+
+void exchange::connect() {
     const auto endpoint = parse_endpoint(target_address_);
     const auto connect_deadline =
         std::min(steady::now() + detail::connect_timeout, answer_deadline_);
     connector_ = std::make_unique<connector>(
         core_.context, *endpoint, connect_deadline,
         [this](std::error_code error, std::unique_ptr<stream> connection) {
-            if (error == std::errc::connection_refused) {
+            if (error == std::errc::connection_refused && dispatcher_.empty()) {
                 // Not recorded after a timeout, which says nothing about the target: the network
                 // may be partitioned.
                 core_.crashes.ended_instances.insert(instance_name(target_id_, target_instance_));
@@ -184,7 +196,9 @@
     }
     const auto* target = current_target();
     const choice_request request{&*route_, service_, key_, tried_targets_};
-    if (target != nullptr && is_still_eligible(core_.state, *target, request, boot_clock::now())) {
+    if (!dispatcher_.empty() ||
+        (target != nullptr &&
+         is_still_eligible(core_.state, *target, request, boot_clock::now()))) {
         auto link =
             std::make_unique<target_link>(std::move(connection), core_.platform.headers.request_id);
         link->number = ++core_.links_opened;
@@ -205,14 +219,21 @@
         if (!is_hop_by_hop(head_, field.name) &&
             !detail::equals_ignoring_case(field.name, names.deadline) &&
             !detail::equals_ignoring_case(field.name, names.expected_target) &&
-            !detail::equals_ignoring_case(field.name, "expect")) {
+            !detail::equals_ignoring_case(field.name, "expect") &&
+            !detail::equals_ignoring_case(field.name, detail::forwarded_service_field) &&
+            !detail::equals_ignoring_case(field.name, detail::forwarded_age_field)) {
             append_field(text, field.name, field.value);
         }
     }
     const auto left =
         std::chrono::duration_cast<milliseconds>(answer_deadline_ - steady::now()).count();
     append_field(text, names.deadline, std::to_string(std::max<std::int64_t>(left, 1)));
-    append_field(text, names.expected_target, target_id_);
+    if (dispatcher_.empty()) {
+        append_field(text, names.expected_target, target_id_);
+    } else {
+        append_field(text, detail::forwarded_service_field, service_);
+        append_field(text, detail::forwarded_age_field, std::to_string(age_ms()));
+    }
     if (head_.chunked) {
         append_field(text, "Transfer-Encoding", "chunked");
     } else if (head_.content_length) {
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -49,6 +49,7 @@
     std::size_t ahead = 0;                     ///< Unanswered requests before it on its connection.
     /// Time from the receipt by the kernel until the read; nothing if not known.
     std::optional<milliseconds> unread;
+    bool is_forwarded = false;  ///< Another router has forwarded it to this one, as a dispatcher.
 };
 
 /// Forwards one request of a caller to a target, and the answer back.
@@ -116,7 +117,14 @@
     void stop_waiting();
     /// Estimates the wait for room at the targets that may run the request.
     [[nodiscard]] wait_estimate estimate_wait() const;
+    /// How the request is sent: only small requests without a key are forwarded.
+    [[nodiscard]] dispatch_choice choose_dispatch();
+    void forward_to(const dispatch_peer& peer);
+    /// Reads what another router has added to a forwarded request.
+    void read_forwarding(milliseconds& timeout);
     void open_link(target_state& target);
+    /// Opens a connection to `target_address_`.
+    void connect();
     /// Cancels the request if its caller has left: an event loop that runs late reads that only
     /// after it has sent the request.
     bool cancel_if_caller_left();
@@ -140,6 +148,7 @@
     /// Target that has the request; null if it was removed or has restarted.
     [[nodiscard]] target_state* current_target() const;
     void detach_from_target();
+    void record_forwarded_answer();
     /// Whether the request may be sent once more; counts the attempt. `reached_target`: the last
     /// send reached its target, so that the retry budget applies.
     [[nodiscard]] bool try_acquire_attempt(bool reached_target);
@@ -163,6 +172,7 @@
     steady::time_point arrived_;
     std::size_t ahead_;  ///< See `request_arrival`.
     std::optional<milliseconds> unread_;
+    bool is_forwarded_;  ///< See `request_arrival`.
     steady::time_point answer_deadline_;
     std::optional<route> route_;  // A copy, since the configuration may change during the request.
     std::string service_;
@@ -186,6 +196,7 @@
     std::string target_id_;
     std::uint64_t target_instance_ = 0;
     std::string target_address_;
+    std::string dispatcher_;  ///< Host of the dispatcher that has the request; else empty.
     std::unique_ptr<connector> connector_;
     std::unique_ptr<target_link> link_;
     steady::time_point chosen_at_;  ///< When the target of the current send was chosen.
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -54,7 +54,8 @@
         // The target would read the next request as the rest of an incomplete body.
         const bool is_body_sent =
             body_complete_ && body_sent_ >= body_.size() && (!head_.chunked || body_end_sent_);
-        if (link_->is_reusable() && is_body_sent && target != nullptr) {
+        const bool may_keep = target != nullptr || !dispatcher_.empty();
+        if (link_->is_reusable() && is_body_sent && may_keep) {
             core_.idle_links[target_id_].push_back(std::move(link_));
         } else {
             if (target != nullptr) {
@@ -68,6 +69,7 @@
     }
     link_.reset();
     target_id_.clear();
+    dispatcher_.clear();
     core_.wake_waiting();
 }
 
@@ -153,6 +155,16 @@
         has_field(answer_, names.not_run) || answer_.status == detail::status_misdirected;
     const bool success =
         answer_.status >= detail::status_ok && answer_.status < detail::status_multiple_choices;
+    const auto own_verdict =
+        dispatcher_.empty() ? std::string_view() : field_of(answer_, detail::verdict_field);
+    if (!own_verdict.empty() && !success) {
+        // The dispatcher's own answer, which says whether the request may have run.
+        verdict_ = own_verdict == to_string(traffic_verdict::not_run)
+                       ? earlier_sends_verdict_
+                       : traffic_verdict::may_have_run;
+        answer_from_target();
+        return;
+    }
     if (was_not_run && !is_streaming_) {
         verdict_ = earlier_sends_verdict_;
         on_refusal();
@@ -169,6 +181,9 @@
     if (success && !suspects.empty() && fingerprint() && suspects.contains(*fingerprint_)) {
         core_.crashes.answered_suspects.insert(*fingerprint_);
     }
+    if (!dispatcher_.empty()) {
+        record_forwarded_answer();
+    }
     if (auto* target = current_target(); target != nullptr) {
         // Latencies from another region include the transfer, and failures are often quick, so
         // neither shows the duration of the work.
@@ -238,7 +253,12 @@
     if (auto* target = current_target(); target != nullptr) {
         record_failure(*target, has_sent, boot_clock::now());
     }
-    if (const auto request_fingerprint = has_sent ? fingerprint() : std::nullopt) {
+    const bool was_forwarded = !dispatcher_.empty();
+    if (was_forwarded && !has_sent) {
+        record_unreachable(core_.state.dispatchers, dispatcher_, core_.now());
+    }
+    if (const auto request_fingerprint =
+            has_sent && !was_forwarded ? fingerprint() : std::nullopt) {
         record_lost_connection(core_.crashes, instance_name(failed_target_id, target_instance_),
                                *request_fingerprint, boot_clock::now());
     }
@@ -258,8 +278,9 @@
         earlier_sends_verdict_ = traffic_verdict::may_have_run;
     }
     verdict_ = earlier_sends_verdict_;
-    const bool can_retry =
-        !has_sent || (is_idempotent(route_->kind) && attempts_ < route_->max_attempts);
+    // A dispatcher may have used all attempts of the request.
+    const bool can_retry = !has_sent || (!was_forwarded && is_idempotent(route_->kind) &&
+                                         attempts_ < route_->max_attempts);
     if (can_retry && try_acquire_attempt(has_sent)) {
         if (!has_sent) {
             tried_targets_.push_back(failed_target_id);
@@ -270,7 +291,11 @@
         dispatch();
         return;
     }
-    give_up(has_sent ? "target-lost" : "target-unreachable");
+    if (was_forwarded) {
+        give_up("dispatcher-lost");
+    } else {
+        give_up(has_sent ? "target-lost" : "target-unreachable");
+    }
 }
 
 void exchange::expire() {
@@ -353,7 +378,7 @@
     head.status = status;
     head.fields.push_back({core_.platform.headers.request_id, id_});
     head.fields.push_back({"Mimosavalve-Reason", std::string(reason)});
-    head.fields.push_back({"Mimosavalve-Verdict", std::string(to_string(verdict_))});
+    head.fields.push_back({std::string(detail::verdict_field), std::string(to_string(verdict_))});
     if (status == detail::status_unavailable) {
         const auto requested_ms =
             detail::parse_number(field_of(head_, core_.platform.headers.deadline));
--- a/src/gateway/exchange_detail.hpp
+++ b/src/gateway/exchange_detail.hpp
@@ -20,6 +20,13 @@
 inline constexpr unsigned status_unavailable = 503;
 inline constexpr unsigned status_gateway_timeout = 504;
 
+/// Fields of a forwarded request: the service that the first router has chosen, and the time in ms
+/// since that router received the request.
+inline constexpr std::string_view forwarded_service_field = "Mimosavalve-Service";
+inline constexpr std::string_view forwarded_age_field = "Mimosavalve-Age";
+/// Verdict of a router's own answer.
+inline constexpr std::string_view verdict_field = "Mimosavalve-Verdict";
+
 /// Decimal number of a header field; nothing if `text` is anything else.
 std::optional<std::uint32_t> parse_number(std::string_view text);
 
--- a/src/gateway/exchange_dispatch.cpp
+++ b/src/gateway/exchange_dispatch.cpp
@@ -39,8 +39,19 @@
             return;
         }
     }
+    const auto dispatch = choose_dispatch();
+    if (dispatch.kind == dispatch_kind::forward) {
+        stop_waiting();
+        if (may_outlast_process(nullptr)) {
+            give_up("stopping");
+        } else {
+            forward_to(*dispatch.peer);
+        }
+        return;
+    }
     const auto now = boot_clock::now();
-    const choice_request request{&*route_, service_, key_, tried_targets_};
+    const choice_request request{&*route_, service_, key_, tried_targets_,
+                                 dispatch.kind == dispatch_kind::direct_without_quota};
     const auto began = steady::now();
     const auto choice = choose_target(core_.state, request, now);
     record_latency(core_.metrics, "choice", steady::now() - began);
@@ -97,7 +108,11 @@
             ++count;
         }
     }
-    return count > 0 ? sum / count : 0;
+    if (count > 0) {
+        return sum / count;
+    }
+    const auto forwarded = core_.forwarded_answer_ms.find(service_);
+    return forwarded == core_.forwarded_answer_ms.end() ? 0 : forwarded->second;
 }
 
 void exchange::wait_or_refuse(const target_choice& choice, wait_estimate estimate) {
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -311,6 +311,10 @@
     if (reply.rate_quotas) {
         apply_rate_quotas(core_.state, *reply.rate_quotas);
     }
+    if (reply.dispatchers) {
+        apply_dispatchers(core_.state.dispatchers, *reply.dispatchers);
+    }
+    core_.state.dispatchers.valid_until = now + dispatch_validity;
     for (const auto& [id, work_ms] : reply.work_ms) {
         const auto found = core_.state.targets.find(id);
         if (found != core_.state.targets.end()) {
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -91,9 +91,17 @@
     void run() {
         const auto endpoint = [](const std::string& text) { return parse_endpoint(text).value(); };
         const auto& settings = core_.settings;
-        caller_listener_ = std::make_unique<listener>(
-            context_, endpoint(settings.caller_address),
-            [this](std::unique_ptr<stream> connection) { add_caller(std::move(connection)); });
+        caller_listener_ = std::make_unique<listener>(context_, endpoint(settings.caller_address),
+                                                      [this](std::unique_ptr<stream> connection) {
+                                                          add_caller(std::move(connection), false);
+                                                      });
+        if (!settings.forward_address.empty()) {
+            forward_listener_ =
+                std::make_unique<listener>(context_, endpoint(settings.forward_address),
+                                           [this](std::unique_ptr<stream> connection) {
+                                               add_caller(std::move(connection), true);
+                                           });
+        }
         const auto handle = [this](const message_head& head, const std::string& body,
                                    internal_server::respond respond) {
             serve_internal(head, body, std::move(respond));
@@ -121,19 +129,21 @@
 private:
     void apply_settings() {
         core_.state.regions = core_.settings.regions;
+        core_.state.own_host = core_.settings.host;
         core_.state.own_domain = core_.settings.failure_domain;
         core_.state.own_region = core_.settings.region;
         core_.state.bounds = core_.settings.bounds;
     }
 
-    void add_caller(std::unique_ptr<stream> connection) {
-        auto session = std::make_unique<caller_session>(
-            core_, std::move(connection), [this](caller_session* closed) {
-                boost::asio::post(context_, [this, closed] {
-                    sessions_.erase(closed);
-                    exit_if_no_sessions();
-                });
+    void add_caller(std::unique_ptr<stream> connection, bool is_forwarding) {
+        const auto on_closed = [this](caller_session* closed) {
+            boost::asio::post(context_, [this, closed] {
+                sessions_.erase(closed);
+                exit_if_no_sessions();
             });
+        };
+        auto session = std::make_unique<caller_session>(core_, std::move(connection), on_closed,
+                                                        is_forwarding);
         auto* key = session.get();
         sessions_.emplace(key, std::move(session));
     }
@@ -367,6 +377,7 @@
     fleet_control control_;
     std::unordered_map<caller_session*, std::unique_ptr<caller_session>> sessions_;
     std::unique_ptr<listener> caller_listener_;
+    std::unique_ptr<listener> forward_listener_;
     std::unique_ptr<internal_server> ready_server_;
     std::unique_ptr<internal_server> peer_server_;
     std::unique_ptr<internal_server> metrics_server_;
--- a/src/gateway/loop_watch.cpp
+++ b/src/gateway/loop_watch.cpp
@@ -20,6 +20,7 @@
                          : std::max(std::chrono::duration_cast<milliseconds>(now - watch.check_due),
                                     milliseconds(0));
     watch.max_lag = std::max(watch.max_lag, watch.lag);
+    watch.lag_to_report = std::max(watch.lag_to_report, watch.lag);
     watch.check_due = now + period;
     if (watch.max_lag < detail::min_reported_lag || now < watch.report_due) {
         return std::nullopt;
--- a/src/gateway/loop_watch.hpp
+++ b/src/gateway/loop_watch.hpp
@@ -14,7 +14,8 @@
     steady::time_point check_due;   ///< When the next check is due.
     steady::time_point report_due;  ///< When a lag may be reported again.
     milliseconds lag{0};            ///< Lateness of the last check.
-    milliseconds max_lag{0};        ///< Maximum since the last report.
+    milliseconds max_lag{0};        ///< Maximum since the last report in the log.
+    milliseconds lag_to_report{0};  ///< Maximum since the last report to the leader.
 };
 
 /// Records a check that runs now; the next one is due after `period`. Returns the maximum lag since
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -44,8 +44,8 @@
     if (!message.moved.empty()) {
         body["moved"] = message.moved;
     }
-    for (const auto& [destination, report] : message.queues) {
-        body["queue"][destination] = {report.answers, report.sum_ms};
+    if (!message.forward_address.empty()) {
+        body["forward"] = message.forward_address;
     }
     if (!message.leaving.empty()) {
         body["leaving"] = message.leaving;
@@ -101,11 +101,7 @@
         if (body.contains("moved")) {
             out.moved = body.at("moved").get<std::map<std::string, std::uint64_t>>();
         }
-        if (body.contains("queue")) {
-            for (const auto& [destination, report] : body.at("queue").items()) {
-                out.queues[destination] = {report.at(0), report.at(1)};
-            }
-        }
+        out.forward_address = body.value("forward", "");
         for (const auto& [service, value] : body.at("loads").items()) {
             key_load load;
             load.keys_per_counter = std::max(value.at(0).get<std::uint32_t>(), 1U);
@@ -143,8 +139,8 @@
     if (!message.successor.empty()) {
         body["successor"] = message.successor;
     }
-    if (message.service_rates) {
-        body["service_rates"] = *message.service_rates;
+    if (message.dispatchers) {
+        body["dispatchers"] = *message.dispatchers;
     }
     if (message.overflow) {
         body["overflow"] = *message.overflow;
@@ -200,8 +196,8 @@
         }
         out.top_capacity = body.value("top_capacity", 0.0);
         out.successor = body.value("successor", "");
-        if (body.contains("service_rates")) {
-            out.service_rates = body.at("service_rates").get<std::map<std::string, double>>();
+        if (body.contains("dispatchers")) {
+            out.dispatchers = body.at("dispatchers").get<dispatcher_names>();
         }
         if (body.contains("overflow")) {
             out.overflow =
--- a/src/gateway/quota_plan.cpp
+++ b/src/gateway/quota_plan.cpp
@@ -1,6 +1,8 @@
 #include "mimosavalve/gateway/quota_plan.hpp"
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace mimosavalve::gateway {
 
@@ -35,20 +37,38 @@
     double slots = 0;
 };
 
-void add_concurrency(quota_plan& plan, const quota_input& input,
-                     const service_destinations& service, const std::string& region,
-                     region_targets& group) {
+std::vector<router_demand> demands_of(const quota_input& input, const service_destinations& service,
+                                      const std::string& region) {
     std::vector<router_demand> demands;
-    double demand = 0;
     for (const auto& [host, domain] : input.routers) {
         const auto wanted =
             demand_in_region(input.demand, service, region, host,
                              std::string(region_of(input.state.regions, domain)), input.now);
         if (wanted.may_use) {
             demands.push_back({host, wanted.per_second});
-            demand += wanted.per_second;
         }
     }
+    return demands;
+}
+
+double sum_of(const std::vector<router_demand>& demands) {
+    return std::accumulate(demands.begin(), demands.end(), 0.0,
+                           [](double sum, const auto& router) { return sum + router.demand; });
+}
+
+// The demand of all routers, as that of the dispatchers that send their requests.
+std::vector<router_demand> demands_at(const std::vector<dispatch_candidate>& dispatchers,
+                                      double demand) {
+    std::vector<router_demand> demands;
+    for (const auto& each : dispatchers) {
+        demands.push_back({each.host, demand / static_cast<double>(dispatchers.size())});
+    }
+    return demands;
+}
+
+void add_concurrency(quota_plan& plan, const quota_input& input, region_targets& group,
+                     const std::vector<router_demand>& demands) {
+    const auto demand = sum_of(demands);
     const auto routers_per_slot = static_cast<double>(demands.size()) / group.slots;
     for (auto& target : group.targets) {
         target.concurrency_limit =
@@ -72,8 +92,10 @@
 }
 
 quota_plan plan_quotas(const routing_state& state, const demand_rates& demand,
-                       const std::map<std::string, std::string>& routers, boot_time now) {
+                       const std::map<std::string, std::string>& routers, dispatch_state& dispatch,
+                       boot_time now) {
     quota_plan plan;
+    dispatcher_map named;
     const detail::quota_input input{state, demand, routers, now};
     std::map<std::pair<std::string, std::string>, detail::region_targets> unkeyed_targets;
     for (const auto& [id, target] : state.targets) {
@@ -100,8 +122,18 @@
         if (is_new) {
             known->second = destinations_of(state, service, now);
         }
-        detail::add_concurrency(plan, input, known->second, region, group);
+        auto demands = detail::demands_of(input, known->second, region);
+        const auto asked = detail::sum_of(demands);
+        const auto destination = region_destination(service, region);
+        plan_dispatchers(named, dispatch.named,
+                         {destination, region, group.slots, group.capacity, asked, demands.size()},
+                         dispatch.candidates);
+        if (const auto dispatchers = named.find(destination); dispatchers != named.end()) {
+            demands = detail::demands_at(dispatchers->second, asked);
+        }
+        detail::add_concurrency(plan, input, group, demands);
     }
+    dispatch.named = std::move(named);
     return plan;
 }
 
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -50,6 +50,8 @@
     crash_report crashes;              ///< Observations about crashes since the last report.
     crash_findings announced_crashes;  ///< Findings that the leader last announced.
     std::map<std::string, std::vector<std::unique_ptr<target_link>>> idle_links;  ///< By target id.
+    /// Mean time until the answer of forwarded requests, by service.
+    std::map<std::string, double> forwarded_answer_ms;
     std::uint64_t links_opened = 0;              ///< Also the number of the last opened link.
     std::map<std::string, double> split_credit;  ///< Of weighted splits, by route and service.
     bool stopping = false;  ///< The process is stopping; answers close callers' connections.
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -79,6 +79,10 @@
             static_cast<std::uint64_t>(-milliseconds_until(*fleet_.long_holds_reported_at, now));
     }
     out.config_version = core_.state.config.version;
+    out.forward_address = core_.settings.forward_address;
+    out.capacity = core_.settings.capacity;
+    out.lag_ms = static_cast<std::uint64_t>(
+        std::exchange(core_.loop.lag_to_report, milliseconds(0)).count());
     if (same_leader) {
         out.reply_number = followed_reply_;
         out.registry_number = followed_registry_;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -5,6 +5,7 @@
 #include "control_timing.hpp"
 #include "peer_paths.hpp"
 #include "sync_client.hpp"
+#include "sync_server_detail.hpp"
 
 namespace mimosavalve::gateway {
 
@@ -12,11 +13,7 @@
 
 // The leader answers a call after this time at the latest, also when no state has changed.
 constexpr milliseconds max_reply_delay{200};
-// A router that has called within this time counts as a recent follower.
-constexpr milliseconds recently_called_time{1500};
-// Interval at which the reports are evaluated (quotas and crashes), and at which changed work times
-// are sent.
-constexpr milliseconds evaluation_interval{200};
+// Interval at which changed work times are sent.
 constexpr milliseconds work_interval{1000};
 constexpr milliseconds load_line_interval{1000};
 // Size of the replies in transit to one region from which further ones to it wait. The leader's own
@@ -48,6 +45,7 @@
     distribution_ = {};
     limits_.clear();
     limit_shares_.clear();
+    dispatch_ = {};
     crash_watch_ = resume_crash_watch(core_.announced_crashes, core_.now());
     registries_.restart();
     registries_.add(core_.state.registry);
@@ -202,6 +200,7 @@
         // The last reply did not arrive, so the values that it carried must be sent again.
         caller.concurrency.reset();
         caller.rates.reset();
+        caller.dispatchers.reset();
         caller.crashes.reset();
         const bool has_one_before = request.reply_number + 1 == caller.reply_number;
         caller.work_number = has_one_before ? caller.earlier_work_number : 0;
@@ -212,6 +211,9 @@
     update_transfers(distribution_, version, request.config_version == version ? request.host : "",
                      now);
     caller.address = request.address;
+    caller.forward_address = request.forward_address;
+    caller.capacity = request.capacity;
+    caller.lag = milliseconds(request.lag_ms);
     caller.failure_domain = request.failure_domain;
     caller.region = region_of(core_.state.regions, request.failure_domain);
     caller.called_at = now;
@@ -335,76 +337,6 @@
     }
 }
 
-void sync_server::allocate_quotas(boot_time now) {
-    next_evaluation_ = now + detail::evaluation_interval;
-    expire_demand(demand_, now);
-    std::map<std::string, std::string> routers;
-    routers.emplace(core_.settings.host, core_.settings.failure_domain);
-    for (const auto& [host, router] : followers_) {
-        routers.emplace(host, router.failure_domain);
-    }
-    quotas_ = plan_quotas(core_.state, demand_, routers, now);
-    const auto& own = quotas_.concurrency[core_.settings.host];
-    core_.state.concurrency_quotas.clear();
-    core_.state.concurrency_quotas.insert(own.begin(), own.end());
-    apply_rate_quotas(core_.state, quotas_.rates[core_.settings.host]);
-}
-
-void sync_server::share_limits(boot_time now) {
-    std::erase_if(limits_, [&](const auto& limit) {
-        const auto target = core_.state.targets.find(limit.first);
-        return target == core_.state.targets.end() ||
-               target->second->entry.started_unix_ms != limit.second.started_unix_ms ||
-               now - limit.second.said_at >=
-                   (limit.second.request_limit > 0 ? limit_lifetime : limit_end_time);
-    });
-    limit_shares_.clear();
-    // Until then, routers may hold shares of an earlier leader that this one does not know.
-    const bool may_raise = now - term_began_ >= limit_share_time;
-    for (const auto& [id, limit] : limits_) {
-        const auto& service = core_.state.targets.find(id)->second->entry.service;
-        std::vector<limit_sharer> sharers;
-        const auto add = [&, &target = id](const std::string& host, double held) {
-            const auto demand = demand_of(demand_, target, host, now) +
-                                demand_of(demand_, demand_destination(service, {}), host, now);
-            sharers.push_back({host, demand, held});
-        };
-        const auto& own = core_.state.notices[id];
-        add(core_.settings.host, own.share && now < own.share_until ? *own.share : 0);
-        for (const auto& [host, router] : followers_) {
-            const auto held = router.held_shares.find(id);
-            const auto sent = router.limit_shares.find(id);
-            add(host, std::max(held == router.held_shares.end() ? 0 : held->second,
-                               sent == router.limit_shares.end() ? 0 : sent->second));
-        }
-        const auto shares = share_limit(limit.request_limit, sharers, may_raise);
-        for (const auto& sharer : sharers) {
-            if (limit.request_limit == 0) {
-                limit_shares_[sharer.host][id] = -1;
-            } else if (may_raise || sharer.held > 0) {
-                limit_shares_[sharer.host][id] = shares.at(sharer.host);
-            }
-        }
-    }
-    apply_limit_shares(core_.state, limit_shares_[core_.settings.host], now);
-}
-
-void sync_server::find_crashes(boot_time now) {
-    auto found = gateway::find_crashes(crash_watch_, core_.state.targets, now);
-    for (const auto fingerprint : found.quarantined) {
-        if (!core_.announced_crashes.quarantined.contains(fingerprint)) {
-            core_.log.write_always(
-                "request_held_back",
-                {{"fingerprint", std::to_string(fingerprint)},
-                 {"losses_known", std::int64_t(crash_watch_.quarantine.losses.size())}});
-        }
-    }
-    if (found != core_.announced_crashes) {
-        core_.announced_crashes = std::move(found);
-        on_state_change();
-    }
-}
-
 void sync_server::log_load() {
     for (const auto& [id, limit] : limits_) {
         double sum = 0;
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -61,10 +61,14 @@
         boot_time following_since;         ///< When this instance of it first called.
         std::uint64_t config_version = 0;  ///< Its configuration at the last call.
         bool is_current = true;            ///< It has called with the present epoch.
+        std::string forward_address;       ///< See `sync_request`.
+        double capacity = 1;               ///< Of its host, in cores.
+        milliseconds lag{0};               ///< Of its event loop, before the last call.
         // Values that the router has received up to the last reply.
         std::uint64_t reply_number = 0;
         std::optional<std::map<std::string, std::uint32_t>> concurrency;
         std::optional<std::map<std::string, double>> rates;
+        std::optional<dispatcher_names> dispatchers;
         std::uint64_t work_number = 0;          ///< See `work_times`.
         std::uint64_t earlier_work_number = 0;  ///< `work_number` before the last reply.
         std::optional<crash_findings> crashes;
@@ -90,6 +94,10 @@
     [[nodiscard]] config_peer peer_of(const std::string& host, const follower& router) const;
     void record_reports(const std::string& host, sync_request& request, boot_time now);
     void allocate_quotas(boot_time now);
+    /// Routers that could be dispatchers: the followers that call regularly.
+    [[nodiscard]] std::vector<dispatch_candidate> dispatch_candidates(boot_time now) const;
+    /// Logs the destinations whose dispatchers have changed.
+    void log_dispatchers(const dispatcher_map& before) const;
     /// Allots shares of the request limits that targets have named.
     void share_limits(boot_time now);
     void find_crashes(boot_time now);
@@ -117,10 +125,12 @@
     config_distribution distribution_;
     std::vector<pending_reply> pending_replies_;
     bool replies_deferred_ = false;  ///< Whether replies to all pending calls are scheduled.
-    state_history<registry_state> registries_;
-    std::map<std::string, state_history<key_map>> maps_;  ///< By service.
+    state_history<registry_state, registry_update> registries_;
+    /// By service.
+    std::map<std::string, state_history<key_map, key_map_update>> maps_;
     demand_rates demand_;
     quota_plan quotas_;
+    dispatch_state dispatch_;
     std::map<std::string, fleet_limit> limits_;  ///< By target.
     /// Shares of these limits, by host, then by target; negative: the limit has ended.
     std::map<std::string, std::map<std::string, double>> limit_shares_;
--- a/src/gateway/sync_server_reply.cpp
+++ b/src/gateway/sync_server_reply.cpp
@@ -88,6 +88,11 @@
         reply.rate_quotas = rate_quotas;
         caller.rates = rate_quotas;
     }
+    const auto dispatchers = names_of(dispatch_.named);
+    if (!caller.dispatchers || *caller.dispatchers != dispatchers) {
+        reply.dispatchers = dispatchers;
+        caller.dispatchers = dispatchers;
+    }
 }
 
 void sync_server::add_work(sync_reply& reply, follower& caller) const {
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -108,11 +108,22 @@
     return requests_at(state, target, now) >= target.entry.slots + max_queued_at_target;
 }
 
+// Part of a cold target's rate that dispatchers share; the rest is for routers that have not yet
+// learned of them.
+constexpr double dispatched_cold_fraction = 0.75;
+
 // This router's share of the requests that a cold target can handle in one second.
-double cold_rate_share(const routing_state& state, const service& kind) {
+double cold_rate_share(const routing_state& state, const target_state& target,
+                       const service& kind) {
     const auto limit = kind.cold_requests_per_second * state.bounds.cold_rate_factor +
                        state.bounds.cold_rate_extra_per_second;
-    return share_of(limit, state.router_count, state.router_rank);
+    const auto region = region_of(state.regions, target.entry.failure_domain);
+    const auto rank =
+        state.dispatchers.by_destination.empty()
+            ? std::nullopt
+            : rank_of(state.dispatchers, region_destination(kind.name, region), state.own_host);
+    return rank ? share_of(limit * dispatched_cold_fraction, rank->dispatchers, rank->rank)
+                : share_of(limit, state.router_count, state.router_rank);
 }
 
 // Takes one token of this router's rate quota for the target, if there is a quota.
@@ -222,7 +233,8 @@
         return {choice_kind::wait_for_room, &target};
     }
     if (is_cold(target, now) &&
-        !try_acquire(target.cold_rate_limiter, cold_rate_share(state, kind), one_second, now)) {
+        !try_acquire(target.cold_rate_limiter, cold_rate_share(state, target, kind), one_second,
+                     now)) {
         return {choice_kind::wait_for_room, &target};
     }
     return chosen(state, &target);
@@ -266,7 +278,8 @@
     std::vector<detail::candidate> free;
     target_state* cold = nullptr;
     std::optional<milliseconds> held_back_for;
-    const bool may_replace_quotas = detail::may_replace_quotas(state, request.service, now);
+    const bool may_replace_quotas =
+        request.ignores_quotas || detail::may_replace_quotas(state, request.service, now);
     for (auto* target : targets_of(state, request.service)) {
         if (!can_send_to(state, *target, now) ||
             !is_in_home_region(state, target->entry, *request.request_route) ||
@@ -302,7 +315,7 @@
     const bool busy = best.kind != choice_kind::target ||
                       detail::requests_at(state, *best.target, now) >= best.target->entry.slots;
     if (busy && cold != nullptr &&
-        try_acquire(cold->cold_rate_limiter, detail::cold_rate_share(state, kind->second),
+        try_acquire(cold->cold_rate_limiter, detail::cold_rate_share(state, *cold, kind->second),
                     detail::one_second, now)) {
         return detail::chosen(state, cold);
     }
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -125,7 +125,7 @@
 ip: "10.0.0.1"
 listen: {front: "10.0.0.1:80", ready: "10.0.0.1:81", control: "10.0.0.1:82"}
 internalPorts: [7540, 7555]
-limits: {maxFds: 4100}
+limits: {maxFds: 4100, cpuShare: 0.25, cores: 2}
 bounds: {drainMs: 2000, graceS: 5, retryBudgetRatio: 0.1, budgetExtraRetries: 7}
 platform: {address: "10.0.0.9:85", ttlMinMs: 500}
 unknown: 7
@@ -136,6 +136,8 @@
     REQUIRE(settings);
     CHECK(settings->peer_address == "10.0.0.1:7540");
     CHECK(settings->metrics_address == "10.0.0.1:7541");
+    CHECK(settings->forward_address == "10.0.0.1:7542");
+    CHECK(settings->capacity == doctest::Approx(0.5));
     CHECK(settings->bounds.leave_time == std::chrono::milliseconds(2000));
     CHECK(settings->bounds.stop_time == std::chrono::milliseconds(5000));
     CHECK(settings->bounds.extra_retries_per_window == 7);
