Keep routers without a dispatcher's quotas able to serve

Now these send it directly, one request at a time for each target: downloads and uploads, requests that have reached a target before, and what is forwarded to a router that is no dispatcher.

--- a/include/mimosavalve/gateway/dispatch_plan.hpp
+++ b/include/mimosavalve/gateway/dispatch_plan.hpp
@@ -38,10 +38,13 @@
 struct dispatch_input {
     std::string destination;
     std::string region;
-    double slots = 0;         ///< Of its usable targets.
-    double capacity = 0;      ///< Requests per second that these run.
-    double demand = 0;        ///< Requests per second of all routers.
-    std::size_t routers = 0;  ///< Routers that may send to it.
+    double slots = 0;                ///< Of its usable targets.
+    double capacity = 0;             ///< Requests per second that these run.
+    double demand = 0;               ///< Requests per second of all routers.
+    std::size_t routers = 0;         ///< Routers that may send to it.
+    bool has_small_requests = true;  ///< Whether any route sends it requests that are forwarded.
+    /// A new leader does not know the demand and all routers yet: what is named stays.
+    bool is_settling = false;
 };
 
 /// Leader: adds the dispatchers of one destination to `next`, or none if the service needs none. A
@@ -81,6 +84,9 @@
     std::span<const std::string> home_regions;  ///< Empty: any.
     std::string_view own_region;
     std::string_view own_host;
+    /// Whether the request must not be forwarded, but may be sent without a quota: a router other
+    /// than the dispatchers has none.
+    bool must_be_direct = false;
 };
 
 /// How a router sends a request.
@@ -90,6 +96,9 @@
     direct_without_quota,  ///< No dispatcher can be reached; the routers have no quotas.
 };
 
+/// Dispatchers as a new leader takes them over from what it followed.
+dispatcher_map taken_over(const dispatch_table& table);
+
 struct dispatch_choice {
     dispatch_kind kind = dispatch_kind::direct;
     dispatch_peer* peer = nullptr;
--- a/include/mimosavalve/gateway/quota_plan.hpp
+++ b/include/mimosavalve/gateway/quota_plan.hpp
@@ -14,6 +14,7 @@
 struct dispatch_state {
     std::vector<dispatch_candidate> candidates;
     dispatcher_map named;
+    bool is_settling = false;  ///< See `dispatch_input`.
 };
 
 /// Quotas that the leader allocates to the routers; it plans them anew several times a second.
--- a/include/mimosavalve/gateway/route_config.hpp
+++ b/include/mimosavalve/gateway/route_config.hpp
@@ -22,6 +22,11 @@
     return kind == request_kind::idempotent || kind == request_kind::download;
 }
 
+/// Whether requests or answers of the kind have large bodies.
+constexpr bool is_large(request_kind kind) {
+    return kind == request_kind::upload || kind == request_kind::download;
+}
+
 struct weighted_service {
     std::string service;
     double weight = 1;
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -23,7 +23,7 @@
 // connection is open.
 constexpr std::chrono::milliseconds first_request_time{500};
 // Maximum size of what a router adds to the head of a request that it forwards.
-constexpr std::uint32_t max_forwarding_bytes = 1024;
+constexpr std::uint32_t max_forwarding_bytes = 4096;
 // Time for the caller to close its side after the last answer. Most callers do so at once.
 constexpr std::chrono::milliseconds linger_time{1000};
 
--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <tuple>
 
+#include "mimosavalve/gateway/stream.hpp"
+
 namespace mimosavalve::gateway {
 
 namespace detail {
@@ -12,6 +14,8 @@
 constexpr std::size_t dispatchers_per_destination = 2;
 // Slots for each router from which the routers have requests enough to use their own quotas.
 constexpr double max_slots_per_router = 1.5;
+// The same while dispatchers are named, so that a target that comes or goes changes nothing.
+constexpr double end_slots_per_router = 2;
 // Demand as a fraction of the capacity from which requests queue at slow targets, and below which
 // dispatchers are given up.
 constexpr double begin_utilization = 0.4;
@@ -31,11 +35,20 @@
 
 bool is_needed(const dispatch_input& input, bool is_in_force) {
     const double from = is_in_force ? end_utilization : begin_utilization;
-    return input.slots > 0 &&
-           input.slots < max_slots_per_router * static_cast<double>(input.routers) &&
+    const double max_slots = is_in_force ? end_slots_per_router : max_slots_per_router;
+    return input.slots > 0 && input.has_small_requests &&
+           input.slots < max_slots * static_cast<double>(input.routers) &&
            input.demand > input.capacity * from;
 }
 
+// Whether a service has dispatchers in any region.
+bool has_dispatchers(const dispatch_table& table, std::string_view service) {
+    const auto prefix = region_destination(service, "");
+    const auto first = table.by_destination.lower_bound(prefix);
+    return first != table.by_destination.end() &&
+           first->first.compare(0, prefix.size(), prefix) == 0;
+}
+
 bool is_named(const std::vector<dispatch_candidate>& named, const std::string& host) {
     return std::any_of(named.begin(), named.end(),
                        [&](const auto& each) { return each.host == host; });
@@ -51,7 +64,14 @@
 void plan_dispatchers(dispatcher_map& next, const dispatcher_map& current,
                       const dispatch_input& input, std::span<const dispatch_candidate> candidates) {
     const auto before = current.find(input.destination);
-    if (!detail::is_needed(input, before != current.end()) || candidates.empty()) {
+    if (input.is_settling && before != current.end()) {
+        next.insert(*before);
+        return;
+    }
+    // A router of an earlier version of the program forwards nothing, and needs its own quotas.
+    const bool all_forward = std::all_of(candidates.begin(), candidates.end(),
+                                         [](const auto& each) { return !each.address.empty(); });
+    if (!detail::is_needed(input, before != current.end()) || candidates.empty() || !all_forward) {
         return;
     }
     const double smallest = std::min_element(candidates.begin(), candidates.end(),
@@ -62,7 +82,7 @@
     std::vector<dispatch_candidate> able;
     std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(able),
                  [&](const auto& each) {
-                     return each.region == input.region && !each.is_late && !each.address.empty() &&
+                     return each.region == input.region && !each.is_late &&
                             each.capacity >= smallest * detail::min_capacity_ratio;
                  });
     const auto is_better = [&](const dispatch_candidate& one, const dispatch_candidate& two) {
@@ -91,12 +111,25 @@
     return names;
 }
 
+dispatcher_map taken_over(const dispatch_table& table) {
+    dispatcher_map dispatchers;
+    for (const auto& [destination, peers] : table.by_destination) {
+        for (const auto& peer : peers) {
+            dispatchers[destination].push_back({peer.host, peer.address, "", 1, false});
+        }
+    }
+    return dispatchers;
+}
+
 void apply_dispatchers(dispatch_table& table, const dispatcher_names& named) {
     std::map<std::string, std::vector<dispatch_peer>, std::less<>> next;
     for (const auto& [destination, hosts] : named) {
         auto& peers = next[destination];
         const auto known = table.by_destination.find(destination);
         for (const auto& [host, address] : hosts) {
+            if (!parse_endpoint(address)) {
+                continue;
+            }
             dispatch_peer peer{host, address, {}};
             if (known != table.by_destination.end()) {
                 for (const auto& before : known->second) {
@@ -114,14 +147,15 @@
     if (table.by_destination.empty()) {
         return {};
     }
+    const bool may_stay = request.home_regions.empty() ||
+                          std::find(request.home_regions.begin(), request.home_regions.end(),
+                                    request.own_region) != request.home_regions.end();
     std::vector<std::string_view> regions(request.home_regions.begin(), request.home_regions.end());
-    if (regions.empty()) {
-        regions.push_back(request.own_region);
+    if (may_stay) {
+        regions = {request.own_region};
     }
-    // The own region first, if it is one of several.
-    std::stable_partition(regions.begin(), regions.end(),
-                          [&](auto region) { return region == request.own_region; });
-    bool is_named = false;
+    // Dispatchers in another region have the quotas there, which this router may lack.
+    bool is_named = detail::has_dispatchers(table, request.service);
     for (const auto region : regions) {
         const auto found = table.by_destination.find(region_destination(request.service, region));
         if (found == table.by_destination.end() || found->second.empty()) {
@@ -135,7 +169,8 @@
             return {};
         }
         is_named = true;
-        for (std::size_t tried = 0; now < table.valid_until && tried < peers.size(); ++tried) {
+        const bool may_forward = now < table.valid_until && !request.must_be_direct;
+        for (std::size_t tried = 0; may_forward && tried < peers.size(); ++tried) {
             auto& peer = peers[table.turn++ % peers.size()];
             if (now >= peer.avoid_until) {
                 return {dispatch_kind::forward, &peer};
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t max_replay_bytes = 1U << 20U;
 // Number of unsent body bytes at which the router stops reading from the caller.
 constexpr std::size_t max_unsent_body_bytes = 256U << 10U;
+// Time for a dispatcher's answer to reach this router, also from another region.
+constexpr std::int64_t forwarding_margin_ms = 50;
 // The kernel repeats a lost SYN packet only after seconds; trying another target is faster.
 constexpr milliseconds connect_timeout{300};
 
@@ -92,11 +94,12 @@
         service_ = choose_service(core_, *route_);
     }
     key_ = detail::parse_number(field_of(head_, core_.platform.headers.key));
-    const auto now = boot_clock::now();
     if (!is_forwarded_) {
         ++core_.demand[demand_destination(service_, route_->home_regions)];
     }
-    record_first_attempt(core_.retry_budgets[service_], core_.settings.bounds, now);
+    if (is_forwarded_ || core_.state.dispatchers.by_destination.empty()) {
+        count_for_budget();
+    }
     if (is_keyed()) {
         if (*key_ >= key_count) {
             refuse(detail::status_bad_request, "key-out-of-range");
@@ -107,6 +110,13 @@
     check_and_dispatch();
 }
 
+void exchange::count_for_budget() {
+    if (!std::exchange(is_budget_counted_, true)) {
+        record_first_attempt(core_.retry_budgets[service_], core_.settings.bounds,
+                             boot_clock::now());
+    }
+}
+
 void exchange::check_and_dispatch() {
     const auto& quarantined = core_.announced_crashes.quarantined;
     is_awaiting_check_ = !quarantined.empty() && !fingerprint();
@@ -153,6 +163,7 @@
     target_id_ = target.entry.id;
     target_instance_ = target.entry.started_unix_ms;
     target_address_ = target.entry.address;
+    count_for_budget();
     record_send(target, boot_clock::now());
     auto& idle = core_.idle_links[target_id_];
     while (!idle.empty()) {
@@ -225,8 +236,11 @@
             append_field(text, field.name, field.value);
         }
     }
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(answer_deadline_ - steady::now()).count();
+    auto left = std::chrono::duration_cast<milliseconds>(answer_deadline_ - steady::now()).count();
+    if (!dispatcher_.empty()) {
+        // The dispatcher's final answer must arrive before this router gives its own.
+        left -= detail::forwarding_margin_ms;
+    }
     append_field(text, names.deadline, std::to_string(std::max<std::int64_t>(left, 1)));
     if (dispatcher_.empty()) {
         append_field(text, names.expected_target, target_id_);
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -120,6 +120,12 @@
     /// How the request is sent: only small requests without a key are forwarded.
     [[nodiscard]] dispatch_choice choose_dispatch();
     void forward_to(const dispatch_peer& peer);
+    /// Avoids a dispatcher that has lost a request or given no answer.
+    void avoid_dispatcher(const std::string& host);
+    /// Sends the request elsewhere if the dispatcher refused it for a reason of its own.
+    bool retry_after_dispatcher(std::string_view reason);
+    /// Counts the request for the retry budget of its service, once, at the router that sends it.
+    void count_for_budget();
     /// Reads what another router has added to a forwarded request.
     void read_forwarding(milliseconds& timeout);
     void open_link(target_state& target);
@@ -172,7 +178,10 @@
     steady::time_point arrived_;
     std::size_t ahead_;  ///< See `request_arrival`.
     std::optional<milliseconds> unread_;
-    bool is_forwarded_;  ///< See `request_arrival`.
+    bool is_forwarded_;               ///< See `request_arrival`.
+    milliseconds forwarded_age_{0};   ///< Its age when the first router forwarded it.
+    bool ignores_quotas_ = false;     ///< See `choice_request`.
+    bool is_budget_counted_ = false;  ///< It counts for the retry budget of its service.
     steady::time_point answer_deadline_;
     std::optional<route> route_;  // A copy, since the configuration may change during the request.
     std::string service_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -159,10 +159,11 @@
         dispatcher_.empty() ? std::string_view() : field_of(answer_, detail::verdict_field);
     if (!own_verdict.empty() && !success) {
         // The dispatcher's own answer, which says whether the request may have run.
-        verdict_ = own_verdict == to_string(traffic_verdict::not_run)
-                       ? earlier_sends_verdict_
-                       : traffic_verdict::may_have_run;
-        answer_from_target();
+        const bool is_not_run = own_verdict == to_string(traffic_verdict::not_run);
+        verdict_ = is_not_run ? earlier_sends_verdict_ : traffic_verdict::may_have_run;
+        if (!is_not_run || !retry_after_dispatcher(field_of(answer_, detail::reason_field))) {
+            answer_from_target();
+        }
         return;
     }
     if (was_not_run && !is_streaming_) {
@@ -254,8 +255,8 @@
         record_failure(*target, has_sent, boot_clock::now());
     }
     const bool was_forwarded = !dispatcher_.empty();
-    if (was_forwarded && !has_sent) {
-        record_unreachable(core_.state.dispatchers, dispatcher_, core_.now());
+    if (was_forwarded) {
+        avoid_dispatcher(std::string(dispatcher_));
     }
     if (const auto request_fingerprint =
             has_sent && !was_forwarded ? fingerprint() : std::nullopt) {
@@ -308,6 +309,9 @@
         sink_.abort();
         return;
     }
+    if (!dispatcher_.empty() && answer_.status == 0) {
+        avoid_dispatcher(std::string(dispatcher_));
+    }
     refuse(verdict_ == traffic_verdict::not_run ? detail::status_unavailable
                                                 : detail::status_gateway_timeout,
            "timeout");
@@ -377,13 +381,13 @@
     message_head head;
     head.status = status;
     head.fields.push_back({core_.platform.headers.request_id, id_});
-    head.fields.push_back({"Mimosavalve-Reason", std::string(reason)});
+    head.fields.push_back({std::string(detail::reason_field), std::string(reason)});
     head.fields.push_back({std::string(detail::verdict_field), std::string(to_string(verdict_))});
     if (status == detail::status_unavailable) {
         const auto requested_ms =
             detail::parse_number(field_of(head_, core_.platform.headers.deadline));
         const auto left = milliseconds(requested_ms.value_or(detail::default_timeout.count())) -
-                          milliseconds(age_ms());
+                          milliseconds(age_ms()) + forwarded_age_;
         const auto wait =
             retry_after(estimate, std::max(left, milliseconds(0)), detail::random_fraction());
         constexpr double ms_per_s = 1000;
--- a/src/gateway/exchange_detail.hpp
+++ b/src/gateway/exchange_detail.hpp
@@ -24,7 +24,8 @@
 /// since that router received the request.
 inline constexpr std::string_view forwarded_service_field = "Mimosavalve-Service";
 inline constexpr std::string_view forwarded_age_field = "Mimosavalve-Age";
-/// Verdict of a router's own answer.
+/// Reason and verdict of a router's own answer.
+inline constexpr std::string_view reason_field = "Mimosavalve-Reason";
 inline constexpr std::string_view verdict_field = "Mimosavalve-Verdict";
 
 /// Decimal number of a header field; nothing if `text` is anything else.
--- a/src/gateway/exchange_dispatch.cpp
+++ b/src/gateway/exchange_dispatch.cpp
@@ -30,15 +30,6 @@
 }
 
 void exchange::dispatch(dispatch_round& round) {
-    const bool has_tried_none = tried_targets_.empty();
-    if (waiting_ && has_tried_none && !core_.answers_until) {
-        if (const auto full = round.full.find(destination()); full != round.full.end()) {
-            wait_or_refuse({choice_kind::wait_for_room, nullptr}, full->second);
-            // A request that was refused no longer waits with the others.
-            full->second.requests_ahead -= waiting_ ? 0 : 1;
-            return;
-        }
-    }
     const auto dispatch = choose_dispatch();
     if (dispatch.kind == dispatch_kind::forward) {
         stop_waiting();
@@ -49,9 +40,18 @@
         }
         return;
     }
+    ignores_quotas_ = dispatch.kind == dispatch_kind::direct_without_quota;
+    const bool has_tried_none = tried_targets_.empty();
+    if (waiting_ && has_tried_none && !core_.answers_until) {
+        if (const auto full = round.full.find(destination()); full != round.full.end()) {
+            wait_or_refuse({choice_kind::wait_for_room, nullptr}, full->second);
+            // A request that was refused no longer waits with the others.
+            full->second.requests_ahead -= waiting_ ? 0 : 1;
+            return;
+        }
+    }
     const auto now = boot_clock::now();
-    const choice_request request{&*route_, service_, key_, tried_targets_,
-                                 dispatch.kind == dispatch_kind::direct_without_quota};
+    const choice_request request{&*route_, service_, key_, tried_targets_, ignores_quotas_};
     const auto began = steady::now();
     const auto choice = choose_target(core_.state, request, now);
     record_latency(core_.metrics, "choice", steady::now() - began);
@@ -108,11 +108,10 @@
             ++count;
         }
     }
-    if (count > 0) {
-        return sum / count;
-    }
     const auto forwarded = core_.forwarded_answer_ms.find(service_);
-    return forwarded == core_.forwarded_answer_ms.end() ? 0 : forwarded->second;
+    const double forwarded_ms =
+        forwarded == core_.forwarded_answer_ms.end() ? 0 : forwarded->second;
+    return std::max(count > 0 ? sum / count : 0, forwarded_ms);
 }
 
 void exchange::wait_or_refuse(const target_choice& choice, wait_estimate estimate) {
@@ -189,6 +188,8 @@
             concurrency += target->rate_quota * work_ms_of(core_.state, *target) / ms_per_s;
         } else if (!is_request_keyed && quota != core_.state.concurrency_quotas.end()) {
             concurrency += quota->second;
+        } else if (!is_request_keyed && ignores_quotas_) {
+            concurrency += 1;
         } else if (is_request_keyed) {
             concurrency += target->entry.slots;
         }
--- a/src/gateway/exchange_forward.cpp
+++ b/src/gateway/exchange_forward.cpp
@@ -1,6 +1,7 @@
 // Requests that are forwarded to dispatchers, and those that a dispatcher gets.
 
 #include <algorithm>
+#include <iterator>
 
 #include "exchange.hpp"
 #include "exchange_detail.hpp"
@@ -20,14 +21,39 @@
 }  // namespace detail
 
 dispatch_choice exchange::choose_dispatch() {
-    const bool is_large =
-        route_->kind == request_kind::upload || route_->kind == request_kind::download;
-    if (is_forwarded_ || is_large || is_keyed()) {
+    if (is_keyed()) {
         return {};
     }
-    return choose_dispatcher(
-        core_.state.dispatchers,
-        {service_, route_->home_regions, core_.state.own_region, core_.settings.host}, core_.now());
+    // A request that has reached a target stays with this router, which knows whether it may have
+    // run and how often it may be sent.
+    const bool must_be_direct = is_forwarded_ || is_large(route_->kind) || attempts_ > 0;
+    return choose_dispatcher(core_.state.dispatchers,
+                             {service_, route_->home_regions, core_.state.own_region,
+                              core_.settings.host, must_be_direct},
+                             core_.now());
+}
+
+void exchange::avoid_dispatcher(const std::string& host) {
+    record_unreachable(core_.state.dispatchers, host, core_.now());
+    // Other connections to it may be silent as well.
+    core_.idle_links.erase(detail::link_name(host));
+}
+
+bool exchange::retry_after_dispatcher(std::string_view reason) {
+    // What the dispatcher lacks, or that it stops, says nothing about the service.
+    constexpr std::string_view own_reasons[] = {"stopping", "no-configuration", "no-target",
+                                                "unknown-route"};
+    const bool is_own =
+        std::find(std::begin(own_reasons), std::end(own_reasons), reason) != std::end(own_reasons);
+    if (!is_own || is_streaming_ || !try_acquire_attempt(false)) {
+        return false;
+    }
+    avoid_dispatcher(std::string(dispatcher_));
+    detach_from_target();
+    verdict_ = earlier_sends_verdict_;
+    --attempts_;  // The request has not been sent to a target.
+    dispatch();
+    return true;
 }
 
 void exchange::forward_to(const dispatch_peer& peer) {
@@ -58,6 +84,7 @@
         detail::parse_number(field_of(head_, detail::forwarded_age_field)).value_or(0));
     // The time left was counted from the forwarding, the objective counts from the first receipt.
     timeout += age;
+    forwarded_age_ = age;
     arrived_ -= age;
     service_ = field_of(head_, detail::forwarded_service_field);
     const auto found = core_.state.routes.find(field_of(head_, "host"), path_of(head_));
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -311,8 +311,10 @@
     if (reply.rate_quotas) {
         apply_rate_quotas(core_.state, *reply.rate_quotas);
     }
-    if (reply.dispatchers) {
-        apply_dispatchers(core_.state.dispatchers, *reply.dispatchers);
+    if (reply.dispatchers || reply.epoch != dispatchers_epoch_) {
+        // A leader of an earlier version of the program names none.
+        apply_dispatchers(core_.state.dispatchers, reply.dispatchers.value_or(dispatcher_names()));
+        dispatchers_epoch_ = reply.epoch;
     }
     core_.state.dispatchers.valid_until = now + dispatch_validity;
     for (const auto& [id, work_ms] : reply.work_ms) {
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -62,8 +62,9 @@
     leader_election election_;
     leader_lease lease_;
     boot_time next_records_;
-    std::uint64_t known_epoch_ = 0;  ///< Epoch of the leader at the last tick.
-    boot_time leader_known_at_;      ///< When a leader of this epoch became known.
+    std::uint64_t dispatchers_epoch_ = 0;  ///< Of the leader that named the known dispatchers.
+    std::uint64_t known_epoch_ = 0;        ///< Epoch of the leader at the last tick.
+    boot_time leader_known_at_;            ///< When a leader of this epoch became known.
     /// Since when the leader's replies name a newer configuration than this router has.
     std::optional<boot_time> config_behind_since_;
     bool is_fetching_config_ = false;
--- a/src/gateway/quota_plan.cpp
+++ b/src/gateway/quota_plan.cpp
@@ -37,6 +37,17 @@
     double slots = 0;
 };
 
+// Whether any route sends the service requests that are small enough to be forwarded.
+bool has_small_requests(const routing_state& state, const std::string& service) {
+    return std::any_of(
+        state.config.routes.begin(), state.config.routes.end(), [&](const route& each) {
+            return !is_large(each.kind) &&
+                   std::any_of(each.services.begin(), each.services.end(), [&](const auto& part) {
+                       return part.service == service && part.weight > 0;
+                   });
+        });
+}
+
 std::vector<router_demand> demands_of(const quota_input& input, const service_destinations& service,
                                       const std::string& region) {
     std::vector<router_demand> demands;
@@ -126,7 +137,8 @@
         const auto asked = detail::sum_of(demands);
         const auto destination = region_destination(service, region);
         plan_dispatchers(named, dispatch.named,
-                         {destination, region, group.slots, group.capacity, asked, demands.size()},
+                         {destination, region, group.slots, group.capacity, asked, demands.size(),
+                          detail::has_small_requests(state, service), dispatch.is_settling},
                          dispatch.candidates);
         if (const auto dispatchers = named.find(destination); dispatchers != named.end()) {
             demands = detail::demands_at(dispatchers->second, asked);
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -45,7 +45,8 @@
     distribution_ = {};
     limits_.clear();
     limit_shares_.clear();
-    dispatch_ = {};
+    // The demand and the routers become known within seconds; until then the dispatchers stay.
+    dispatch_.named = taken_over(core_.state.dispatchers);
     crash_watch_ = resume_crash_watch(core_.announced_crashes, core_.now());
     registries_.restart();
     registries_.add(core_.state.registry);
@@ -213,7 +214,8 @@
     caller.address = request.address;
     caller.forward_address = request.forward_address;
     caller.capacity = request.capacity;
-    caller.lag = milliseconds(request.lag_ms);
+    const bool is_late = milliseconds(request.lag_ms) >= detail::max_dispatcher_lag;
+    caller.late_calls = is_late ? caller.late_calls + 1 : 0;
     caller.failure_domain = request.failure_domain;
     caller.region = region_of(core_.state.regions, request.failure_domain);
     caller.called_at = now;
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -63,7 +63,7 @@
         bool is_current = true;            ///< It has called with the present epoch.
         std::string forward_address;       ///< See `sync_request`.
         double capacity = 1;               ///< Of its host, in cores.
-        milliseconds lag{0};               ///< Of its event loop, before the last call.
+        std::uint32_t late_calls = 0;      ///< Consecutive calls that reported a late event loop.
         // Values that the router has received up to the last reply.
         std::uint64_t reply_number = 0;
         std::optional<std::map<std::string, std::uint32_t>> concurrency;
--- a/src/gateway/sync_server_plan.cpp
+++ b/src/gateway/sync_server_plan.cpp
@@ -11,9 +11,11 @@
 
 // Interval at which the reports are evaluated (quotas and crashes).
 constexpr milliseconds evaluation_interval{200};
-// Lag of its event loop from which a router is no dispatcher: requests would wait for it longer
-// than for a slot.
-constexpr milliseconds max_dispatcher_lag{250};
+// Consecutive calls with such a lag after which it is replaced: all that waits there is refused.
+constexpr std::uint32_t late_calls_until_replaced = 2;
+// Time from the beginning of a term in which all routers call the leader and the demand becomes
+// known.
+constexpr milliseconds settling_time{2500};
 
 }  // namespace detail
 
@@ -26,6 +28,7 @@
         routers.emplace(host, router.failure_domain);
     }
     dispatch_.candidates = dispatch_candidates(now);
+    dispatch_.is_settling = now - term_began_ < detail::settling_time;
     const auto before = dispatch_.named;
     quotas_ = plan_quotas(core_.state, demand_, routers, dispatch_, now);
     log_dispatchers(before);
@@ -42,7 +45,7 @@
     for (const auto& [host, router] : followers_) {
         if (router.is_current && now - router.called_at < detail::recently_called_time) {
             candidates.push_back({host, router.forward_address, router.region, router.capacity,
-                                  router.lag >= detail::max_dispatcher_lag});
+                                  router.late_calls >= detail::late_calls_until_replaced});
         }
     }
     return candidates;
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -122,8 +122,13 @@
         state.dispatchers.by_destination.empty()
             ? std::nullopt
             : rank_of(state.dispatchers, region_destination(kind.name, region), state.own_host);
-    return rank ? share_of(limit * dispatched_cold_fraction, rank->dispatchers, rank->rank)
-                : share_of(limit, state.router_count, state.router_rank);
+    if (rank) {
+        return share_of(limit * dispatched_cold_fraction, rank->dispatchers, rank->rank);
+    }
+    const bool has_dispatchers =
+        state.dispatchers.by_destination.contains(region_destination(kind.name, region));
+    return share_of(has_dispatchers ? limit * (1 - dispatched_cold_fraction) : limit,
+                    state.router_count, state.router_rank);
 }
 
 // Takes one token of this router's rate quota for the target, if there is a quota.
