Do not complete an answer by its connection's end during an upload

Cause: an answer without a length ended with the orderly end of its connection, whatever had become of the request. A target that is killed during an upload ends its connection in an orderly way if it had read all that had arrived, so the caller got a part of the answer as a whole 200.

Change: such an answer counts as a lost connection unless the whole request was written, the target has acknowledged it, and the connection has not been reset. Refusals that say "not run" keep their meaning. Counter: answers_with_doubtful_end.

--- a/include/mimosavalve/gateway/target_link.hpp
+++ b/include/mimosavalve/gateway/target_link.hpp
@@ -39,6 +39,13 @@
     /// Whether any byte of the current request was handed to the kernel.
     [[nodiscard]] bool has_sent() const { return connection_->sent_bytes() > sent_before_; }
 
+    /// Whether the answer has no length and ended with its connection, while the target had not
+    /// acknowledged every written byte, or after it had reset the connection. The answer may then
+    /// be incomplete: a reset is reported as an orderly end once a write has consumed its error.
+    [[nodiscard]] bool has_doubtful_end() const { return has_doubtful_end_; }
+    /// Whether the connection has ended the answer.
+    [[nodiscard]] bool was_ended_by_close() const { return was_ended_by_close_; }
+
     /// Detaches the current request. Afterwards the link is idle or closed.
     void end_request();
     /// Whether the link can carry another request.
@@ -68,6 +75,8 @@
     bool is_answer_to_other_request_ = false;
     bool expects_body_ = true;  ///< False for answers to HEAD.
     bool answered_ = false;
+    bool was_ended_by_close_ = false;
+    bool has_doubtful_end_ = false;
     bool is_reusable_ = true;
     bool has_request_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -147,6 +147,8 @@
     void record_notice(const target_state& target);
     /// Target that has the request; null if it was removed or has restarted.
     [[nodiscard]] target_state* current_target() const;
+    /// Whether the whole request was written to the current link.
+    [[nodiscard]] bool is_request_written() const;
     void detach_from_target();
     void record_forwarded_answer();
     /// Whether the request may be sent once more; counts the attempt. `reached_target`: the last
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -40,6 +40,10 @@
                : nullptr;
 }
 
+bool exchange::is_request_written() const {
+    return body_complete_ && body_sent_ >= body_.size() && (!head_.chunked || body_end_sent_);
+}
+
 void exchange::detach_from_target() {
     connector_.reset();
     if (target_id_.empty()) {
@@ -52,8 +56,7 @@
     if (link_) {
         link_->end_request();
         // The target would read the next request as the rest of an incomplete body.
-        const bool is_body_sent =
-            body_complete_ && body_sent_ >= body_.size() && (!head_.chunked || body_end_sent_);
+        const bool is_body_sent = is_request_written();
         const bool may_keep = target != nullptr || !dispatcher_.empty();
         if (link_->is_reusable() && is_body_sent && may_keep) {
             core_.idle_links[target_id_].push_back(std::move(link_));
@@ -170,6 +173,13 @@
         on_refusal();
         return;
     }
+    // A target that was killed during an upload ends its connection in an orderly way if it had
+    // read all that had arrived, and resets it only on what arrives later.
+    if (link_->was_ended_by_close() && (link_->has_doubtful_end() || !is_request_written())) {
+        count(core_.metrics, "answers_with_doubtful_end");
+        on_connection_lost(std::make_error_code(std::errc::connection_reset));
+        return;
+    }
     if (success && !has_field(answer_, names.signature)) {
         // Not written by the target, so the request may or may not have run, as after a lost
         // connection.
--- a/src/gateway/stream.cpp
+++ b/src/gateway/stream.cpp
@@ -1,6 +1,8 @@
 #include "mimosavalve/gateway/stream.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -114,6 +116,16 @@
     return info;
 }
 
+bool stream::has_delivered_all() {
+    if (!socket_.is_open() || queued_bytes() > 0) {
+        return false;
+    }
+    int unacknowledged = 0;
+    const auto info = kernel_info();
+    return info && info->tcpi_state != TCP_CLOSE &&
+           ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 std::optional<std::chrono::milliseconds> stream::time_since_receipt() {
     const auto info = kernel_info();
     return info ? std::optional(std::chrono::milliseconds(info->tcpi_last_data_recv))
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -103,6 +103,8 @@
         // The orderly end of the connection, unlike a reset, completes an answer without a length.
         if (got.closed && has_request_ && !is_answer_to_other_request_ && parser_->finish()) {
             answered_ = true;
+            was_ended_by_close_ = true;
+            has_doubtful_end_ = !connection_->has_delivered_all();
             const auto done = callbacks_.done;
             done();
             return;
--- /dev/null
+++ b/tests/gateway/response_test.cpp
@@ -0,0 +1,53 @@
+#include <doctest/doctest.h>
+
+#include "path_fixture.hpp"
+
+using namespace mimosavalve::gateway;
+using namespace mimosavalve::gateway::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string unframed_answer =
+    "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nConnection: close\r\n\r\n";
+
+std::string upload_head(std::size_t length) {
+    return "POST /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nContent-Length: " +
+           std::to_string(length) + "\r\n\r\n";
+}
+
+}  // namespace
+
+// A part of the answer was passed on as a whole one: the end of a connection ended the answer,
+// although the target had not taken the whole request.
+TEST_CASE("an answer without a length to an unfinished upload is not complete [response]") {
+    for (const std::string_view end : {cut, reset}) {
+        for (const std::size_t rest : {std::size_t{1}, std::size_t{200000}}) {
+            CAPTURE(end);
+            CAPTURE(rest);
+            path_fixture path(request_kind::non_idempotent);
+            path.target.script = {std::string(end) + unframed_answer + "part"};
+            path.send(upload_head(1000 + rest) + std::string(1000, 'x'));
+            const auto answer = path.receive("\r\n\r\n");
+            CHECK(answer.find("502") != std::string::npos);
+            CHECK(answer.find("may-have-run") != std::string::npos);
+            CHECK(answer.find("part") == std::string::npos);
+        }
+    }
+}
+
+TEST_CASE("an answer without a length to a whole upload is complete [response]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {std::string(cut) + unframed_answer + "whole"};
+    path.send(upload_head(1000) + std::string(1000, 'x'));
+    CHECK(path.receive("whole").find("200 OK") != std::string::npos);
+}
+
+// The refusal says that the request was not run, whatever becomes of its body.
+TEST_CASE("a refusal without a length during an upload stays a refusal [response]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {std::string(cut) +
+                          "HTTP/1.1 503 Full\r\nRequest-Id: $ID\r\nNot-Run: 1\r\n\r\nfull"};
+    path.send(upload_head(2000) + std::string(1000, 'x'));
+    CHECK(path.receive("\r\n\r\n").find("not-run") != std::string::npos);
+}
