Skip interim responses and reject statuses outside 100 to 599

Cause: the parser took any three digits as a status, so 000 went to the caller, and an interim response was taken for the whole answer; without the request's id it was discarded as the answer to another request.

Change: a message with such a status is malformed, which counts as a lost connection. Responses with 1xx are skipped inside the parser, also for peers and the store; at the end of a connection they are no answer.

--- a/include/mimosavalve/gateway/http_message.hpp
+++ b/include/mimosavalve/gateway/http_message.hpp
@@ -60,7 +60,8 @@
 };
 
 /// Incremental parser of one HTTP/1.1 message. It does not consume bytes after the end of the
-/// message.
+/// message. Interim responses (1xx) before an answer are skipped; a status outside 100 to 599 is an
+/// error.
 class message_parser {
 public:
     message_parser(message_kind kind, const message_limits& limits, message_events events);
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -24,6 +24,10 @@
     return {text.data(), text.size()};
 }
 
+constexpr unsigned min_status = 100;
+constexpr unsigned min_final_status = 200;
+constexpr unsigned max_status = 599;
+
 template <bool IsRequest>
 class collecting_parser final : public http::basic_parser<IsRequest> {
 public:
@@ -34,6 +38,9 @@
         this->body_limit(limits.max_body_bytes);
     }
 
+    /// Whether this is an interim response (1xx), which the answer follows.
+    [[nodiscard]] bool is_interim() const { return is_interim_; }
+    [[nodiscard]] const message_events& events() const { return events_; }
     [[nodiscard]] bool is_ambiguous() const { return head_.chunked && head_.content_length; }
 
 private:
@@ -50,6 +57,9 @@
                           error_code& error) override {
         head_.status = static_cast<unsigned>(status);
         error = {};
+        if (head_.status < min_status || head_.status > max_status) {
+            error = http::make_error_code(http::error::bad_status);
+        }
     }
     void on_field_impl(http::field /*name*/, text_view name, text_view value,
                        error_code& error) override {
@@ -70,7 +80,8 @@
     void on_header_impl(error_code& error) override {
         error = {};
         head_.keep_alive = this->keep_alive();
-        if (events_.head) {
+        is_interim_ = !IsRequest && head_.status < min_final_status;
+        if (events_.head && !is_interim_) {
             events_.head(std::move(head_));
         }
     }
@@ -101,13 +112,14 @@
     }
     void on_finish_impl(error_code& error) override {
         error = {};
-        if (events_.done) {
+        if (events_.done && !is_interim_) {
             events_.done();
         }
     }
 
     message_events events_;
     message_head head_;
+    bool is_interim_ = false;
     std::uint64_t max_body_bytes_;
     std::uint64_t body_bytes_ = 0;
 };
@@ -153,19 +165,38 @@
 struct message_parser::implementation {
     std::unique_ptr<detail::collecting_parser<true>> request;
     std::unique_ptr<detail::collecting_parser<false>> answer;
-    std::size_t max_unparsed_bytes = 0;
+    message_limits limits;
+    bool expects_no_body = false;
+
+    void start_answer(message_events events) {
+        answer = std::make_unique<detail::collecting_parser<false>>(std::move(events), limits);
+        answer->skip(expects_no_body);
+    }
+    /// Parses an answer, and skips the interim responses before it.
+    result feed_answer(std::string_view bytes) {
+        result fed;
+        while (true) {
+            const auto next =
+                detail::feed_parser(*answer, bytes.substr(fed.consumed), limits.max_header_bytes);
+            fed.consumed += next.consumed;
+            fed.error = next.error;
+            if (fed.error != parse_error::none || !answer->is_done() || !answer->is_interim()) {
+                return fed;
+            }
+            start_answer(answer->events());
+        }
+    }
 };
 
 message_parser::message_parser(message_kind kind, const message_limits& limits,
                                message_events events)
     : implementation_(std::make_unique<implementation>()) {
-    implementation_->max_unparsed_bytes = limits.max_header_bytes;
+    implementation_->limits = limits;
     if (kind == message_kind::request) {
         implementation_->request =
             std::make_unique<detail::collecting_parser<true>>(std::move(events), limits);
     } else {
-        implementation_->answer =
-            std::make_unique<detail::collecting_parser<false>>(std::move(events), limits);
+        implementation_->start_answer(std::move(events));
     }
 }
 
@@ -174,10 +205,9 @@
 message_parser& message_parser::operator=(message_parser&&) noexcept = default;
 
 message_parser::result message_parser::feed(std::string_view bytes) {
-    const auto max_unparsed_bytes = implementation_->max_unparsed_bytes;
-    return implementation_->request
-               ? detail::feed_parser(*implementation_->request, bytes, max_unparsed_bytes)
-               : detail::feed_parser(*implementation_->answer, bytes, max_unparsed_bytes);
+    return implementation_->request ? detail::feed_parser(*implementation_->request, bytes,
+                                                          implementation_->limits.max_header_bytes)
+                                    : implementation_->feed_answer(bytes);
 }
 
 bool message_parser::finish() {
@@ -210,6 +240,7 @@
 
 void message_parser::expect_no_body() {
     if (implementation_->answer) {
+        implementation_->expects_no_body = true;
         implementation_->answer->skip(true);
     }
 }
