Count requests in flight only where they were counted

Cause: a target's state is dropped when its entry vanishes, and made anew when it is back. A request that was in flight all the while subtracted itself from the new state, whose count wrapped around: the target was above its limit until the router was restarted. Idle connections had the same fault.

Change: each target state has a number, which the request and its link remember. Only the state with that number is counted down. Counter: requests_outlived_target_state.

--- a/include/mimosavalve/gateway/target_link.hpp
+++ b/include/mimosavalve/gateway/target_link.hpp
@@ -56,6 +56,7 @@
 
     std::uint64_t number = 0;  ///< Distinguishes the links of this process.
     std::string target_id;
+    std::uint64_t counted_by = 0;  ///< The `target_state::number` that has counted the link.
     std::chrono::steady_clock::time_point
         idle_until;  ///< Time after which the target may close the idle link.
 
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -49,6 +49,9 @@
     double rate_quota = 0;     ///< Maximum requests per second of this router; 0: no limit.
     double rate_tokens = 0;    ///< Tokens of the bucket that `rate_quota` fills.
     boot_time rate_tokens_at;  ///< Time at which `rate_tokens` was computed.
+    /// Distinguishes this object from later ones of the same target. Only what this object has
+    /// counted in `running` and `open_connections` is subtracted from them.
+    std::uint64_t number = 0;
 };
 
 /// Targets of one service.
@@ -87,6 +90,7 @@
     /// Concurrency quotas by target id: requests that this router may have at a target of a service
     /// without keys at a time, allocated by the leader. Empty until the leader has allocated any.
     std::map<std::string, std::uint32_t, std::less<>> concurrency_quotas;
+    std::uint64_t target_states_created = 0;  ///< Source of `target_state::number`.
     dispatch_table dispatchers;  ///< Routers to which requests are forwarded.
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -153,16 +153,21 @@
     target_id_ = target.entry.id;
     target_instance_ = target.entry.started_unix_ms;
     target_address_ = target.entry.address;
+    counted_by_ = target.number;
     record_send(target, boot_clock::now());
     auto& idle = core_.idle_links[target_id_];
     while (!idle.empty()) {
         auto link = std::move(idle.back());
         idle.pop_back();
         if (can_send_on(*link)) {
+            if (link->counted_by != target.number) {
+                ++target.open_connections;
+            }
             send_on(std::move(link));
             return;
         }
-        --target.open_connections;
+        // A link that an earlier state of the target has counted is not in this one's count.
+        target.open_connections -= link->counted_by == target.number ? 1 : 0;
     }
     ++target.open_connections;
     count(core_.metrics, "target_connections_opened");
@@ -252,6 +257,7 @@
     link_ = std::move(link);
     used_links_.push_back(link_->number);
     link_->target_id = target_id_;
+    link_->counted_by = counted_by_;
     answer_ = {};
     answer_body_.clear();
     body_sent_ = 0;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -147,6 +147,8 @@
     void record_notice(const target_state& target);
     /// Target that has the request; null if it was removed or has restarted.
     [[nodiscard]] target_state* current_target() const;
+    /// The same, but also null if its state was replaced since it has counted the request.
+    [[nodiscard]] target_state* counting_target() const;
     /// Whether the whole request was written to the current link.
     [[nodiscard]] bool is_request_written() const;
     void detach_from_target();
@@ -197,6 +199,7 @@
     std::uint32_t connect_failures_ = 0;
     std::string target_id_;
     std::uint64_t target_instance_ = 0;
+    std::uint64_t counted_by_ = 0;  ///< The `target_state::number` that has counted the request.
     std::string target_address_;
     std::string dispatcher_;  ///< Host of the dispatcher that has the request; else empty.
     std::unique_ptr<connector> connector_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -40,6 +40,11 @@
                : nullptr;
 }
 
+target_state* exchange::counting_target() const {
+    auto* target = current_target();
+    return target != nullptr && target->number == counted_by_ ? target : nullptr;
+}
+
 bool exchange::is_request_written() const {
     return body_complete_ && body_sent_ >= body_.size() && (!head_.chunked || body_end_sent_);
 }
@@ -49,9 +54,11 @@
     if (target_id_.empty()) {
         return;
     }
-    auto* target = current_target();
+    auto* target = counting_target();
     if (target != nullptr) {
         --target->running;
+    } else if (dispatcher_.empty()) {
+        count(core_.metrics, "requests_outlived_target_state");
     }
     if (link_) {
         link_->end_request();
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -248,7 +248,8 @@
             std::erase_if(idle.second, [&](const auto& link) {
                 const bool is_usable = link->is_still_usable();
                 const auto found = core_.state.targets.find(idle.first);
-                if (!is_usable && found != core_.state.targets.end()) {
+                if (!is_usable && found != core_.state.targets.end() &&
+                    found->second->number == link->counted_by) {
                     --found->second->open_connections;
                 }
                 return !is_usable;
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -60,6 +60,7 @@
         auto& target = state.targets[id];
         if (!target) {
             target = std::make_unique<target_state>();
+            target->number = ++state.target_states_created;
         }
         // The entry holds the cold time that remained when it was written.
         if (entry.remaining_cold_ms > 0 && entry.sequence != target->entry.sequence) {
