Announce a target that becomes cold again

Cause: the leader compared only whether any cold time was left, so an entry with a new cold time, written before the first one had ended, was the same to it. Followers gave the target their full share from the first end on.

Change: an entry holds the end of its cold time, set when this router receives it, and is_same_for_routing compares that, in one place. Ends that differ by up to 100 ms are the same: reports arrive with varying delay. target_state is logged with cold_ms when the end moves to later.

Failed before (the deadline left out of the comparison): "a target that becomes cold again is announced and held back", the difference had 0 entries instead of 1 for 3,000 and 1,500 ms of new cold time.

--- a/include/mimosavalve/gateway/target_registry.hpp
+++ b/include/mimosavalve/gateway/target_registry.hpp
@@ -27,6 +27,8 @@
     /// Start of this instance, which identifies it; differs after a restart.
     std::uint64_t started_unix_ms = 0;
     std::uint64_t sequence = 0;  ///< Grows with each report of this instance.
+    /// End of the cold time, from its receipt by this router; not set for a warm target.
+    boot_time cold_until{};
 
     bool operator==(const target_entry&) const = default;
 };
@@ -96,8 +98,11 @@
 registry_state merge_snapshot(const registry_state& state, const registry_snapshot& snapshot,
                               const registry_outage& outage, boot_time now);
 
-/// Whether two entries are equal except for the sequence number. Of the remaining cold time, only
-/// whether it is 0 is compared.
+/// Sets the end of an entry's cold time from the time that remained when it was received.
+void set_cold_deadline(target_entry& entry, boot_time received_at);
+
+/// Whether two entries are equal except for the sequence number. The cold time is compared by its
+/// end, of which differences of up to 100 ms are ignored: entries arrive with varying delay.
 bool is_same_for_routing(const target_entry& left, const target_entry& right);
 
 /// Whether evacuated domains differ, or targets in the sense of `is_same_for_routing`.
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -127,7 +127,9 @@
     auto entry = core_.platform.decode_target(id, item.value);
     if (!entry) {
         count(core_.metrics, "registry_entries_ignored");
+        return entry;
     }
+    set_cold_deadline(*entry, core_.now());
     return entry;
 }
 
@@ -179,9 +181,13 @@
 }
 
 void registry_reader::apply_from_leader(const registry_update& update) {
-    auto next = applied(leader_registry_ ? *leader_registry_ : core_.state.registry, update);
     const auto& own = core_.state.registry;
     const auto now = core_.now();
+    auto received = update;
+    for (auto& entry : received.entries) {
+        set_cold_deadline(entry, now);
+    }
+    auto next = applied(leader_registry_ ? *leader_registry_ : own, received);
     next.evacuated_domains = own.evacuated_domains;
     forget_gone_targets(next, now);
     if (own.revision != 0 && store_era_of(next.revision) > store_era_of(own.revision)) {
@@ -210,10 +216,13 @@
     for (const auto& [id, entry] : next.targets) {
         const auto found = previous.targets.find(id);
         if (found == previous.targets.end() || found->second.leaving != entry.leaving ||
-            found->second.started_unix_ms != entry.started_unix_ms) {
+            found->second.started_unix_ms != entry.started_unix_ms ||
+            (found->second.cold_until < entry.cold_until &&
+             !is_same_for_routing(found->second, entry))) {
             core_.log.write("target_state", {{"target", id},
                                              {"service", entry.service},
                                              {"leaving", std::int64_t{entry.leaving}},
+                                             {"cold_ms", std::int64_t{entry.remaining_cold_ms}},
                                              {"revision", revision}});
         }
     }
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -7,6 +7,17 @@
 
 namespace detail {
 
+// Ends of a cold time that differ by less are the same. A target within its cold time repeats the
+// time that remains with each report, and the reports arrive with varying delay.
+constexpr milliseconds cold_end_tolerance{100};
+
+bool has_same_cold_time(const target_entry& left, const target_entry& right) {
+    const auto difference = left.cold_until < right.cold_until ? right.cold_until - left.cold_until
+                                                               : left.cold_until - right.cold_until;
+    return (left.remaining_cold_ms > 0) == (right.remaining_cold_ms > 0) &&
+           difference <= cold_end_tolerance;
+}
+
 bool is_not_newer(const target_entry& entry, const gone_target& gone) {
     return std::pair(entry.started_unix_ms, entry.sequence) <=
            std::pair(gone.started_unix_ms, gone.sequence);
@@ -80,11 +91,16 @@
     return without_older_entries(state, std::move(next), now);
 }
 
+void set_cold_deadline(target_entry& entry, boot_time received_at) {
+    entry.cold_until = entry.remaining_cold_ms > 0
+                           ? received_at + milliseconds(entry.remaining_cold_ms)
+                           : boot_time{};
+}
+
 bool is_same_for_routing(const target_entry& left, const target_entry& right) {
     return left.id == right.id && left.service == right.service && left.address == right.address &&
            left.failure_domain == right.failure_domain && left.slots == right.slots &&
-           left.leaving == right.leaving &&
-           (left.remaining_cold_ms > 0) == (right.remaining_cold_ms > 0) &&
+           left.leaving == right.leaving && detail::has_same_cold_time(left, right) &&
            left.started_unix_ms == right.started_unix_ms;
 }
 
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -62,11 +62,7 @@
             target = std::make_unique<target_state>();
             target->number = ++state.target_states_created;
         }
-        // The entry holds the cold time that remained when it was written.
-        if (entry.remaining_cold_ms > 0 && entry.sequence != target->entry.sequence) {
-            target->cold_until =
-                std::max(target->cold_until, now + milliseconds(entry.remaining_cold_ms));
-        }
+        target->cold_until = std::max(target->cold_until, entry.cold_until);
         target->entry = entry;
         // A target that was idle for an evacuation may have become cold, and says so too late.
         const bool is_evacuated = state.registry.evacuated_domains.contains(entry.failure_domain);
