Reject messages whose length cannot be determined

Cause: the parser took any Transfer-Encoding for chunks when it passed a message on, while Beast read a body only if the last coding was "chunked". The body of a request with another coding was then run as a request of its own.

Change: only a sole "chunked" is accepted, over all field lines together. A request with an unknown coding, or with codings before a last "chunked" (its body would be passed on without its coding), is answered with 501, any other undetermined length with 400, and its connection is closed. Lengths are plain digits, without lists. The same parser reads targets, peers and the store: there such a message is no answer. Beast goes on after an error in the last line of a head, so the error is kept.

--- a/include/mimosavalve/gateway/http_message.hpp
+++ b/include/mimosavalve/gateway/http_message.hpp
@@ -26,6 +26,7 @@
     bool keep_alive = true;
     bool chunked = false;
     std::optional<std::uint64_t> content_length;
+    int version = 11;  ///< 10 for HTTP/1.0.
 };
 
 /// Value of the first field with this name, ignoring case; empty if there is none.
@@ -57,6 +58,7 @@
     malformed,
     header_too_large,
     body_too_large,
+    unknown_coding,  ///< A transfer coding that is not known, or not supported.
 };
 
 /// Incremental parser of one HTTP/1.1 message. It does not consume bytes after the end of the
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -140,8 +140,10 @@
             constexpr unsigned bad_request = 400;
             constexpr unsigned too_large = 413;
             constexpr unsigned header_too_large = 431;
+            constexpr unsigned not_implemented = 501;
             reject(fed.error == parse_error::header_too_large ? header_too_large
                    : fed.error == parse_error::body_too_large ? too_large
+                   : fed.error == parse_error::unknown_coding ? not_implemented
                                                               : bad_request);
             return;
         }
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
+#include <cctype>
 #include <charconv>
 
 namespace mimosavalve::gateway {
@@ -24,10 +25,53 @@
     return {text.data(), text.size()};
 }
 
+constexpr int http_1_1 = 11;
 constexpr unsigned min_status = 100;
 constexpr unsigned min_final_status = 200;
 constexpr unsigned max_status = 599;
 
+/// What the Transfer-Encoding fields of a message say about its length.
+enum class coding_kind { chunked, unsupported, malformed };
+
+/// Judges the values of all Transfer-Encoding fields, joined by commas. Only a sole "chunked" is
+/// supported. A message with other codings before it could be read, but its body would be passed on
+/// without its coding.
+coding_kind coding_kind_of(std::string_view codings) {
+    static constexpr std::string_view known[] = {"identity", "gzip",     "x-gzip",
+                                                 "deflate",  "compress", "x-compress"};
+    if (iequals(beast_view(codings), "chunked")) {
+        return coding_kind::chunked;
+    }
+    bool has_unknown = false;
+    std::string_view last;
+    std::size_t chunked_count = 0;
+    for (std::size_t begin = 0; begin <= codings.size();) {
+        const auto end = std::min(codings.find(',', begin), codings.size());
+        last = codings.substr(begin, end - begin);
+        const auto text = last.find_first_not_of(" \t");
+        last = text == std::string_view::npos
+                   ? std::string_view()
+                   : last.substr(text, last.find_last_not_of(" \t") + 1 - text);
+        const bool is_name =
+            !last.empty() && std::all_of(last.begin(), last.end(), [](char character) {
+                return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-';
+            });
+        if (!is_name) {
+            return coding_kind::malformed;
+        }
+        const bool is_chunked = iequals(beast_view(last), "chunked");
+        chunked_count += is_chunked ? 1 : 0;
+        has_unknown = has_unknown ||
+                      (!is_chunked &&
+                       std::none_of(std::begin(known), std::end(known), [&](std::string_view name) {
+                           return iequals(beast_view(last), beast_view(name));
+                       }));
+        begin = end + 1;
+    }
+    const bool ends_chunked = iequals(beast_view(last), "chunked") && chunked_count == 1;
+    return has_unknown || ends_chunked ? coding_kind::unsupported : coding_kind::malformed;
+}
+
 template <bool IsRequest>
 class collecting_parser final : public http::basic_parser<IsRequest> {
 public:
@@ -41,20 +85,27 @@
     /// Whether this is an interim response (1xx), which the answer follows.
     [[nodiscard]] bool is_interim() const { return is_interim_; }
     [[nodiscard]] const message_events& events() const { return events_; }
-    [[nodiscard]] bool is_ambiguous() const { return head_.chunked && head_.content_length; }
+    /// Whether the head was complete and valid.
+    [[nodiscard]] bool has_head() const { return has_head_; }
+    /// Whether the head leaves the length of the message open.
+    [[nodiscard]] bool has_failed() const { return has_failed_; }
+    /// Whether the head has a transfer coding that is not supported.
+    [[nodiscard]] bool has_unsupported_coding() const { return has_unsupported_coding_; }
 
 private:
     using error_code = boost::beast::error_code;
     using text_view = boost::beast::string_view;
 
-    void on_request_impl(http::verb /*verb*/, text_view method, text_view target, int /*version*/,
+    void on_request_impl(http::verb /*verb*/, text_view method, text_view target, int version,
                          error_code& error) override {
+        head_.version = version;
         head_.method.assign(method.data(), method.size());
         head_.request_target.assign(target.data(), target.size());
         error = {};
     }
-    void on_response_impl(int status, text_view /*reason*/, int /*version*/,
+    void on_response_impl(int status, text_view /*reason*/, int version,
                           error_code& error) override {
+        head_.version = version;
         head_.status = static_cast<unsigned>(status);
         error = {};
         if (head_.status < min_status || head_.status > max_status) {
@@ -66,19 +117,38 @@
         error = {};
         head_.fields.push_back({std::string(name), std::string(value)});
         if (iequals(name, "transfer-encoding")) {
+            codings_.append(head_.chunked ? "," : "").append(value.data(), value.size());
             head_.chunked = true;
         } else if (iequals(name, "content-length")) {
             std::uint64_t length = 0;
-            std::from_chars(value.data(), value.data() + value.size(), length);
+            const auto* const end = value.data() + value.size();
+            const auto parsed = std::from_chars(value.data(), end, length);
+            if (parsed.ec != std::errc{} || parsed.ptr != end ||
+                head_.content_length.value_or(length) != length) {
+                error = http::make_error_code(http::error::bad_content_length);
+            }
             head_.content_length = length;
         }
         // A message with both lengths can hide a second request in its body (request smuggling).
-        if (is_ambiguous()) {
+        if (head_.chunked && head_.content_length) {
             error = http::make_error_code(http::error::bad_content_length);
         }
     }
     void on_header_impl(error_code& error) override {
         error = {};
+        if (head_.chunked) {
+            const auto kind = coding_kind_of(codings_);
+            has_unsupported_coding_ = kind == coding_kind::unsupported;
+            // A sender of HTTP/1.0 knows no chunks (RFC 9112, 6.1). The comparison with the base
+            // class guards against heads that the two would read differently.
+            if (kind != coding_kind::chunked || head_.version < http_1_1 || !this->chunked()) {
+                // Beast goes on after an error here, so the error is kept.
+                has_failed_ = true;
+                error = http::make_error_code(http::error::bad_transfer_encoding);
+                return;
+            }
+        }
+        has_head_ = true;
         head_.keep_alive = this->keep_alive();
         is_interim_ = !IsRequest && head_.status < min_final_status;
         if (events_.head && !is_interim_) {
@@ -97,7 +167,7 @@
             error = http::make_error_code(http::error::body_limit);
             return 0;
         }
-        if (events_.body && !body.empty()) {
+        if (events_.body && has_head_ && !body.empty()) {
             events_.body(view_of(body));
         }
         return body.size();
@@ -112,13 +182,17 @@
     }
     void on_finish_impl(error_code& error) override {
         error = {};
-        if (events_.done && !is_interim_) {
+        if (events_.done && has_head_ && !is_interim_) {
             events_.done();
         }
     }
 
     message_events events_;
     message_head head_;
+    std::string codings_;  ///< Values of the Transfer-Encoding fields, joined by commas.
+    bool has_failed_ = false;
+    bool has_unsupported_coding_ = false;
+    bool has_head_ = false;
     bool is_interim_ = false;
     std::uint64_t max_body_bytes_;
     std::uint64_t body_bytes_ = 0;
@@ -147,7 +221,9 @@
         const auto rest = bytes.substr(result.consumed);
         const auto used = parser.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         result.consumed += used;
-        result.error = error_of(error);
+        result.error = parser.has_unsupported_coding() ? parse_error::unknown_coding
+                       : parser.has_failed()           ? parse_error::malformed
+                                                       : error_of(error);
         if (result.error != parse_error::none || error || used == 0) {
             break;
         }
@@ -212,7 +288,7 @@
 
 bool message_parser::finish() {
     const auto end = [](auto& parser) {
-        if (!parser.is_header_done()) {
+        if (!parser.has_head()) {
             return false;
         }
         boost::beast::error_code error;
@@ -229,8 +305,8 @@
 }
 
 bool message_parser::has_head() const {
-    return implementation_->request ? implementation_->request->is_header_done()
-                                    : implementation_->answer->is_header_done();
+    return implementation_->request ? implementation_->request->has_head()
+                                    : implementation_->answer->has_head();
 }
 
 bool message_parser::is_done() const {
