Do not call the handlers of a request that was given up

Cause: when a long answer turns out to be unsigned in the same read that ends it, the request is given up in its body handler, and the link then called the empty handler of the answer's end. std::bad_function_call ended the process.

Change: the link stops when its request was given up.

Failed before: "a whole long answer without a signature ends only its request" threw bad_function_call.

--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -118,6 +118,9 @@
         if (alive_token.expired()) {
             return;
         }
+        if (!has_request_) {
+            return;  // The handlers have given the request up.
+        }
         input_.erase(0, fed.consumed);
         if (fed.error != parse_error::none) {
             fail(make_error_code(errc::malformed_message));
--- a/tests/gateway/response_test.cpp
+++ b/tests/gateway/response_test.cpp
@@ -100,3 +100,13 @@
     path.post("r1");
     CHECK(path.receive("\r\n\r\n").find("HTTP/1.1 502") != std::string::npos);
 }
+
+// The end of the same read called a handler that the request had given up.
+TEST_CASE("a whole long answer without a signature ends only its request [response]") {
+    path_fixture path(request_kind::non_idempotent);
+    const std::size_t length = (128U << 10U) + 1;
+    path.target.script = {"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nContent-Length: " +
+                          std::to_string(length) + "\r\n\r\n" + std::string(length, 'b')};
+    path.post("r1");
+    CHECK(path.receive("\r\n\r\n").find("HTTP/1.1 502") != std::string::npos);
+}
