Send long answers without a length in chunks

Cause: an answer of more than 128 KB without a length, or in chunks, went to the caller without any framing, and the end of the connection ended it. The kernel closes the connection of a killed router in an orderly way, so a third of an answer looked whole, and each such answer ended its connection.

Change: it goes in chunks; the connection stays. A caller with HTTP/1.0, which knows no chunks, gets it whole with a length, up to 4 MB, else a 502 (answer-too-long). Answers of up to 128 KB go whole with a length as before. Counters: answers_in_chunks, answers_in_parts.

Failed before: three of the new tests of [response] (no chunks, Connection: close, no second request on the connection; HTTP/1.0 without a length, and 200 for an endless answer). They pass now; a router that is killed was not run.

--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -163,8 +163,13 @@
     /// Answers the caller in the name of the router.
     void refuse(unsigned status, std::string_view reason, const wait_estimate& estimate = {});
     void finish(std::string_view outcome, unsigned status);
-    /// Head of the answer to the caller. Decides whether the answer closes the connection: one of
-    /// unknown length does, and while the process stops, one with no request behind it.
+    /// Whether the answer so far is passed on before it is complete. Without a length it goes in
+    /// chunks; a caller with HTTP/1.0 knows none, so it gets such an answer whole.
+    [[nodiscard]] bool should_stream_answer() const;
+    void send_answer_part(std::string data);
+    /// Head of the answer to the caller; without a length, the body follows in chunks. Decides
+    /// whether the answer closes the connection: while the process stops, one with no request
+    /// behind it does.
     [[nodiscard]] std::string answer_head(const message_head& head,
                                           std::optional<std::uint64_t> length);
     [[nodiscard]] std::int64_t age_ms() const;
@@ -212,6 +217,7 @@
     message_head answer_;
     std::string answer_body_;
     bool is_streaming_ = false;
+    bool sends_chunks_ = false;  ///< The answer goes to the caller in chunks.
     bool waiting_ = false;
     std::list<exchange*>::iterator waiting_position_;
     std::optional<std::multimap<steady::time_point, exchange*>::iterator> deadline_position_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <random>
+#include <sstream>
 #include <utility>
 
 #include "exchange.hpp"
@@ -13,6 +14,10 @@
 // Maximum size of an answer that is passed on only once it is complete, so that the router can
 // still send an error if the target's answer breaks off.
 constexpr std::size_t max_whole_answer_bytes = 128U << 10U;
+// Maximum size of an answer without a length to a caller with HTTP/1.0, for which it is kept until
+// it is complete.
+constexpr std::size_t max_answer_bytes_http_1_0 = 4U << 20U;
+constexpr int http_1_1 = 11;
 // Number of unsent bytes of an answer at which the router stops reading from the target.
 constexpr std::size_t max_unsent_answer_bytes = 256U << 10U;
 constexpr std::uint32_t max_connects = 3;
@@ -133,20 +138,43 @@
     }
 }
 
+bool exchange::should_stream_answer() const {
+    return answer_body_.size() > detail::max_whole_answer_bytes &&
+           (answer_.content_length || head_.version >= detail::http_1_1);
+}
+
+void exchange::send_answer_part(std::string data) {
+    if (!sends_chunks_) {
+        sink_.send_part(std::move(data));
+        return;
+    }
+    if (data.empty()) {
+        return;  // An empty chunk would end the answer.
+    }
+    std::ostringstream chunk;
+    chunk << std::hex << data.size() << "\r\n" << data << "\r\n";
+    sink_.send_part(chunk.str());
+}
+
 void exchange::on_answer_body(std::string_view data) {
     answer_body_.append(data);
     const bool is_signed = has_field(answer_, core_.platform.headers.signature);
-    if (!is_streaming_ && answer_body_.size() > detail::max_whole_answer_bytes) {
+    if (!is_streaming_ && should_stream_answer()) {
         if (!is_signed) {
             on_connection_lost(make_error_code(errc::malformed_message));
             return;
         }
         is_streaming_ = true;
+        sends_chunks_ = !answer_.content_length;
+        count(core_.metrics, sends_chunks_ ? "answers_in_chunks" : "answers_in_parts");
         sink_.send_part(answer_head(answer_, answer_.content_length));
     }
+    if (!is_streaming_ && answer_body_.size() > detail::max_answer_bytes_http_1_0) {
+        give_up("answer-too-long");
+        return;
+    }
     if (is_streaming_) {
-        sink_.send_part(std::move(answer_body_));
-        answer_body_.clear();
+        send_answer_part(std::exchange(answer_body_, {}));
         if (sink_.unsent_bytes() > detail::max_unsent_answer_bytes) {
             link_->set_reading_enabled(false);
         }
@@ -351,7 +379,7 @@
 }
 
 std::string exchange::answer_head(const message_head& head, std::optional<std::uint64_t> length) {
-    keep_alive_ = keep_alive_ && length && !(core_.stopping && sink_.is_last());
+    keep_alive_ = keep_alive_ && !(core_.stopping && sink_.is_last());
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
     text.append(reason_phrase(head.status)).append("\r\n");
     for (const auto& field : head.fields) {
@@ -361,6 +389,8 @@
     }
     if (length) {
         append_field(text, "Content-Length", std::to_string(*length));
+    } else {
+        append_field(text, "Transfer-Encoding", "chunked");
     }
     if (!keep_alive_) {
         append_field(text, "Connection", "close");
@@ -372,6 +402,9 @@
     const auto status = answer_.status;
     record_latency(core_.metrics, to_string(route_->kind), steady::now() - arrived_);
     if (is_streaming_) {
+        if (sends_chunks_) {
+            sink_.send_part("0\r\n\r\n");
+        }
         finish("answered", status);
         sink_.end();
         return;
--- a/tests/gateway/response_test.cpp
+++ b/tests/gateway/response_test.cpp
@@ -101,6 +101,71 @@
     CHECK(path.receive("\r\n\r\n").find("HTTP/1.1 502") != std::string::npos);
 }
 
+namespace {
+
+// Longer than the answers that are kept until they are complete.
+const std::string long_body(std::size_t{300000}, 'b');
+
+/// Body of an answer in chunks; empty if its last chunk is missing.
+std::string body_of_chunks(const std::string& answer) {
+    const auto body = answer.find("\r\n\r\n");
+    message_events events;
+    std::string read;
+    events.body = [&](std::string_view part) { read.append(part); };
+    message_parser parser(message_kind::answer, {}, events);
+    parser.feed(answer);
+    return body != std::string::npos && parser.is_done() ? read : "";
+}
+
+}  // namespace
+
+// The end of the connection ended such an answer, also after the router was killed.
+TEST_CASE("a long answer without a length reaches the caller in chunks [response]") {
+    const std::string size = "493e0\r\n";
+    for (const std::string& from_target : {std::string(cut) + unframed_answer + long_body,
+                                           chunked_answer + size + long_body + "\r\n0\r\n\r\n"}) {
+        path_fixture path(request_kind::non_idempotent);
+        path.target.script = {from_target, good_answer};
+        path.post("r1");
+        const auto answer = path.receive("\r\n0\r\n\r\n");
+        CHECK(answer.find("Transfer-Encoding: chunked") != std::string::npos);
+        CHECK(answer.find("Connection: close") == std::string::npos);
+        CHECK(body_of_chunks(answer) == long_body);
+        // The connection carries the next request.
+        path.post("r2");
+        CHECK(path.receive("hello").find("Request-Id: r2") != std::string::npos);
+    }
+}
+
+TEST_CASE("a long answer in chunks that breaks off does not look complete [response]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {std::string(cut) + chunked_answer + "493e0\r\n" + long_body};
+    path.post("r1");
+    const auto answer = path.receive("\r\n0\r\n\r\n");
+    CHECK(answer.find("200 OK") != std::string::npos);
+    CHECK(body_of_chunks(answer).empty());
+    CHECK(answer.find("\r\n0\r\n\r\n") == std::string::npos);
+}
+
+TEST_CASE("a caller with HTTP/1.0 gets an answer without a length whole [response]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {std::string(cut) + unframed_answer + long_body};
+    path.send("GET /7 HTTP/1.0\r\nHost: desk.example\r\nRequest-Id: r1\r\n\r\n");
+    const auto answer = path.receive("<closed>");
+    CHECK(answer.find("Content-Length: 300000") != std::string::npos);
+    CHECK(answer.find("chunked") == std::string::npos);
+    CHECK(answer.ends_with(long_body + "<closed>"));
+}
+
+TEST_CASE("an answer too long for a caller with HTTP/1.0 is no success [response]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {std::string(endless) + unframed_answer};
+    path.send("GET /7 HTTP/1.0\r\nHost: desk.example\r\nRequest-Id: r1\r\n\r\n");
+    const auto answer = path.receive("<closed>");
+    CHECK(answer.find("200 OK") == std::string::npos);
+    CHECK(answer.find("502") != std::string::npos);
+}
+
 // The end of the same read called a handler that the request had given up.
 TEST_CASE("a whole long answer without a signature ends only its request [response]") {
     path_fixture path(request_kind::non_idempotent);
