Read on an upload that has waited, and notice when its caller leaves

Cause: a router stops reading an upload at 256 KB that it cannot send. When the upload was sent at last, the kernel could take all that was buffered at once, so the connection never reported that its queue had become empty, which alone resumed the reading. While the caller was not read, its end was not seen either.

Failed before: the target had 262,254 of 330,000 bytes, and the request of the caller that had left still waited. Both pass now.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -341,6 +341,13 @@
         return;
     }
     if (!requests_.empty()) {
+        const bool is_paused =
+            is_reading_body() && !requests_.back()->forwarding->should_read_body();
+        // While the caller is not read, no read tells that it has left.
+        if (is_paused && connection_->has_peer_closed()) {
+            count(core_.metrics, "callers_left_unread");
+            on_caller_left();
+        }
         return;
     }
     const auto& limits = core_.state.config.limits;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -284,6 +284,8 @@
     }
     link_->begin_request(data, id_, head_.method != "HEAD", std::move(handlers));
     send_body();
+    // A body that has waited may have gone to the kernel at once, and then `drained` is not called.
+    sink_.room_changed();
 }
 
 void exchange::send_body() {
