--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -140,8 +140,10 @@
             constexpr unsigned bad_request = 400;
             constexpr unsigned too_large = 413;
             constexpr unsigned header_too_large = 431;
+            constexpr unsigned not_implemented = 501;
             reject(fed.error == parse_error::header_too_large ? header_too_large
                    : fed.error == parse_error::body_too_large ? too_large
+                   : fed.error == parse_error::unknown_coding ? not_implemented
                                                               : bad_request);
             return;
         }
@@ -339,6 +341,13 @@
         return;
     }
     if (!requests_.empty()) {
+        const bool is_paused =
+            is_reading_body() && !requests_.back()->forwarding->should_read_body();
+        // While the caller is not read, no read tells that it has left.
+        if (is_paused && connection_->has_peer_closed()) {
+            count(core_.metrics, "callers_left_unread");
+            on_caller_left();
+        }
         return;
     }
     const auto& limits = core_.state.config.limits;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -153,6 +153,10 @@
     void record_notice(const target_state& target);
     /// Target that has the request; null if it was removed or has restarted.
     [[nodiscard]] target_state* current_target() const;
+    /// The same, but also null if its state was replaced since it has counted the request.
+    [[nodiscard]] target_state* counting_target() const;
+    /// Whether the whole request was written to the current link.
+    [[nodiscard]] bool is_request_written() const;
     void detach_from_target();
     void record_forwarded_answer();
     /// Whether the request may be sent once more; counts the attempt. `reached_target`: the last
@@ -165,8 +169,13 @@
     /// Answers the caller in the name of the router.
     void refuse(unsigned status, std::string_view reason, const wait_estimate& estimate = {});
     void finish(std::string_view outcome, unsigned status);
-    /// Head of the answer to the caller. Decides whether the answer closes the connection: one of
-    /// unknown length does, and while the process stops, one with no request behind it.
+    /// Whether the answer so far is passed on before it is complete. Without a length it goes in
+    /// chunks; a caller with HTTP/1.0 knows none, so it gets such an answer whole.
+    [[nodiscard]] bool should_stream_answer() const;
+    void send_answer_part(std::string data);
+    /// Head of the answer to the caller; without a length, the body follows in chunks. Decides
+    /// whether the answer closes the connection: while the process stops, one with no request
+    /// behind it does.
     [[nodiscard]] std::string answer_head(const message_head& head,
                                           std::optional<std::uint64_t> length);
     [[nodiscard]] std::int64_t age_ms() const;
@@ -204,6 +213,7 @@
     std::uint32_t connect_failures_ = 0;
     std::string target_id_;
     std::uint64_t target_instance_ = 0;
+    std::uint64_t counted_by_ = 0;  ///< The `target_state::number` that has counted the request.
     std::string target_address_;
     std::string dispatcher_;  ///< Host of the dispatcher that has the request; else empty.
     std::unique_ptr<connector> connector_;
@@ -216,6 +226,7 @@
     message_head answer_;
     std::string answer_body_;
     bool is_streaming_ = false;
+    bool sends_chunks_ = false;  ///< The answer goes to the caller in chunks.
     bool waiting_ = false;
     std::list<exchange*>::iterator waiting_position_;
     std::optional<std::multimap<steady::time_point, exchange*>::iterator> deadline_position_;
