End the belief in an owner or an address that an answer 421 contradicts

Cause: after a 421 the router queued the request and sent it to the same owner at the next redispatch, and every other request for the key at once, until its key map changed. Requests without keys were sent again to an address that another target had taken over.

Change: owner_belief records, per range and fence, that the owner answered 421, and per registry entry that another target answered. A request is not sent again under a fence whose owner has answered it with 421.

--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -14,6 +14,7 @@
 #include "mimosavalve/gateway/dispatch_plan.hpp"
 #include "mimosavalve/gateway/gateway_settings.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
+#include "mimosavalve/gateway/owner_belief.hpp"
 #include "mimosavalve/gateway/platform_port.hpp"
 #include "mimosavalve/gateway/rate_limiter.hpp"
 #include "mimosavalve/gateway/route_config.hpp"
@@ -88,6 +89,7 @@
     /// without keys at a time, allocated by the leader. Empty until the leader has allocated any.
     std::map<std::string, std::uint32_t, std::less<>> concurrency_quotas;
     dispatch_table dispatchers;  ///< Routers to which requests are forwarded.
+    owner_beliefs beliefs;       ///< What answers 421 have contradicted.
 };
 
 /// Updates `targets` from the registry. A restarted target gets a new state. Returns the removed
@@ -160,6 +162,10 @@
     /// Whether the router may have one request at each target without a quota, since no dispatcher
     /// can be reached.
     bool ignores_quotas = false;
+    /// Latest fence whose owner has answered 421 to the request, which is not sent there again; 0:
+    /// none has.
+    std::uint64_t refused_fence = 0;
+    boot_time chosen_at{};  ///< When the target was chosen; for `is_still_eligible`.
 };
 
 /// Chooses the target of a request: for keyed services the owner of the key, else the target with
@@ -168,7 +174,7 @@
 target_choice choose_target(routing_state& state, const choice_request& request, boot_time now);
 
 /// Whether a request may still be sent to the target that was chosen for it: new requests may be
-/// sent there, and it owns the key of a keyed request.
+/// sent there, and it owns the key of a keyed request; no answer 421 has contradicted that since.
 bool is_still_eligible(const routing_state& state, const target_state& target,
                        const choice_request& request, boot_time now);
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -195,7 +195,8 @@
         return;
     }
     const auto* target = current_target();
-    const choice_request request{&*route_, service_, key_, tried_targets_};
+    const choice_request request{
+        &*route_, service_, key_, tried_targets_, false, refused_fence_, boot_time_of(chosen_at_)};
     if (!dispatcher_.empty() ||
         (target != nullptr &&
          is_still_eligible(core_.state, *target, request, boot_clock::now()))) {
@@ -259,6 +260,7 @@
     sent_at_ = steady::now();
     registry_age_ = milliseconds(-milliseconds_until(core_.state.registry_known_at, core_.now()));
     tried_targets_.push_back(target_id_);
+    record_sent_keys();
     ++attempts_;
     verdict_ = traffic_verdict::may_have_run;
     target_link::callbacks handlers;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -143,6 +143,13 @@
     void on_answer_end();
     void on_connection_lost(std::error_code error);
     void on_refusal();
+    /// Records the keys of the current send, and the owner to which it goes.
+    void record_sent_keys();
+    /// Records what an answer 421 contradicts: the target's address, or the owner of the key.
+    void record_contradiction();
+    /// Records that the owner of the key has run the request.
+    void record_confirmation();
+    [[nodiscard]] static boot_time boot_time_of(steady::time_point at);
     /// Records what the target says about itself in the head of its answer.
     void record_notice(const target_state& target);
     /// Target that has the request; null if it was removed or has restarted.
@@ -196,6 +203,8 @@
     std::string target_id_;
     std::uint64_t target_instance_ = 0;
     std::string target_address_;
+    std::optional<key_segment> sent_keys_;  ///< Range of the key at the current send.
+    std::uint64_t refused_fence_ = 0;       ///< Latest fence whose owner has answered 421; 0: none.
     std::string dispatcher_;  ///< Host of the dispatcher that has the request; else empty.
     std::unique_ptr<connector> connector_;
     std::unique_ptr<target_link> link_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -177,6 +177,7 @@
         return;
     }
     verdict_ = traffic_verdict::ran;
+    record_confirmation();
     const auto& suspects = core_.announced_crashes.suspects;
     if (success && !suspects.empty() && fingerprint() && suspects.contains(*fingerprint_)) {
         core_.crashes.answered_suspects.insert(*fingerprint_);
@@ -217,6 +218,9 @@
     const auto load = core_.platform.decode_load(field_of(answer_, core_.platform.headers.load));
     // A target with a fault that affects only some requests refuses those although it has room.
     const bool refused_with_room = load && load->running < load->slots && load->waiting == 0;
+    if (is_misdirected) {
+        record_contradiction();
+    }
     detach_from_target();
     count(core_.metrics, is_misdirected ? "target_misdirected" : "target_refused");
     core_.log.write("target_refused", {{"request", id_},
@@ -237,13 +241,6 @@
     if (is_request_keyed) {
         tried_targets_.clear();
     }
-    if (is_request_keyed && is_misdirected) {
-        // Waits until the key map changes or for the next redispatch: the target does not own the
-        // key.
-        waiting_ = true;
-        waiting_position_ = core_.waiting.insert(core_.waiting.end(), this);
-        return;
-    }
     dispatch();
 }
 
--- a/src/gateway/exchange_dispatch.cpp
+++ b/src/gateway/exchange_dispatch.cpp
@@ -50,8 +50,12 @@
         return;
     }
     const auto now = boot_clock::now();
-    const choice_request request{&*route_, service_, key_, tried_targets_,
-                                 dispatch.kind == dispatch_kind::direct_without_quota};
+    const choice_request request{&*route_,
+                                 service_,
+                                 key_,
+                                 tried_targets_,
+                                 dispatch.kind == dispatch_kind::direct_without_quota,
+                                 refused_fence_};
     const auto began = steady::now();
     const auto choice = choose_target(core_.state, request, now);
     record_latency(core_.metrics, "choice", steady::now() - began);
@@ -62,7 +66,7 @@
         give_up(choice.expected_wait.count() > 0 ? "target-paused" : "target-limit", estimate);
     } else if (choice.kind == choice_kind::none) {
         stop_waiting();
-        give_up("no-target");
+        give_up(is_keyed() ? "no-owner" : "no-target");
     } else if (may_outlast_process(choice.target)) {
         stop_waiting();
         give_up("stopping");
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -158,6 +158,17 @@
     return quota == state.concurrency_quotas.end() ? 0 : std::min(limit, quota->second);
 }
 
+// Whether new requests may be sent to the target, and no other target has answered at its address.
+bool is_usable(const routing_state& state, const target_state& target, boot_time now) {
+    return can_send_to(state, target, now) &&
+           address_pause_left(state.beliefs, target.entry, now).count() == 0;
+}
+
+// Whether the owner of the keys has answered 421 to the request under the present fence.
+bool has_refused(const choice_request& request, const key_segment& segment) {
+    return request.refused_fence > 0 && segment.fence <= request.refused_fence;
+}
+
 // What the target's present instance has said in its answers; null: nothing.
 template <typename State>
 auto* known_notice(State& state, const target_state& target) {
@@ -185,7 +196,7 @@
         }
         has_quota = true;
         const auto& target = *found->second;
-        if (can_send_to(state, target, now) && is_within_notices(state, target, now)) {
+        if (is_usable(state, target, now) && is_within_notices(state, target, now)) {
             return false;
         }
     }
@@ -221,6 +232,14 @@
         return {choice_kind::wait_for_owner, nullptr};
     }
     auto& target = *found->second;
+    if (const auto pause = std::max(address_pause_left(state.beliefs, target.entry, now),
+                                    owner_pause_left(state.beliefs, request.service, segment, now));
+        pause.count() > 0) {
+        return {choice_kind::wait_for_owner, nullptr, pause};
+    }
+    if (has_refused(request, segment)) {
+        return {};  // Only another request may show that the owner holds the key now.
+    }
     if (!is_within_notices(state, target, now)) {
         return {choice_kind::held_back, &target, pause_left(state, target, now)};
     }
@@ -237,6 +256,7 @@
                      now)) {
         return {choice_kind::wait_for_room, &target};
     }
+    take_probe(state.beliefs, request.service, segment, now);
     return chosen(state, &target);
 }
 
@@ -251,7 +271,7 @@
 
 bool is_still_eligible(const routing_state& state, const target_state& target,
                        const choice_request& request, boot_time now) {
-    if (!can_send_to(state, target, now) || pause_left(state, target, now).count() > 0) {
+    if (!detail::is_usable(state, target, now) || pause_left(state, target, now).count() > 0) {
         return false;
     }
     const auto kind = state.config.services.find(std::string(request.service));
@@ -263,7 +283,10 @@
         return false;
     }
     const auto& segment = segment_of(map->second, *request.key);
-    return !segment.moving && segment.owner == target.entry.id;
+    const auto* contradiction = contradiction_of(state.beliefs, request.service, segment);
+    return !segment.moving && segment.owner == target.entry.id &&
+           !detail::has_refused(request, segment) &&
+           (contradiction == nullptr || request.chosen_at >= contradiction->since);
 }
 
 target_choice choose_target(routing_state& state, const choice_request& request, boot_time now) {
@@ -281,7 +304,7 @@
     const bool may_replace_quotas =
         request.ignores_quotas || detail::may_replace_quotas(state, request.service, now);
     for (auto* target : targets_of(state, request.service)) {
-        if (!can_send_to(state, *target, now) ||
+        if (!detail::is_usable(state, *target, now) ||
             !is_in_home_region(state, target->entry, *request.request_route) ||
             std::find(request.tried_targets.begin(), request.tried_targets.end(),
                       target->entry.id) != request.tried_targets.end()) {
