Report answers 421 to the leader, which renews grants and assigns fences

Cause: the leader learned nothing of answers 421. An owner whose grant had expired got it back with the next renewal, up to 600 ms later, and one that confirmed its grants and yet answered 421 kept its keys.

Change: sync calls carry the new contradictions. The leader renews the grant of a reported range at once if the report has its current fence and the last renewal is older than 100 ms. If three routers report the range within 1 s while a renewal was confirmed within that second, it assigns a new fence. A target that two routers report as moved within 5 s gets no keys, renewals or releases until its entry changes, and its keys move after its holds: at its address another target would answer the release.

Not included: concurrency quotas are still allotted at a target that two routers report as moved. Routers skip its contradicted address themselves.

The reports of owner_report_test run against the fixture of the decider; no test passes them from a router to a leader over sockets.

--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -72,6 +72,7 @@
     services_.clear();
     holds_by_target_.clear();
     transit_by_region_.clear();
+    moved_.clear();
     term_life_.cancel_handlers();
     epoch_life_.cancel_handlers();
     load_records();
@@ -120,7 +121,7 @@
 void key_decider::set_long_holds(bool on) {
     if (on && !long_holds_) {
         for (auto& [name, state] : services_) {
-            state.next_renewals.clear();
+            state.renewals.clear();
         }
     }
     long_holds_ = on;
@@ -326,7 +327,8 @@
     std::vector<key_candidate> cold;
     for (const auto* target : targets_of(core_.state, name)) {
         const auto& entry = target->entry;
-        if (!can_send_to(core_.state, *target, now) || is_unresponsive(entry.id, now)) {
+        if (!can_send_to(core_.state, *target, now) || is_unresponsive(entry.id, now) ||
+            has_moved(entry.id)) {
             continue;
         }
         const key_candidate candidate{entry.id, entry.started_unix_ms,
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -14,6 +14,7 @@
 #include "mimosavalve/gateway/leader_term.hpp"
 #include "mimosavalve/gateway/peer_messages.hpp"
 #include "mimosavalve/gateway/platform_port.hpp"
+#include "owner_report.hpp"
 #include "router_core.hpp"
 
 namespace mimosavalve::gateway {
@@ -65,6 +66,9 @@
 
     /// Adds the requests by key that routers reported, by service.
     void add_loads(const std::map<std::string, key_load>& loads);
+    /// Adds a router's reports of answers 421: renews the grant of a range or assigns a new fence,
+    /// and takes targets that have moved for lost.
+    void add_contradictions(const std::string& host, const sync_request& reports);
     /// Plans and advances moves and renews grants that are due; called every `tick_time`.
     void tick();
 
@@ -101,7 +105,8 @@
         boot_time next_record;     ///< Earliest time to do so.
         key_rates rates;
         std::list<running_move> moves;
-        std::map<std::uint32_t, boot_time> next_renewals;  ///< By first key of a range.
+        std::map<std::uint32_t, renewal_times> renewals;  ///< By first key of a range.
+        std::map<std::uint32_t, range_reports> reports;   ///< Of answers 421, by first key.
         boot_time next_plan;
     };
     /// A grant that was sent and not answered: it may be in transit, or take effect later.
@@ -161,6 +166,10 @@
     void check_written_owners(const std::string& name, const key_map& written);
     void grant_moved(running_move& move, boot_time now);
     void renew(boot_time now);
+    /// Returns whether the grant of the range has to be renewed now.
+    bool add_misdirected(const std::string& host, const misdirected_report& report, boot_time now);
+    /// Whether routers agree that another target has the address of the target's present entry.
+    [[nodiscard]] bool has_moved(const std::string& id) const;
     void send_grant(const key_segment& keys, const std::string& handover, boot_time now,
                     std::function<void(std::error_code)> done);
     void on_grant_ended(const std::string& id, std::uint64_t number, boot_time sent_at,
@@ -212,6 +221,7 @@
     std::map<std::string, service_state> services_;
     std::map<std::string, target_holds> holds_by_target_;  ///< By target id.
     std::map<std::string, region_transit> transit_by_region_;
+    std::map<std::string, moved_reports> moved_;  ///< By target id.
     lifetime term_life_;
     lifetime epoch_life_;  ///< Of calls to the store, which depend on the epoch.
 };
--- a/src/gateway/key_decider_grants.cpp
+++ b/src/gateway/key_decider_grants.cpp
@@ -194,9 +194,11 @@
         if (map == core_.state.keys.end() || !state.loaded || state.outdated) {
             continue;
         }
-        std::erase_if(state.next_renewals, [&](const auto& renewal) {
-            return segment_of(map->second, renewal.first).first != renewal.first;
-        });
+        const auto is_outdated = [&](const auto& known) {
+            return segment_of(map->second, known.first).first != known.first;
+        };
+        std::erase_if(state.renewals, is_outdated);
+        std::erase_if(state.reports, is_outdated);
         for (const auto& segment : map->second.segments) {
             if (segment.owner.empty() || segment.moving) {
                 continue;
@@ -204,9 +206,10 @@
             const auto entry = core_.state.registry.targets.find(segment.owner);
             const bool is_unregistered = entry == core_.state.registry.targets.end() ||
                                          entry->second.started_unix_ms != segment.owner_instance;
-            auto& next = state.next_renewals[segment.first];
-            if (!is_unregistered && now >= next) {
-                next = now + detail::renewal_retry_interval;
+            auto& renewals = state.renewals[segment.first];
+            if (!is_unregistered && now >= renewals.next && !has_moved(segment.owner)) {
+                renewals.next = now + detail::renewal_retry_interval;
+                renewals.sent_at = now;
                 grants.push_back({name, segment});
             }
         }
@@ -216,8 +219,9 @@
             if (error == errc::target_refused) {
                 assign_new_fence(grant.service, grant.keys);
             } else if (!error) {
-                auto& next = services_[grant.service].next_renewals[grant.keys.first];
-                next = std::max(next, now + detail::renewal_interval);
+                auto& renewals = services_[grant.service].renewals[grant.keys.first];
+                renewals.next = std::max(renewals.next, now + detail::renewal_interval);
+                renewals.succeeded = core_.now();
             }
         });
     }
--- a/src/gateway/key_decider_moves.cpp
+++ b/src/gateway/key_decider_moves.cpp
@@ -69,7 +69,7 @@
     const bool old_serves = old_target != core_.state.targets.end() &&
                             old_target->second->entry.started_unix_ms == old.owner_instance &&
                             can_send_to(core_.state, *old_target->second, now) &&
-                            !is_unresponsive(old.owner, now);
+                            !is_unresponsive(old.owner, now) && !has_moved(old.owner);
     if (old.owner != planned.to && old_serves && now < inherited_end_) {
         return;  // The owner serves until its keys may move to another target.
     }
@@ -151,8 +151,9 @@
 
 void key_decider::release(running_move& move, boot_time now) {
     auto& from = holds_of(move.old_owner);
-    // A grant that arrives after the release would give the keys back to the old owner.
-    if (from.address.empty() || has_grant_in_flight(from, move.keys)) {
+    // A grant that arrives after the release would give the keys back to the old owner. At the
+    // address of a target that has moved, another one would answer.
+    if (from.address.empty() || has_moved(move.old_owner) || has_grant_in_flight(from, move.keys)) {
         return;
     }
     move.release_in_flight = true;
--- a/src/gateway/owner_belief.cpp
+++ b/src/gateway/owner_belief.cpp
@@ -11,7 +11,7 @@
 // A grant that was renewed late is in force after about this time: half of the leader's renewal
 // interval.
 constexpr milliseconds first_owner_pause{300};
-// Three probes in the shortest deadline (4 s) of the requests with keys.
+// The usual hold of a grant (2.4 s): the keys of a lost owner move after about this time.
 constexpr milliseconds max_owner_pause{2400};
 // A target that has moved writes its entry again within a few seconds.
 constexpr milliseconds address_pause{5000};
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -21,6 +21,8 @@
     out.demand = std::exchange(core.demand, {});
     out.crashes = std::exchange(core.crashes, {});
     out.limits = reports_of(core.state.notices, core.now());
+    out.misdirected = take_misdirected_reports(core.state.beliefs);
+    out.moved = take_moved_reports(core.state.beliefs);
     for (const auto& [id, known] : core.state.notices) {
         if (known.leaving) {
             out.leaving.emplace(id, known.started_unix_ms);
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -314,6 +314,9 @@
         record_demand(demand_, service, host, requests, now);
     }
     add_report(crash_watch_, request.crashes, now);
+    if (from_.add_contradictions && (!request.misdirected.empty() || !request.moved.empty())) {
+        from_.add_contradictions(host, request);
+    }
     for (const auto& [id, limit] : request.limits) {
         record_report(limits_, id, limit, now);
     }
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -26,6 +26,9 @@
         std::function<bool()> announces_long_holds;
         /// Gets the configuration from a router that has a newer one.
         std::function<void(const std::string& address)> fetch_config = nullptr;
+        /// Receives a router's reports of answers 421.
+        std::function<void(const std::string& host, const sync_request& reports)>
+            add_contradictions = nullptr;
     };
 
     sync_server(router_core& core, fleet_state& fleet, sources from);
