--- a/src/gateway/exchange_dispatch.cpp
+++ b/src/gateway/exchange_dispatch.cpp
@@ -51,7 +51,8 @@
         }
     }
     const auto now = boot_clock::now();
-    const choice_request request{&*route_, service_, key_, tried_targets_, ignores_quotas_};
+    const choice_request request{&*route_,       service_,        key_,
+                                 tried_targets_, ignores_quotas_, refused_fence_};
     const auto began = steady::now();
     const auto choice = choose_target(core_.state, request, now);
     record_latency(core_.metrics, "choice", steady::now() - began);
@@ -62,7 +63,7 @@
         give_up(choice.expected_wait.count() > 0 ? "target-paused" : "target-limit", estimate);
     } else if (choice.kind == choice_kind::none) {
         stop_waiting();
-        give_up("no-target");
+        give_up(is_keyed() ? "no-owner" : "no-target");
     } else if (may_outlast_process(choice.target)) {
         stop_waiting();
         give_up("stopping");
