Elect leaders by their host's capacity and event-loop lag

The leader was elected at random, also among hosts of which most have a tenth of a core, where its event loop lags.

A candidate waits up to 400 ms more in proportion to its shortfall from the largest capacity of the fleet, and up to 400 ms more by its lag. The leader computes that capacity from its followers' calls and sends it in its replies, but only where hosts differ: without it, a candidate waits as before, so fleets of equal hosts elect as before.

With one host of half a core and seven of a tenth, the test elects the larger one, and another one after its end.

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -116,6 +116,7 @@
     const auto max_lag =
         record_check(core_.loop, std::chrono::steady_clock::now(), detail::control_tick);
     record_latency(core_.metrics, "loop_lag", core_.loop.lag);
+    record_lag(fleet_.placement.lag, core_.loop.lag, core_.now());
     if (max_lag) {
         core_.log.write_always("loop_late",
                                {{"lag_ms", max_lag->count()},
@@ -294,6 +295,7 @@
     const auto now = core_.now();
     core_.state.router_count = reply.routers;
     core_.state.router_rank = reply.rank;
+    fleet_.placement.top_capacity = reply.top_capacity;
     operators_.apply_from_leader(reply);
     record_announced_config(reply, now);
     if (!reply.config_source.empty()) {
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string_view>
 
+#include "mimosavalve/gateway/leader_placement.hpp"
 #include "mimosavalve/gateway/peer_messages.hpp"
 #include "router_core.hpp"
 
@@ -27,6 +28,7 @@
     /// When this router last confirmed to any leader that it has received the announcement of long
     /// holds.
     std::optional<boot_time> long_holds_reported_at;
+    placement_state placement;
 };
 
 /// Records whether a call to the store was answered, and logs each change. `call` is for the log.
--- a/src/gateway/leader_election.cpp
+++ b/src/gateway/leader_election.cpp
@@ -137,9 +137,16 @@
         return;
     }
     is_candidate_ = true;
-    next_candidacy_ = core_.now() + detail::candidacy_interval;
+    const auto placed = candidacy_delay(fleet_.placement, core_.settings.capacity);
+    next_candidacy_ = core_.now() + detail::candidacy_interval + placed;
     const auto delay =
-        vacancy_ ? detail::leader_first_delay + detail::random_delay() : detail::random_delay();
+        placed + detail::random_delay() + (vacancy_ ? detail::leader_first_delay : milliseconds(0));
+    core_.log.write("candidacy", {{"delay_ms", delay.count()},
+                                  {"placed_ms", placed.count()},
+                                  {"lag_ms", recent_lag(fleet_.placement.lag).count()}});
+    if (placed > milliseconds(0)) {
+        count(core_.metrics, "candidacies_delayed");
+    }
     run_after(core_.context, delay, life_, [this] {
         if ((fleet_.leader.epoch != 0 && !vacancy_) || fleet_.stopping) {
             is_candidate_ = false;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -77,6 +77,7 @@
         allocate_quotas(now);
         share_limits(now);
         find_crashes(now);
+        compare_capacities(now);
     }
     if (now >= next_work_) {
         next_work_ = now + detail::work_interval;
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -101,6 +101,8 @@
     /// Allots shares of the request limits that targets have named.
     void share_limits(boot_time now);
     void find_crashes(boot_time now);
+    /// Determines the largest capacity of the fleet's hosts.
+    void compare_capacities(boot_time now);
     /// Logs the work done for followers since the last call.
     void log_load();
     /// Replies to calls that are due, the oldest first, while few replies are in transit.
--- a/src/gateway/sync_server_plan.cpp
+++ b/src/gateway/sync_server_plan.cpp
@@ -14,6 +14,9 @@
 // Lag of its event loop from which a router is no dispatcher: requests would wait for it longer
 // than for a slot.
 constexpr milliseconds max_dispatcher_lag{250};
+// Until a term is this old, the leader may not have heard of all hosts, and what it knew before
+// counts as well.
+constexpr milliseconds max_first_call_time{2000};
 
 }  // namespace detail
 
@@ -124,4 +127,19 @@
     }
 }
 
+void sync_server::compare_capacities(boot_time now) {
+    std::vector<double> capacities{core_.settings.capacity};
+    for (const auto& [host, router] : followers_) {
+        capacities.push_back(router.capacity);
+    }
+    auto top = top_capacity_of(capacities);
+    if (now - term_began_ < detail::max_first_call_time) {
+        top = std::max(top, fleet_.placement.top_capacity);
+    }
+    if (top != fleet_.placement.top_capacity) {
+        core_.log.write_always("top_capacity", {{"cores", std::to_string(top)}});
+        fleet_.placement.top_capacity = top;
+    }
+}
+
 }  // namespace mimosavalve::gateway
--- a/src/gateway/sync_server_reply.cpp
+++ b/src/gateway/sync_server_reply.cpp
@@ -125,6 +125,7 @@
     reply.held_ms = static_cast<std::uint64_t>(-milliseconds_until(waiting.arrived_at, now));
     reply.config_version = core_.state.config.version;
     add_config(reply, request, now);
+    reply.top_capacity = fleet_.placement.top_capacity;
     reply.long_holds = from_.announces_long_holds();
     from_.fill_reply(reply);
     add_registry(reply, request);
--- /dev/null
+++ b/tests/gateway/leader_placement_test.cpp
@@ -0,0 +1,91 @@
+#include "mimosavalve/gateway/leader_placement.hpp"
+
+#include <doctest/doctest.h>
+
+#include "election_fixture.hpp"
+
+using namespace mimosavalve;
+using namespace mimosavalve::gateway;
+using gateway::testing::election_router;
+using gateway::testing::election_store;
+
+namespace {
+
+void run_for(boost::asio::io_context& context, const std::vector<election_router*>& routers,
+             milliseconds time) {
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) {
+        for (auto* router : routers) {
+            router->election.tick(router->core.now());
+        }
+        context.run_for(milliseconds(20));
+    }
+}
+
+/// Records checks of the event loop with this lag for some seconds.
+void lag_for(lag_history& history, milliseconds lag, boot_time& now, int seconds) {
+    for (const auto end = now + std::chrono::seconds(seconds); now < end; now += milliseconds(50)) {
+        record_lag(history, lag, now);
+    }
+}
+
+}  // namespace
+
+// Guards against a change of the election in fleets whose hosts are equal.
+TEST_CASE("a candidate waits longer only where hosts differ [leader_placement]") {
+    placement_state equal;
+    record_lag(equal.lag, milliseconds(800), boot_clock::now());
+    CHECK(candidacy_delay(equal, 0.1) == milliseconds(0));
+    CHECK(top_capacity_of(std::vector<double>{0.5, 0.5}) == 0);
+    CHECK(top_capacity_of(std::vector<double>{0.1, 0.5, 0.1}) == 0.5);
+    placement_state different;
+    different.top_capacity = 0.5;
+    CHECK(candidacy_delay(different, 0.5) == milliseconds(0));
+    CHECK(candidacy_delay(different, 0.1) == milliseconds(320));
+    record_lag(different.lag, milliseconds(100), boot_clock::now());
+    CHECK(candidacy_delay(different, 0.5) == milliseconds(0));
+    record_lag(different.lag, milliseconds(1300), boot_clock::now());
+    CHECK(candidacy_delay(different, 0.5) == milliseconds(400));
+    CHECK(candidacy_delay(different, 0.1) == milliseconds(720));
+}
+
+// Guards against a router that counts as punctual because its event loop did not run at all.
+TEST_CASE("a second in which the event loop was blocked counts as late [leader_placement]") {
+    auto now = boot_clock::now();
+    lag_history history;
+    lag_for(history, milliseconds(0), now, 2);
+    now += milliseconds(3500);
+    record_lag(history, milliseconds(3500), now);
+    CHECK(has_lagged(history, 3, milliseconds(1000)));
+    lag_for(history, milliseconds(5), now, 4);
+    CHECK(recent_lag(history) == milliseconds(5));
+    CHECK_FALSE(has_lagged(history, 1, milliseconds(100)));
+}
+
+// Guards against leaders on small hosts, whose event loops are late.
+TEST_CASE("the largest host is elected once capacities are known [leader_placement]") {
+    boost::asio::io_context context;
+    election_store store(context);
+    std::vector<std::unique_ptr<election_router>> routers;
+    std::vector<election_router*> running;
+    for (std::uint64_t number = 0; number < 8; ++number) {
+        routers.push_back(std::make_unique<election_router>(context, store,
+                                                            "h" + std::to_string(number), number));
+        routers.back()->core.settings.capacity = number == 5 ? 0.5 : 0.1;
+        routers.back()->fleet.placement.top_capacity = 0.5;
+        running.push_back(routers.back().get());
+    }
+    for (auto* router : running) {
+        router->election.start();
+    }
+    run_for(context, running, milliseconds(700));
+    CHECK(running[5]->terms == 1);
+    // Without the largest host, another one is elected.
+    running.erase(running.begin() + 5);
+    routers[5]->fleet.stopping = true;
+    store.end_all_leases();
+    run_for(context, running, milliseconds(1200));
+    CHECK(routers[5]->ended == 1);
+    CHECK(running[0]->fleet.leader.host != "h5");
+    CHECK(running[0]->fleet.leader.epoch != 0);
+}
