Transfer leadership to larger or punctual hosts

A leader that was elected on a small host stayed there until it ended.

A leader names a successor with at least twice its capacity after 2 s of its term, or, if its event loop has lagged by 100 ms in each of the last three seconds, a punctual one of at least its capacity after 10 s. It ends its lease once the successor has called again or after 300 ms. The successor stands for election at once, the others 400 ms later. Fleets of equal hosts do not transfer.

In the same module, the history of the loop's lag lost all but its last second at each check: a signed difference was compared with an unsigned duration.

--- a/include/mimosavalve/gateway/leader_placement.hpp
+++ b/include/mimosavalve/gateway/leader_placement.hpp
@@ -2,7 +2,11 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <span>
+#include <string>
+#include <string_view>
 
 #include "mimosavalve/gateway/clock.hpp"
 
@@ -31,17 +35,74 @@
 /// Whether the lag reached this value in each of the last complete seconds.
 bool has_lagged(const lag_history& history, std::size_t seconds, milliseconds lag);
 
+/// A leader's announcement of the host that is to lead next.
+struct transfer_notice {
+    std::string successor;    ///< Empty: no transfer is in progress.
+    std::uint64_t epoch = 0;  ///< Of the leader that transfers its leadership.
+    boot_time valid_until;
+};
+
 /// What a router knows of the hosts that may lead.
 struct placement_state {
     /// Largest capacity of the fleet's hosts, in cores; 0 if it is not known, or if no two hosts
     /// differ.
     double top_capacity = 0;
     lag_history lag;  ///< Of this router's event loop.
+    transfer_notice transfer;
+    /// When a successor was last named, as far as this router knows.
+    std::optional<boot_time> transferred_at;
+};
+
+/// Records the successor that the leader with this epoch names; empty: none.
+void record_successor(placement_state& placement, std::string_view successor, std::uint64_t epoch,
+                      boot_time now);
+
+/// A router that may stand for election.
+struct election_candidate {
+    std::string_view host;
+    double capacity = 1;
+    /// Random, so that usually only one of equal candidates writes to the store.
+    milliseconds random_delay{0};
+};
+/// Time that a candidate waits after the leader with the epoch `ended_epoch` has ended. A named
+/// successor does not wait and the others wait longer. Where hosts differ in capacity, the wait
+/// grows with the shortfall from the largest one and with the lag of the event loop.
+milliseconds candidacy_delay(const placement_state& placement, const election_candidate& candidate,
+                             std::uint64_t ended_epoch, boot_time now);
+
+/// A follower as a possible successor of the leader.
+struct successor_candidate {
+    std::string host;
+    double capacity = 1;
+    /// Whether it calls regularly and can reach the store.
+    bool can_lead = false;
+    /// Whether its event loop has lagged while a transfer by lag is decided.
+    bool has_lagged = false;
+};
+/// The leader that may transfer its leadership.
+struct transfer_conditions {
+    double capacity = 1;
+    boot_time term_began;
+    bool store_responsive = true;
+    bool stopping = false;
+};
+/// Why leadership is transferred.
+enum class transfer_reason { capacity, lag };
+struct planned_transfer {
+    std::string successor;
+    transfer_reason reason = transfer_reason::capacity;
 };
+/// Chooses a successor with at least twice the leader's capacity or, if the leader has been
+/// lagging, one of at least its capacity that has not. None where hosts do not differ in capacity.
+std::optional<planned_transfer> plan_transfer(const placement_state& placement,
+                                              const transfer_conditions& leader,
+                                              std::span<const successor_candidate> candidates,
+                                              boot_time now);
 
-/// Time that a candidate waits in addition to the random delay: the more, the smaller its host is
-/// and the later its event loop. 0 where the hosts' capacities do not differ.
-milliseconds candidacy_delay(const placement_state& placement, double capacity);
+/// Time over which the lag of the leader and its successor is compared.
+inline constexpr milliseconds compared_lag_time{3000};
+/// Time for which a leader waits for the call of the successor that it has named.
+inline constexpr milliseconds max_successor_wait{300};
 
 /// Largest of the capacities; 0 if no two of them differ.
 double top_capacity_of(std::span<const double> capacities);
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -108,7 +108,7 @@
 void fleet_control::stop() {
     fleet_.stopping = true;
     if (fleet_.leading) {
-        election_.resign();
+        election_.resign("stopping");
     }
 }
 
@@ -237,9 +237,44 @@
     decider_.extend(lease_.valid_until());
     server_.tick(now);
     decider_.tick();
+    transfer_leadership(now);
+}
+
+void fleet_control::transfer_leadership(boot_time now) {
+    if (election_.is_resigning()) {
+        return;
+    }
+    auto& placement = fleet_.placement;
+    const auto successor = placement.transfer.successor;
+    if (!successor.empty()) {
+        if (!fleet_.store_responsive || fleet_.stopping) {
+            core_.log.write_always("transfer_ended", {{"to", successor}});
+            record_successor(placement, "", fleet_.leader.epoch, now);
+        } else if (server_.has_called_since(successor, successor_named_at_) ||
+                   now - successor_named_at_ >= max_successor_wait) {
+            election_.resign("transferred");
+        }
+        return;
+    }
+    const auto planned = plan_transfer(
+        placement,
+        {core_.settings.capacity, server_.term_began(), fleet_.store_responsive, fleet_.stopping},
+        server_.successors(now), now);
+    if (!planned) {
+        return;
+    }
+    const bool by_capacity = planned->reason == transfer_reason::capacity;
+    core_.log.write_always("transfer", {{"to", planned->successor},
+                                        {"why", by_capacity ? "capacity" : "lag"},
+                                        {"lag_ms", recent_lag(placement.lag).count()}});
+    count(core_.metrics, "leader_transfers");
+    record_successor(placement, planned->successor, fleet_.leader.epoch, now);
+    successor_named_at_ = now;
+    server_.on_state_change();
 }
 
 void fleet_control::begin_term() {
+    record_successor(fleet_.placement, "", fleet_.leader.epoch, core_.now());
     lease_.begin();
     server_.begin();
     decider_.begin(
@@ -296,6 +331,7 @@
     core_.state.router_count = reply.routers;
     core_.state.router_rank = reply.rank;
     fleet_.placement.top_capacity = reply.top_capacity;
+    record_successor(fleet_.placement, reply.successor, reply.epoch, now);
     operators_.apply_from_leader(reply);
     record_announced_config(reply, now);
     if (!reply.config_source.empty()) {
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -44,6 +44,8 @@
     /// Gets the changes of the configuration from another router.
     void fetch_config(const std::string& address);
     void lead(boot_time now);
+    /// Names a successor if another host should lead, and ends the lease once it has called.
+    void transfer_leadership(boot_time now);
     void begin_term();
     void continue_term();
     void end_term();
@@ -62,6 +64,7 @@
     leader_election election_;
     leader_lease lease_;
     boot_time next_records_;
+    boot_time successor_named_at_;
     std::uint64_t known_epoch_ = 0;  ///< Epoch of the leader at the last tick.
     boot_time leader_known_at_;      ///< When a leader of this epoch became known.
     /// Since when the leader's replies name a newer configuration than this router has.
--- a/src/gateway/leader_election.cpp
+++ b/src/gateway/leader_election.cpp
@@ -137,16 +137,19 @@
         return;
     }
     is_candidate_ = true;
-    const auto placed = candidacy_delay(fleet_.placement, core_.settings.capacity);
-    next_candidacy_ = core_.now() + detail::candidacy_interval + placed;
-    const auto delay =
-        placed + detail::random_delay() + (vacancy_ ? detail::leader_first_delay : milliseconds(0));
-    core_.log.write("candidacy", {{"delay_ms", delay.count()},
-                                  {"placed_ms", placed.count()},
-                                  {"lag_ms", recent_lag(fleet_.placement.lag).count()}});
-    if (placed > milliseconds(0)) {
+    const auto random_delay = detail::random_delay();
+    const auto placed = candidacy_delay(
+        fleet_.placement, {core_.settings.host, core_.settings.capacity, random_delay},
+        fleet_.newest_epoch, core_.now());
+    next_candidacy_ = core_.now() + detail::candidacy_interval;
+    if (placed > random_delay) {
+        next_candidacy_ += placed - random_delay;
         count(core_.metrics, "candidacies_delayed");
     }
+    const auto delay = placed + (vacancy_ ? detail::leader_first_delay : milliseconds(0));
+    core_.log.write("candidacy", {{"delay_ms", delay.count()},
+                                  {"random_ms", random_delay.count()},
+                                  {"lag_ms", recent_lag(fleet_.placement.lag).count()}});
     run_after(core_.context, delay, life_, [this] {
         if ((fleet_.leader.epoch != 0 && !vacancy_) || fleet_.stopping) {
             is_candidate_ = false;
@@ -160,7 +163,7 @@
     if (is_candidate_ || now < next_candidacy_) {
         return;
     }
-    if (fleet_.stopping || now >= handlers_.term_valid_until()) {
+    if (fleet_.stopping || resigning_ || now >= handlers_.term_valid_until()) {
         step_down("the store has come back older");
         fleet_.leader = {};
         return;
@@ -248,6 +251,7 @@
     lease_ = lease;
     lease_until_ = valid_until;
     next_renewal_ = core_.now() + detail::lease_renewal_interval;
+    resigning_ = false;
     fleet_.leading = true;
     fleet_.leader = {core_.settings.host, core_.settings.peer_address, fleet_.instance, epoch,
                      store_era_of(lease)};
@@ -270,6 +274,7 @@
         return;
     }
     fleet_.leading = false;
+    resigning_ = false;
     core_.log.write_always("leader_ended", {{"why", why}});
     handlers_.term_ended();
 }
@@ -290,8 +295,8 @@
             record_store_call(core_, fleet_, !error || error == errc::store_lease_expired,
                               "keep lease");
             handlers_.renewal_answered(error);
-            // While stopping, `resign` may have revoked the lease.
-            if (!error && !fleet_.stopping) {
+            // `resign` may have revoked the lease after the store handled this renewal.
+            if (!error && !fleet_.stopping && !resigning_) {
                 lease_until_ = std::max(lease_until_, now + lease_time() - detail::lease_margin);
             } else if (error == errc::store_lease_expired) {
                 // Either only the lease has ended, or the store has come back older.
@@ -300,26 +305,29 @@
         }));
 }
 
-void leader_election::resign() {
-    core_.platform.store.revoke_lease(lease_, detail::deadline_in(detail::store_call_time),
-                                      life_.guard([this](std::error_code error, std::uint64_t) {
-                                          if (!fleet_.leading) {
-                                              return;
-                                          }
-                                          if (!error || error == errc::store_lease_expired) {
-                                              step_down("stopping");
-                                              return;
-                                          }
-                                          record_store_call(core_, fleet_, false, "end lease");
-                                          // The lease may have ended although the call failed.
-                                          lease_until_ = std::min(lease_until_, core_.now());
-                                          run_after(core_.context, detail::min_pause, life_,
-                                                    [this] {
-                                                        if (fleet_.leading) {
-                                                            resign();
-                                                        }
-                                                    });
-                                      }));
+void leader_election::resign(std::string_view why) {
+    resigning_ = true;
+    core_.platform.store.revoke_lease(
+        lease_, detail::deadline_in(detail::store_call_time),
+        life_.guard(
+            [this, why = std::string(why), lease = lease_](std::error_code error, std::uint64_t) {
+                // This router may lead again since then, under another lease.
+                if (!fleet_.leading || lease != lease_) {
+                    return;
+                }
+                if (!error || error == errc::store_lease_expired) {
+                    step_down(why);
+                    return;
+                }
+                record_store_call(core_, fleet_, false, "end lease");
+                // The lease may have ended although the call failed.
+                lease_until_ = std::min(lease_until_, core_.now());
+                run_after(core_.context, detail::min_pause, life_, [this, why, lease] {
+                    if (fleet_.leading && lease == lease_) {
+                        resign(why);
+                    }
+                });
+            }));
 }
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/leader_election.hpp
+++ b/src/gateway/leader_election.hpp
@@ -33,7 +33,9 @@
     void tick(boot_time now);
     /// Ends the lease, so that a successor can be elected at once. While the store is unavailable
     /// no successor can be elected: the leader retries, and leads until its process ends.
-    void resign();
+    void resign(std::string_view why);
+    /// Whether this leader is ending its lease.
+    [[nodiscard]] bool is_resigning() const { return resigning_; }
     /// Handles another router's announcement that it is the leader.
     void on_announcement(const leader_identity& leader);
 
@@ -76,6 +78,7 @@
     std::uint64_t lease_ = 0;
     boot_time lease_until_;
     boot_time next_renewal_;
+    bool resigning_ = false;
     lifetime life_;
 };
 
--- a/src/gateway/leader_placement.cpp
+++ b/src/gateway/leader_placement.cpp
@@ -7,10 +7,29 @@
 namespace detail {
 
 constexpr milliseconds lag_period{1000};
+constexpr milliseconds kept_lag_time =
+    lag_period * static_cast<std::int64_t>(lag_history::kept_seconds);
 // Delay of a candidate without any capacity. It exceeds the time that a claim takes in the store,
 // so that the largest host has claimed the leadership before a small one stands.
 constexpr milliseconds max_capacity_delay{400};
 constexpr milliseconds max_lag_delay{400};
+// Time for which the others leave the election to a named successor: it reads of the vacancy and
+// claims the leadership with three calls to the store.
+constexpr milliseconds successor_first_time{400};
+// A successor counts as named for this time. The lease of a leader that dies during the transfer
+// ends later (1.2 s), and all stand for election as without a transfer.
+constexpr milliseconds notice_lifetime{1000};
+// A new leader has heard of all hosts after this time.
+constexpr milliseconds min_term_for_capacity{2000};
+// Other followers may lag as well, so leadership changes rarely for this reason.
+constexpr milliseconds min_term_for_lag{10000};
+constexpr milliseconds min_transfer_interval{5000};
+// Smaller advantages are not worth a change of leader, in which no key moves for seconds.
+constexpr double min_capacity_factor = 2;
+
+bool is_better(const successor_candidate& one, const successor_candidate& other) {
+    return one.has_lagged != other.has_lagged ? other.has_lagged : one.capacity > other.capacity;
+}
 
 }  // namespace detail
 
@@ -20,16 +39,16 @@
     }
     // Everything that was due since then has been late.
     const auto late_since = now - lag;
-    if (now - history.current_end >= detail::lag_period * (lag_history::kept_seconds + 1)) {
+    if (now - history.current_end >= detail::kept_lag_time + detail::lag_period) {
         history.past.fill(milliseconds(0));
         history.current = milliseconds(0);
-        history.current_end = now - detail::lag_period * lag_history::kept_seconds;
+        history.current_end = now - detail::kept_lag_time;
     }
     while (now >= history.current_end) {
         if (history.current_end > late_since) {
             history.current = std::max(history.current, lag);
         }
-        std::shift_right(history.past.begin(), history.past.end(), 1);
+        std::copy_backward(history.past.begin(), history.past.end() - 1, history.past.end());
         history.past.front() = history.current;
         history.current = milliseconds(0);
         history.current_end += detail::lag_period;
@@ -47,12 +66,31 @@
                        [&](milliseconds past) { return past >= lag; });
 }
 
-milliseconds candidacy_delay(const placement_state& placement, double capacity) {
-    if (placement.top_capacity <= 0) {
+void record_successor(placement_state& placement, std::string_view successor, std::uint64_t epoch,
+                      boot_time now) {
+    placement.transfer = {std::string(successor), epoch, now + detail::notice_lifetime};
+    if (!successor.empty()) {
+        placement.transferred_at = now;
+    }
+}
+
+milliseconds candidacy_delay(const placement_state& placement, const election_candidate& candidate,
+                             std::uint64_t ended_epoch, boot_time now) {
+    const auto& transfer = placement.transfer;
+    const bool is_transfer =
+        !transfer.successor.empty() && transfer.epoch == ended_epoch && now < transfer.valid_until;
+    if (is_transfer && transfer.successor == candidate.host) {
         return milliseconds(0);
     }
-    const auto shortfall = std::clamp(1 - capacity / placement.top_capacity, 0.0, 1.0);
-    auto delay = milliseconds(static_cast<std::int64_t>(
+    auto delay = candidate.random_delay;
+    if (is_transfer) {
+        delay += detail::successor_first_time;
+    }
+    if (placement.top_capacity <= 0) {
+        return delay;
+    }
+    const auto shortfall = std::clamp(1 - candidate.capacity / placement.top_capacity, 0.0, 1.0);
+    delay += milliseconds(static_cast<std::int64_t>(
         shortfall * static_cast<double>(detail::max_capacity_delay.count())));
     const auto lag = recent_lag(placement.lag);
     if (lag > min_lag) {
@@ -61,6 +99,38 @@
     return delay;
 }
 
+std::optional<planned_transfer> plan_transfer(const placement_state& placement,
+                                              const transfer_conditions& leader,
+                                              std::span<const successor_candidate> candidates,
+                                              boot_time now) {
+    if (placement.top_capacity <= 0 || !leader.store_responsive || leader.stopping ||
+        (placement.transferred_at &&
+         now - *placement.transferred_at < detail::min_transfer_interval)) {
+        return std::nullopt;
+    }
+    const auto term_age = now - leader.term_began;
+    const bool is_late = term_age > detail::min_term_for_lag &&
+                         has_lagged(placement.lag, compared_lag_time / detail::lag_period, min_lag);
+    const successor_candidate* best = nullptr;
+    auto reason = transfer_reason::capacity;
+    for (const auto& candidate : candidates) {
+        const bool is_larger = term_age > detail::min_term_for_capacity &&
+                               candidate.capacity >= leader.capacity * detail::min_capacity_factor;
+        const bool is_punctual =
+            is_late && candidate.capacity >= leader.capacity && !candidate.has_lagged;
+        if (!candidate.can_lead || !(is_larger || is_punctual) ||
+            (best != nullptr && !detail::is_better(candidate, *best))) {
+            continue;
+        }
+        best = &candidate;
+        reason = is_larger ? transfer_reason::capacity : transfer_reason::lag;
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return planned_transfer{best->host, reason};
+}
+
 double top_capacity_of(std::span<const double> capacities) {
     if (capacities.empty()) {
         return 0;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -215,6 +215,9 @@
     caller.forward_address = request.forward_address;
     caller.capacity = request.capacity;
     caller.lag = milliseconds(request.lag_ms);
+    if (caller.lag >= min_lag) {
+        caller.lagged_at = now;
+    }
     caller.failure_domain = request.failure_domain;
     caller.region = region_of(core_.state.regions, request.failure_domain);
     caller.called_at = now;
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -47,6 +47,11 @@
     [[nodiscard]] evidence_by_host evidence(boot_time now) const;
     /// Router instances that have called recently.
     [[nodiscard]] router_instances recent_followers(boot_time now) const;
+    /// Followers as possible successors of this leader.
+    [[nodiscard]] std::vector<successor_candidate> successors(boot_time now) const;
+    /// Whether the router has called after a reply that was sent at this time or later.
+    [[nodiscard]] bool has_called_since(const std::string& host, boot_time replied_at) const;
+    [[nodiscard]] boot_time term_began() const { return term_began_; }
 
 private:
     struct follower {
@@ -64,6 +69,7 @@
         std::string forward_address;       ///< See `sync_request`.
         double capacity = 1;               ///< Of its host, in cores.
         milliseconds lag{0};               ///< Of its event loop, before the last call.
+        boot_time lagged_at;               ///< When it last reported `min_lag` or more.
         // Values that the router has received up to the last reply.
         std::uint64_t reply_number = 0;
         std::optional<std::map<std::string, std::uint32_t>> concurrency;
--- a/src/gateway/sync_server_plan.cpp
+++ b/src/gateway/sync_server_plan.cpp
@@ -17,6 +17,8 @@
 // Until a term is this old, the leader may not have heard of all hosts, and what it knew before
 // counts as well.
 constexpr milliseconds max_first_call_time{2000};
+// Time from which a follower counts as one that calls regularly: about three calls.
+constexpr milliseconds min_following_time{1000};
 
 }  // namespace detail
 
@@ -142,4 +144,26 @@
     }
 }
 
+std::vector<successor_candidate> sync_server::successors(boot_time now) const {
+    std::vector<successor_candidate> candidates;
+    // Equal hosts are not replaced by each other.
+    if (fleet_.placement.top_capacity <= 0) {
+        return candidates;
+    }
+    for (const auto& [host, router] : followers_) {
+        const bool calls = router.is_current &&
+                           now - router.called_at < detail::recently_called_time &&
+                           now - router.following_since >= detail::min_following_time;
+        candidates.push_back({host, router.capacity,
+                              calls && router.evidence.store_lost_at == boot_time{},
+                              now - router.lagged_at < compared_lag_time});
+    }
+    return candidates;
+}
+
+bool sync_server::has_called_since(const std::string& host, boot_time replied_at) const {
+    const auto router = followers_.find(host);
+    return router != followers_.end() && router->second.evidence.followed_at >= replied_at;
+}
+
 }  // namespace mimosavalve::gateway
--- a/src/gateway/sync_server_reply.cpp
+++ b/src/gateway/sync_server_reply.cpp
@@ -126,6 +126,7 @@
     reply.config_version = core_.state.config.version;
     add_config(reply, request, now);
     reply.top_capacity = fleet_.placement.top_capacity;
+    reply.successor = fleet_.placement.transfer.successor;
     reply.long_holds = from_.announces_long_holds();
     from_.fill_reply(reply);
     add_registry(reply, request);
