Renew grants first and pace the replies to sync calls

A leader served all calls that had arrived before its next tick, so that grants were renewed late, and for each call it walked all followers and all waiting calls.

Grants are renewed at the start of a leader's tick. Calls are served and replies sent in slices of 10 ms of loop time. Where they take more than half of the loop's time, a router gets a reply at most every interval that follows from the mean cost of a call and its reply, and at least every 600 ms. Waiting calls are kept by due time (reply_queue), bytes in transit as sums by region, and ranks are renumbered when followers change, so the cost of a call does not grow with the followers.

The test server measures loop time by a clock of the test, so that a busy machine does not pace its replies; its checks are unchanged. With 90 routers and 2 ms for a call and its reply, at most 840 replies are sent in 3 s; replies of 0.04 ms are sent as without pacing.

--- a/include/mimosavalve/gateway/leader_placement.hpp
+++ b/include/mimosavalve/gateway/leader_placement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -104,6 +105,24 @@
 /// Time for which a leader waits for the call of the successor that it has named.
 inline constexpr milliseconds max_successor_wait{300};
 
+/// Cost of the sync calls that a leader serves, and of its replies.
+struct reply_pacing {
+    using cost = std::chrono::duration<double, std::milli>;
+
+    cost per_call{0};    ///< Mean for a call, without its reply.
+    cost per_reply{0};   ///< Mean for a reply.
+    cost spent{0};       ///< Beyond the share of the loop's time that replies may take.
+    boot_time spent_at;  ///< Time for which `spent` holds.
+};
+/// Records loop time that was spent on a call or on a reply.
+void record_cost(reply_pacing& pacing, reply_pacing::cost cost, bool is_reply, boot_time now);
+/// Minimum time between two replies to the same router, at which replies to all of them take half
+/// of the loop's time; 0 while they cost less than that.
+milliseconds reply_interval(const reply_pacing& pacing, std::size_t routers, boot_time now);
+
+/// Loop time after which a leader lets other events run before it serves further calls.
+inline constexpr milliseconds max_call_slice{10};
+
 /// Largest of the capacities; 0 if no two of them differ.
 double top_capacity_of(std::span<const double> capacities);
 
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -235,8 +235,9 @@
     }
     decider_.set_long_holds(lease_.may_grant_long_holds());
     decider_.extend(lease_.valid_until());
-    server_.tick(now);
+    // Renewals of grants go first: targets refuse requests for keys whose hold has ended.
     decider_.tick();
+    server_.tick(now);
     transfer_leadership(now);
 }
 
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -361,6 +361,7 @@
         targets_unchanged_since_ = now;
     }
     log_transit(now);
+    renew(now);
     for (const auto& [name, kind] : core_.state.config.services) {
         if (!kind.keyed) {
             continue;
@@ -387,7 +388,6 @@
             [](const running_move& move) { return move.phase == move_phase::done; });
         write_owners(name, state, now);
     }
-    renew(now);
 }
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/leader_placement.cpp
+++ b/src/gateway/leader_placement.cpp
@@ -27,6 +27,20 @@
 // Smaller advantages are not worth a change of leader, in which no key moves for seconds.
 constexpr double min_capacity_factor = 2;
 
+// Share of the loop's time that replies may take.
+constexpr double max_reply_share = 0.5;
+// Loop time by which they may exceed it: one round of replies after a change of state.
+constexpr reply_pacing::cost max_reply_burst{200};
+// A router gives up a call after 900 ms.
+constexpr milliseconds max_reply_interval{600};
+// Weight of the last reply in the mean.
+constexpr double cost_weight = 1.0 / 16;
+
+reply_pacing::cost spent_now(const reply_pacing& pacing, boot_time now) {
+    const auto allowed = reply_pacing::cost(now - pacing.spent_at) * max_reply_share;
+    return std::max(pacing.spent - allowed, reply_pacing::cost(0));
+}
+
 bool is_better(const successor_candidate& one, const successor_candidate& other) {
     return one.has_lagged != other.has_lagged ? other.has_lagged : one.capacity > other.capacity;
 }
@@ -131,6 +145,23 @@
     return planned_transfer{best->host, reason};
 }
 
+void record_cost(reply_pacing& pacing, reply_pacing::cost cost, bool is_reply, boot_time now) {
+    pacing.spent = detail::spent_now(pacing, now) + cost;
+    pacing.spent_at = now;
+    // Separate means, since calls and replies come in batches.
+    auto& mean = is_reply ? pacing.per_reply : pacing.per_call;
+    mean += (cost - mean) * (mean == reply_pacing::cost(0) ? 1 : detail::cost_weight);
+}
+
+milliseconds reply_interval(const reply_pacing& pacing, std::size_t routers, boot_time now) {
+    if (detail::spent_now(pacing, now) <= detail::max_reply_burst) {
+        return milliseconds(0);
+    }
+    const auto interval = (pacing.per_call + pacing.per_reply) * static_cast<double>(routers) /
+                          detail::max_reply_share;
+    return std::min(std::chrono::ceil<milliseconds>(interval), detail::max_reply_interval);
+}
+
 double top_capacity_of(std::span<const double> capacities) {
     if (capacities.empty()) {
         return 0;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -11,18 +11,9 @@
 
 namespace detail {
 
-// The leader answers a call after this time at the latest, also when no state has changed.
-constexpr milliseconds max_reply_delay{200};
 // Interval at which changed work times are sent.
 constexpr milliseconds work_interval{1000};
 constexpr milliseconds load_line_interval{1000};
-// Size of the replies in transit to one region from which further ones to it wait. The leader's own
-// calls to the store wait behind them: 0.1 s on a link of 10 Mbit/s. State that changes meanwhile
-// is sent once.
-constexpr std::size_t max_bytes_in_transit = 128U << 10U;
-// Time after which a reply no longer counts as in transit, although its router has not called
-// again: it has left the leader's link, and a slow router must not hold up the replies to others.
-constexpr milliseconds max_counted_transit{250};
 // Number of changed routes up to which the leader sends the changes of the configuration to all
 // routers itself. More are passed on from router to router.
 constexpr std::size_t max_routes_to_all = 32;
@@ -40,6 +31,9 @@
 
 void sync_server::begin() {
     followers_.clear();
+    ranks_valid_ = false;
+    replies_.restart();
+    pacing_ = {};
     term_began_ = core_.now();
     config_updates_.clear();
     distribution_ = {};
@@ -63,14 +57,17 @@
 
 void sync_server::end() {
     constexpr unsigned unavailable = 503;
-    for (auto& waiting : pending_replies_) {
+    for (auto& waiting : replies_.take_all()) {
         waiting.respond({unavailable, "text/plain", "", {}});
     }
-    pending_replies_.clear();
+    for (auto& call : std::exchange(arrived_, {})) {
+        call.respond({unavailable, "text/plain", "", {}});
+    }
 }
 
 void sync_server::tick(boot_time now) {
     if (now >= next_evaluation_) {
+        expire_followers(now);
         sync_request own;
         collect_reports(core_, own);
         record_reports(core_.settings.host, own, now);
@@ -87,34 +84,7 @@
         next_load_line_ = now + detail::load_line_interval;
         log_load();
     }
-    send_due_replies();
-}
-
-std::map<std::string, std::size_t> sync_server::bytes_in_transit(boot_time now) const {
-    std::map<std::string, std::size_t> by_region;
-    for (const auto& [host, router] : followers_) {
-        if (router.bytes_in_transit > 0 && now - router.replied_at < detail::max_counted_transit) {
-            by_region[router.region] += router.bytes_in_transit;
-        }
-    }
-    return by_region;
-}
-
-void sync_server::send_due_replies() {
-    const auto now = core_.now();
-    auto in_transit = bytes_in_transit(now);
-    for (auto& waiting : pending_replies_) {
-        if (now < waiting.due) {
-            continue;
-        }
-        const auto& host = waiting.request.host;
-        auto& to_region = in_transit[followers_[host].region];
-        if (to_region < detail::max_bytes_in_transit) {
-            reply_to(waiting);
-            to_region += followers_[host].bytes_in_transit;
-        }
-    }
-    std::erase_if(pending_replies_, [](const auto& waiting) { return !waiting.respond; });
+    serve_slice();
 }
 
 evidence_by_host sync_server::evidence(boot_time now) const {
@@ -140,38 +110,10 @@
     return running;
 }
 
-void sync_server::serve(const std::string& body, internal_server::respond respond) {
-    constexpr unsigned bad_request = 400;
-    constexpr unsigned unavailable = 503;
-    auto request = decode_sync_request(body);
-    if (!request) {
-        respond({bad_request, "text/plain", "", {}});
-        return;
-    }
-    if (!fleet_.leading || request->epoch != fleet_.leader.epoch) {
-        respond({unavailable, "text/plain", "", {}});
-        return;
-    }
-    const auto now = core_.now();
-    record_caller(*request, now);
-    if (request->config_version > core_.state.config.version && from_.fetch_config) {
-        from_.fetch_config(request->address);
-    }
-    record_reports(request->host, *request, now);
-    pending_reply waiting{std::move(*request), std::move(respond), now,
-                          now + detail::max_reply_delay};
-    if (is_behind(waiting.request)) {
-        waiting.due = now;
-    }
-    // A router that calls again has given up its last call.
-    std::erase_if(pending_replies_,
-                  [&](const auto& other) { return other.request.host == waiting.request.host; });
-    pending_replies_.push_back(std::move(waiting));
-    send_due_replies();
-}
-
 void sync_server::record_caller(const sync_request& request, boot_time now) {
-    auto& caller = followers_[request.host];
+    const auto [found, is_new] = followers_.try_emplace(request.host);
+    auto& caller = found->second;
+    ranks_valid_ = ranks_valid_ && !is_new;
     // The router sent this call after the leader's last reply to it. The call may have been long in
     // transit, so that its arrival proves no later time.
     const auto sent_after =
@@ -206,7 +148,7 @@
         const bool has_one_before = request.reply_number + 1 == caller.reply_number;
         caller.work_number = has_one_before ? caller.earlier_work_number : 0;
     }
-    caller.bytes_in_transit = 0;
+    replies_.record_call(request.host);
     caller.config_version = request.config_version;
     const auto version = core_.state.config.version;
     update_transfers(distribution_, version, request.config_version == version ? request.host : "",
@@ -388,10 +330,8 @@
     core_.defer(life_.guard([this] {
         replies_deferred_ = false;
         const auto now = core_.now();
-        for (auto& waiting : pending_replies_) {
-            waiting.due = std::min(waiting.due, now);
-        }
-        send_due_replies();
+        replies_.make_due(now);
+        serve_slice();
     }));
 }
 
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -10,6 +10,7 @@
 #include "mimosavalve/gateway/config_update.hpp"
 #include "mimosavalve/gateway/leader_term.hpp"
 #include "mimosavalve/gateway/quota_plan.hpp"
+#include "reply_queue.hpp"
 #include "work_times.hpp"
 
 namespace mimosavalve::gateway {
@@ -26,6 +27,9 @@
         std::function<bool()> announces_long_holds;
         /// Gets the configuration from a router that has a newer one.
         std::function<void(const std::string& address)> fetch_config = nullptr;
+        /// Measures the loop time that calls take; replaced in tests.
+        std::function<std::chrono::steady_clock::time_point()> loop_clock =
+            std::chrono::steady_clock::now;
     };
 
     sync_server(router_core& core, fleet_state& fleet, sources from);
@@ -57,14 +61,13 @@
     struct follower {
         router_evidence evidence;
         boot_time replied_at;  ///< When the leader last replied to the router.
-        /// Size of that reply until the router has called again.
-        std::size_t bytes_in_transit = 0;
         std::string address;
         std::string failure_domain;
         std::string region;
         boot_time called_at;               ///< When the router last called.
         boot_time following_since;         ///< When this instance of it first called.
         std::uint64_t config_version = 0;  ///< Its configuration at the last call.
+        std::uint32_t rank = 0;            ///< Position among the followers; see `update_ranks`.
         bool is_current = true;            ///< It has called with the present epoch.
         std::string forward_address;       ///< See `sync_request`.
         double capacity = 1;               ///< Of its host, in cores.
@@ -81,13 +84,24 @@
         std::map<std::string, double> limit_shares;  ///< Shares of the last reply, by target.
         std::map<std::string, double> held_shares;   ///< Shares that it may be using, by target.
     };
-    struct pending_reply {
-        sync_request request;
+    struct arrived_call {
+        std::string body;
         internal_server::respond respond;
         boot_time arrived_at;
-        boot_time due;  ///< Earliest time of the reply.
     };
 
+    /// Serves calls and due replies for `max_call_slice` of loop time; defers the rest.
+    void serve_slice();
+    /// Serves the next call or else sends the next due reply; returns whether there was one.
+    bool serve_next();
+    /// Records a call, and lets it wait for its reply.
+    void accept(arrived_call call);
+    /// Earliest time of the reply to a call of the router.
+    [[nodiscard]] boot_time earliest_reply(const follower& caller, boot_time now);
+    /// Removes followers that have not called for long.
+    void expire_followers(boot_time now);
+    /// Numbers the followers by host if there are other ones than before.
+    void update_ranks();
     void record_caller(const sync_request& request, boot_time now);
     [[nodiscard]] bool is_behind(const sync_request& request);
     /// Changes of the configuration that a router lacks; nothing if it lacks none.
@@ -111,11 +125,7 @@
     void compare_capacities(boot_time now);
     /// Logs the work done for followers since the last call.
     void log_load();
-    /// Replies to calls that are due, the oldest first, while few replies are in transit.
-    void send_due_replies();
-    void reply_to(pending_reply& waiting);
-    /// Size of the replies that routers may still be receiving, by region.
-    [[nodiscard]] std::map<std::string, std::size_t> bytes_in_transit(boot_time now) const;
+    void reply_to(waiting_call& waiting);
     void add_totals(const sync_reply& reply);
     void add_maps(sync_reply& reply, const sync_request& request, boot_time now);
     void add_registry(sync_reply& reply, const sync_request& request);
@@ -131,7 +141,13 @@
     /// Changes since earlier versions of the configuration, by version; kept for one version.
     std::map<std::uint64_t, config_update> config_updates_;
     config_distribution distribution_;
-    std::vector<pending_reply> pending_replies_;
+    bool ranks_valid_ = false;
+    std::deque<arrived_call> arrived_;
+    reply_queue replies_;
+    reply_pacing pacing_;
+    reply_pacing::cost slice_spent_{0};
+    bool slice_deferred_ = false;
+    boot_time next_pacing_line_;
     bool replies_deferred_ = false;  ///< Whether replies to all pending calls are scheduled.
     state_history<registry_state, registry_update> registries_;
     /// By service.
--- a/src/gateway/sync_server_reply.cpp
+++ b/src/gateway/sync_server_reply.cpp
@@ -7,10 +7,6 @@
 
 namespace detail {
 
-// A router that has not called for this time no longer shares fleet-wide limits. It is longer than
-// a network partition after which a router may continue to send requests without the leader's
-// knowledge.
-constexpr milliseconds follower_expiry{10000};
 // Relative change of a rate below which it is not sent again.
 constexpr double min_relative_change = 0.05;
 
@@ -108,18 +104,16 @@
     }
 }
 
-void sync_server::reply_to(pending_reply& waiting) {
+void sync_server::reply_to(waiting_call& waiting) {
     const auto now = core_.now();
     const auto& request = waiting.request;
-    std::erase_if(followers_, [&](const auto& router) {
-        return now - router.second.called_at > detail::follower_expiry;
-    });
+    update_ranks();
+    auto& caller = followers_[request.host];
     sync_reply reply;
     reply.epoch = fleet_.leader.epoch;
     reply.routers = sharing_router_count(static_cast<std::uint32_t>(followers_.size()) + 1,
                                          milliseconds(-milliseconds_until(term_began_, now)));
-    reply.rank = static_cast<std::uint32_t>(
-        std::distance(followers_.begin(), followers_.find(request.host)) + 1);
+    reply.rank = caller.rank;
     reply.store_age_ms = static_cast<std::uint64_t>(
         std::max<std::int64_t>(-milliseconds_until(core_.state.registry_known_at, now), 0));
     reply.held_ms = static_cast<std::uint64_t>(-milliseconds_until(waiting.arrived_at, now));
@@ -131,7 +125,6 @@
     from_.fill_reply(reply);
     add_registry(reply, request);
     add_maps(reply, request, now);
-    auto& caller = followers_[request.host];
     caller.replied_at = now;
     reply.number = ++caller.reply_number;
     add_quotas(reply, request.host, caller);
@@ -149,7 +142,7 @@
     add_totals(reply);
     ++totals_.replies;
     totals_.bytes += static_cast<std::int64_t>(body.size());
-    caller.bytes_in_transit = body.size();
+    replies_.record_sent(request.host, waiting.region, body.size(), now);
     respond({200, peer_paths::body_type, std::move(body), {}});
 }
 
--- a/tests/gateway/sync_server_test.cpp
+++ b/tests/gateway/sync_server_test.cpp
@@ -23,9 +23,16 @@
                  {[](const auto&) {}, [](sync_reply&) {},
                   [this](std::uint64_t version) { return changes_since(version); },
                   [] { return false; },
-                  [this](const std::string& address) { fetched_from.push_back(address); }}) {
+                  [this](const std::string& address) { fetched_from.push_back(address); },
+                  [this] { return loop_time += call_cost; }}) {
         core.now = [this] { return now; };
-        core.defer = [](const std::function<void()>& step) { step(); };
+        core.defer = [this](std::function<void()> step) {
+            if (keeps_deferred) {
+                deferred.push_back(std::move(step));
+            } else {
+                step();
+            }
+        };
         fleet.leading = true;
         fleet.leader.epoch = 1;
         server.begin();
@@ -101,6 +108,11 @@
     }
 
     boot_time now = boot_clock::now();
+    /// Loop time as the leader measures it, and what each call or reply takes of it.
+    std::chrono::steady_clock::time_point loop_time;
+    std::chrono::microseconds call_cost{0};
+    bool keeps_deferred = false;  ///< Whether the test runs what is deferred.
+    std::vector<std::function<void()>> deferred;
     std::vector<std::string> fetched_from;  ///< Routers that have a newer configuration.
     int changed_routes = 0;
     std::map<int, std::string> sources;     ///< Routers from which followers get a configuration.
@@ -256,3 +268,67 @@
     leader.advance(milliseconds(1000));
     CHECK_FALSE(leader.got_config.empty());
 }
+
+// Guards against a leader whose grants are late because it serves the calls of all followers first.
+TEST_CASE("a leader serves calls in slices of 10 ms [sync_server]") {
+    server_fixture leader;
+    leader.call_cost = std::chrono::milliseconds(1);
+    leader.keeps_deferred = true;
+    for (int number = 0; number < 60; ++number) {
+        leader.call(number);
+    }
+    int slices = 0;
+    while (!leader.deferred.empty()) {
+        const auto began = leader.loop_time;
+        for (const auto& step : std::exchange(leader.deferred, {})) {
+            step();
+        }
+        CHECK(leader.loop_time - began <= std::chrono::milliseconds(22));
+        ++slices;
+    }
+    CHECK(leader.replies == 60);
+    CHECK(slices >= 11);
+}
+
+// Guards against replies to a call that its router has given up, each of which costs as much as one
+// that is read.
+TEST_CASE("a leader replies only to the last call of a router [sync_server]") {
+    server_fixture leader;
+    leader.call(1);
+    leader.replies = 0;
+    leader.call(1);
+    leader.call(1);
+    leader.advance(milliseconds(200));
+    CHECK(leader.replies == 1);
+    CHECK(leader.core.metrics.counters["sync_calls_dropped"] == 1);
+}
+
+// Guards against a leader whose loop is filled by replies, and against a change for leaders whose
+// replies cost little.
+TEST_CASE("replies are paced only where they take half of the loop's time [sync_server]") {
+    const auto replies_in_3s = [](std::chrono::microseconds cost) {
+        server_fixture leader;
+        leader.call_cost = cost;
+        leader.begin_following();
+        leader.advance(milliseconds(600));
+        for (int step = 0; step < 120; ++step) {
+            if (step == 60) {
+                leader.replies = 0;  // The first rounds may take more.
+            }
+            leader.change_targets(step);
+            for (const auto number : std::exchange(leader.in_transit, {})) {
+                leader.call(number);
+            }
+            leader.advance(milliseconds(50));
+        }
+        return leader.replies;
+    };
+    const auto free_of_cost = replies_in_3s(std::chrono::microseconds(0));
+    CHECK(replies_in_3s(std::chrono::microseconds(20)) == free_of_cost);
+    // Two measured steps for each reply, so 2 ms: 90 routers every 360 ms.
+    const auto paced = replies_in_3s(std::chrono::milliseconds(1));
+    CHECK(paced <= 840);
+    CHECK(paced > 500);
+    // At most 600 ms between two replies to a router.
+    CHECK(replies_in_3s(std::chrono::milliseconds(10)) >= followers * 4);
+}
