Let routers with a late event loop answer that they are not ready

The balancer directs callers to a router whose event loop is blocked for seconds as to any other.

A router whose loop lagged by 250 ms or more in each of the last two seconds is unready until it has been punctual for 1 s, for at most 2 s in 20 s, and only where hosts differ in capacity. Times below 1 s are not used, since the balancer checks once a second.

In the test, a router that lags for 19 s is unready for 2 s of them.

--- a/include/mimosavalve/gateway/leader_placement.hpp
+++ b/include/mimosavalve/gateway/leader_placement.hpp
@@ -8,6 +8,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "mimosavalve/gateway/clock.hpp"
 
@@ -123,6 +124,23 @@
 /// Loop time after which a leader lets other events run before it serves further calls.
 inline constexpr milliseconds max_call_slice{10};
 
+/// Whether the lag of the event loop lets the balancer direct new callers to this router.
+struct readiness {
+    struct spell {
+        boot_time began;
+        boot_time until;
+    };
+    boot_time lagged_at;        ///< Last check with `min_lag` or more.
+    std::vector<spell> spells;  ///< Times without readiness; the last one may not have ended.
+};
+/// Records a check of the event loop; returns whether a time without readiness begins. It ends once
+/// the loop has been punctual for a while, and all of them are limited to a small share of the
+/// time, since an unready fleet is worse than a slow one. None begins where hosts do not differ in
+/// capacity.
+bool record_check(readiness& state, const placement_state& placement, milliseconds lag,
+                  boot_time now);
+bool is_ready(const readiness& state, boot_time now);
+
 /// Largest of the capacities; 0 if no two of them differ.
 double top_capacity_of(std::span<const double> capacities);
 
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -116,7 +116,13 @@
     const auto max_lag =
         record_check(core_.loop, std::chrono::steady_clock::now(), detail::control_tick);
     record_latency(core_.metrics, "loop_lag", core_.loop.lag);
-    record_lag(fleet_.placement.lag, core_.loop.lag, core_.now());
+    const auto now = core_.now();
+    record_lag(fleet_.placement.lag, core_.loop.lag, now);
+    if (record_check(readiness_, fleet_.placement, core_.loop.lag, now)) {
+        core_.log.write_always("unready_by_lag",
+                               {{"lag_ms", recent_lag(fleet_.placement.lag).count()}});
+        count(core_.metrics, "unready_by_lag");
+    }
     if (max_lag) {
         core_.log.write_always("loop_late",
                                {{"lag_ms", max_lag->count()},
@@ -313,7 +319,8 @@
 }
 
 bool fleet_control::is_ready() const {
-    if (core_.state.config.version == 0 || core_.state.targets.empty()) {
+    if (core_.state.config.version == 0 || core_.state.targets.empty() ||
+        !gateway::is_ready(readiness_, core_.now())) {
         return false;
     }
     return std::all_of(core_.state.config.services.begin(), core_.state.config.services.end(),
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -30,7 +30,8 @@
     /// Serves a router's call for the changes of the configuration since its own.
     void serve_config(const std::string& body, const internal_server::respond& respond);
 
-    /// Whether this router has a configuration, targets and owners of keys to serve with.
+    /// Whether this router has a configuration, targets and owners of keys to serve with, and its
+    /// event loop is not late for long.
     [[nodiscard]] bool is_ready() const;
 
 private:
@@ -65,6 +66,7 @@
     leader_lease lease_;
     boot_time next_records_;
     boot_time successor_named_at_;
+    readiness readiness_;
     std::uint64_t known_epoch_ = 0;  ///< Epoch of the leader at the last tick.
     boot_time leader_known_at_;      ///< When a leader of this epoch became known.
     /// Since when the leader's replies name a newer configuration than this router has.
--- a/src/gateway/leader_placement.cpp
+++ b/src/gateway/leader_placement.cpp
@@ -27,6 +27,15 @@
 // Smaller advantages are not worth a change of leader, in which no key moves for seconds.
 constexpr double min_capacity_factor = 2;
 
+// Lag from which new callers are better served by other routers, and for how long.
+constexpr milliseconds min_unready_lag{250};
+constexpr std::size_t min_unready_lag_seconds = 2;
+constexpr milliseconds punctual_time{1000};
+constexpr milliseconds max_unready_time{2000};
+constexpr milliseconds unready_window{20000};
+// The balancer checks each second, so a shorter time without readiness has no effect.
+constexpr milliseconds min_unready_time{1000};
+
 // Share of the loop's time that replies may take.
 constexpr double max_reply_share = 0.5;
 // Loop time by which they may exceed it: one round of replies after a change of state.
@@ -162,6 +171,38 @@
     return std::min(std::chrono::ceil<milliseconds>(interval), detail::max_reply_interval);
 }
 
+bool record_check(readiness& state, const placement_state& placement, milliseconds lag,
+                  boot_time now) {
+    if (lag >= min_lag) {
+        state.lagged_at = now;
+    }
+    if (!is_ready(state, now)) {
+        if (now - state.lagged_at >= detail::punctual_time) {
+            state.spells.back().until = now;
+        }
+        return false;
+    }
+    const auto window_began = now - detail::unready_window;
+    std::erase_if(state.spells, [&](const auto& spell) { return spell.until <= window_began; });
+    if (placement.top_capacity <= 0 ||
+        !has_lagged(placement.lag, detail::min_unready_lag_seconds, detail::min_unready_lag)) {
+        return false;
+    }
+    boot_clock::duration left = detail::max_unready_time;
+    for (const auto& spell : state.spells) {
+        left -= spell.until - std::max(spell.began, window_began);
+    }
+    if (left < detail::min_unready_time) {
+        return false;
+    }
+    state.spells.push_back({now, now + left});
+    return true;
+}
+
+bool is_ready(const readiness& state, boot_time now) {
+    return state.spells.empty() || now >= state.spells.back().until;
+}
+
 double top_capacity_of(std::span<const double> capacities) {
     if (capacities.empty()) {
         return 0;
--- a/tests/gateway/leader_placement_test.cpp
+++ b/tests/gateway/leader_placement_test.cpp
@@ -177,3 +177,33 @@
     }
     CHECK(terms == 3);
 }
+
+// Guards against callers of a router whose event loop is blocked, and against a fleet of which no
+// router is ready.
+TEST_CASE("a router with a late event loop is unready for 2 s in 20 s [leader_placement]") {
+    auto now = boot_clock::now();
+    placement_state placement;
+    readiness state;
+    const auto unready_ms = [&](milliseconds lag, milliseconds time) {
+        int unready = 0;
+        for (const auto end = now + time; now < end; now += milliseconds(50)) {
+            record_lag(placement.lag, lag, now);
+            record_check(state, placement, lag, now);
+            unready += is_ready(state, now) ? 0 : 50;
+        }
+        return unready;
+    };
+    CHECK(unready_ms(milliseconds(300), milliseconds(5000)) == 0);
+    placement.top_capacity = 0.5;
+    CHECK(unready_ms(milliseconds(300), milliseconds(19000)) == 2000);
+    CHECK(unready_ms(milliseconds(0), milliseconds(22000)) == 0);
+    CHECK(unready_ms(milliseconds(240), milliseconds(5000)) == 0);
+    CHECK(unready_ms(milliseconds(300), milliseconds(60000)) <= 6000);
+    // It ends early once the loop is punctual.
+    CHECK(unready_ms(milliseconds(0), milliseconds(25000)) <= 1000);
+    unready_ms(milliseconds(300), milliseconds(1100));
+    REQUIRE_FALSE(is_ready(state, now));
+    const auto rest = unready_ms(milliseconds(20), milliseconds(5000));
+    CHECK(rest >= 950);
+    CHECK(rest <= 1000);
+}
