--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -92,8 +92,8 @@
     /// without keys at a time, allocated by the leader. Empty until the leader has allocated any.
     std::map<std::string, std::uint32_t, std::less<>> concurrency_quotas;
     std::uint64_t target_states_created = 0;  ///< Source of `target_state::number`.
-    dispatch_table dispatchers;  ///< Routers to which requests are forwarded.
-    owner_beliefs beliefs;       ///< What answers 421 have contradicted.
+    dispatch_table dispatchers;               ///< Routers to which requests are forwarded.
+    owner_beliefs beliefs;                    ///< What answers 421 have contradicted.
 };
 
 /// Updates `targets` from the registry. A restarted target gets a new state. Returns the removed
--- a/src/gateway/exchange_forward.cpp
+++ b/src/gateway/exchange_forward.cpp
@@ -65,6 +65,7 @@
     dispatcher_ = peer.host;
     target_id_ = detail::link_name(peer.host);
     target_instance_ = 0;
+    counted_by_ = 0;
     target_address_ = peer.address;
     auto& idle = core_.idle_links[target_id_];
     while (!idle.empty()) {
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -111,7 +111,7 @@
 void fleet_control::stop() {
     fleet_.stopping = true;
     if (fleet_.leading) {
-        election_.resign();
+        election_.resign("stopping");
     }
 }
 
@@ -119,6 +119,13 @@
     const auto max_lag =
         record_check(core_.loop, std::chrono::steady_clock::now(), detail::control_tick);
     record_latency(core_.metrics, "loop_lag", core_.loop.lag);
+    const auto now = core_.now();
+    record_lag(fleet_.placement.lag, core_.loop.lag, now);
+    if (record_check(readiness_, fleet_.placement, core_.loop.lag, now)) {
+        core_.log.write_always("unready_by_lag",
+                               {{"lag_ms", recent_lag(fleet_.placement.lag).count()}});
+        count(core_.metrics, "unready_by_lag");
+    }
     if (max_lag) {
         core_.log.write_always("loop_late",
                                {{"lag_ms", max_lag->count()},
@@ -237,11 +244,47 @@
     }
     decider_.set_long_holds(lease_.may_grant_long_holds());
     decider_.extend(lease_.valid_until());
-    server_.tick(now);
+    // Renewals of grants go first: targets refuse requests for keys whose hold has ended.
     decider_.tick();
+    server_.tick(now);
+    transfer_leadership(now);
+}
+
+void fleet_control::transfer_leadership(boot_time now) {
+    if (election_.is_resigning()) {
+        return;
+    }
+    auto& placement = fleet_.placement;
+    const auto successor = placement.transfer.successor;
+    if (!successor.empty()) {
+        if (!fleet_.store_responsive || fleet_.stopping) {
+            core_.log.write_always("transfer_ended", {{"to", successor}});
+            record_successor(placement, "", fleet_.leader.epoch, now);
+        } else if (server_.has_called_since(successor, successor_named_at_) ||
+                   now - successor_named_at_ >= max_successor_wait) {
+            election_.resign("transferred");
+        }
+        return;
+    }
+    const auto planned = plan_transfer(
+        placement,
+        {core_.settings.capacity, server_.term_began(), fleet_.store_responsive, fleet_.stopping},
+        server_.successors(now), now);
+    if (!planned) {
+        return;
+    }
+    const bool by_capacity = planned->reason == transfer_reason::capacity;
+    core_.log.write_always("transfer", {{"to", planned->successor},
+                                        {"why", by_capacity ? "capacity" : "lag"},
+                                        {"lag_ms", recent_lag(placement.lag).count()}});
+    count(core_.metrics, "leader_transfers");
+    record_successor(placement, planned->successor, fleet_.leader.epoch, now);
+    successor_named_at_ = now;
+    server_.on_state_change();
 }
 
 void fleet_control::begin_term() {
+    record_successor(fleet_.placement, "", fleet_.leader.epoch, core_.now());
     lease_.begin();
     server_.begin();
     decider_.begin(
@@ -279,7 +322,8 @@
 }
 
 bool fleet_control::is_ready() const {
-    if (core_.state.config.version == 0 || core_.state.targets.empty()) {
+    if (core_.state.config.version == 0 || core_.state.targets.empty() ||
+        !gateway::is_ready(readiness_, core_.now())) {
         return false;
     }
     return std::all_of(core_.state.config.services.begin(), core_.state.config.services.end(),
@@ -297,6 +341,8 @@
     const auto now = core_.now();
     core_.state.router_count = reply.routers;
     core_.state.router_rank = reply.rank;
+    fleet_.placement.top_capacity = reply.top_capacity;
+    record_successor(fleet_.placement, reply.successor, reply.epoch, now);
     operators_.apply_from_leader(reply);
     record_announced_config(reply, now);
     if (!reply.config_source.empty()) {
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -30,7 +30,8 @@
     /// Serves a router's call for the changes of the configuration since its own.
     void serve_config(const std::string& body, const internal_server::respond& respond);
 
-    /// Whether this router has a configuration, targets and owners of keys to serve with.
+    /// Whether this router has a configuration, targets and owners of keys to serve with, and its
+    /// event loop is not late for long.
     [[nodiscard]] bool is_ready() const;
 
 private:
@@ -44,6 +45,8 @@
     /// Gets the changes of the configuration from another router.
     void fetch_config(const std::string& address);
     void lead(boot_time now);
+    /// Names a successor if another host should lead, and ends the lease once it has called.
+    void transfer_leadership(boot_time now);
     void begin_term();
     void continue_term();
     void end_term();
@@ -62,6 +65,8 @@
     leader_election election_;
     leader_lease lease_;
     boot_time next_records_;
+    boot_time successor_named_at_;
+    readiness readiness_;
     std::uint64_t dispatchers_epoch_ = 0;  ///< Of the leader that named the known dispatchers.
     std::uint64_t known_epoch_ = 0;        ///< Epoch of the leader at the last tick.
     boot_time leader_known_at_;            ///< When a leader of this epoch became known.
--- a/src/gateway/sync_server_plan.cpp
+++ b/src/gateway/sync_server_plan.cpp
@@ -16,6 +16,11 @@
 // Time from the beginning of a term in which all routers call the leader and the demand becomes
 // known.
 constexpr milliseconds settling_time{2500};
+// Until a term is this old, the leader may not have heard of all hosts, and what it knew before
+// counts as well.
+constexpr milliseconds max_first_call_time{2000};
+// Time from which a follower counts as one that calls regularly: about three calls.
+constexpr milliseconds min_following_time{1000};
 
 }  // namespace detail
 
@@ -127,4 +132,41 @@
     }
 }
 
+void sync_server::compare_capacities(boot_time now) {
+    std::vector<double> capacities{core_.settings.capacity};
+    for (const auto& [host, router] : followers_) {
+        capacities.push_back(router.capacity);
+    }
+    auto top = top_capacity_of(capacities);
+    if (now - term_began_ < detail::max_first_call_time) {
+        top = std::max(top, fleet_.placement.top_capacity);
+    }
+    if (top != fleet_.placement.top_capacity) {
+        core_.log.write_always("top_capacity", {{"cores", std::to_string(top)}});
+        fleet_.placement.top_capacity = top;
+    }
+}
+
+std::vector<successor_candidate> sync_server::successors(boot_time now) const {
+    std::vector<successor_candidate> candidates;
+    // Equal hosts are not replaced by each other.
+    if (fleet_.placement.top_capacity <= 0) {
+        return candidates;
+    }
+    for (const auto& [host, router] : followers_) {
+        const bool calls = router.is_current &&
+                           now - router.called_at < detail::recently_called_time &&
+                           now - router.following_since >= detail::min_following_time;
+        candidates.push_back({host, router.capacity,
+                              calls && router.evidence.store_lost_at == boot_time{},
+                              now - router.lagged_at < compared_lag_time});
+    }
+    return candidates;
+}
+
+bool sync_server::has_called_since(const std::string& host, boot_time replied_at) const {
+    const auto router = followers_.find(host);
+    return router != followers_.end() && router->second.evidence.followed_at >= replied_at;
+}
+
 }  // namespace mimosavalve::gateway
