Let requests leave their failure domain only if that pays

A fixed extra time for targets outside the own domain sent requests away for a difference of a few ms, and downloads over the link between regions.

Where the leader has announced shares for a service and the own domain has usable targets, a request now stays there unless it would be late or wait, a target outside saves more time than the transfer costs, and the router has a token for that domain. Concurrency quotas of such services are divided by domain, among the routers whose requests go there. A new leader announces shares after 2 s, when all routers have called. Dispatched requests count with the dispatcher's domain, cold targets with their cold rate. Without shares, or without a usable target in the own domain, targets are chosen as before.

--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -12,6 +12,7 @@
 
 #include "mimosavalve/gateway/clock.hpp"
 #include "mimosavalve/gateway/dispatch_plan.hpp"
+#include "mimosavalve/gateway/domain_overflow.hpp"
 #include "mimosavalve/gateway/gateway_settings.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
 #include "mimosavalve/gateway/platform_port.hpp"
@@ -88,6 +89,8 @@
     /// without keys at a time, allocated by the leader. Empty until the leader has allocated any.
     std::map<std::string, std::uint32_t, std::less<>> concurrency_quotas;
     dispatch_table dispatchers;  ///< Routers to which requests are forwarded.
+    overflow_table overflow;     ///< Requests that may leave the own failure domain.
+    std::map<std::string, transfer_size, std::less<>> transfer_sizes;  ///< By route.
 };
 
 /// Updates `targets` from the registry. A restarted target gets a new state. Returns the removed
@@ -150,6 +153,7 @@
     target_state* target = nullptr;
     /// Wait for an owner, or until a target wants requests again; 0: not known.
     milliseconds expected_wait{0};
+    leave_reason reason = leave_reason::none;  ///< Why the target is outside the own domain.
 };
 
 struct choice_request {
@@ -160,11 +164,13 @@
     /// Whether the router may have one request at each target without a quota, since no dispatcher
     /// can be reached.
     bool ignores_quotas = false;
+    milliseconds age{0};  ///< Time since the request was received.
 };
 
 /// Chooses the target of a request: for keyed services the owner of the key, else the target with
 /// the least expected time until the answer, including the transfer to other regions and failure
-/// domains. Targets with about equal times take turns.
+/// domains. Targets with about equal times take turns. Where the leader has announced overflow
+/// shares and the own domain has usable targets, requests leave it only if that pays.
 target_choice choose_target(routing_state& state, const choice_request& request, boot_time now);
 
 /// Whether a request may still be sent to the target that was chosen for it: new requests may be
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -254,6 +254,7 @@
     link_->target_id = target_id_;
     answer_ = {};
     answer_body_.clear();
+    received_answer_bytes_ = 0;
     body_sent_ = 0;
     body_end_sent_ = false;
     sent_at_ = steady::now();
@@ -315,6 +316,7 @@
         return;
     }
     body_.append(data);
+    received_body_bytes_ += data.size();
     if (is_awaiting_check_) {
         check_and_dispatch();
         return;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -114,6 +114,8 @@
     /// Mean time from a send until the answer, of `target` or, if that is not known, of the targets
     /// of the service; 0: not known. Nothing is known of a cold target: its times still change.
     [[nodiscard]] double known_answer_ms(const target_state* target) const;
+    /// Counts where a request without a key is sent, and why it leaves the own domain.
+    void count_place(const target_state& target, leave_reason reason);
     void stop_waiting();
     /// Estimates the wait for room at the targets that may run the request.
     [[nodiscard]] wait_estimate estimate_wait() const;
@@ -185,6 +187,7 @@
     std::size_t body_sent_ = 0;  ///< Bytes of `body_` sent on the current link.
     bool body_complete_ = false;
     bool body_end_sent_ = false;  ///< The last chunk was sent on the current link.
+    std::uint64_t received_body_bytes_ = 0;  ///< Of the whole request body.
     bool is_body_replayable_ = true;
     bool is_awaiting_check_ = false;  ///< Is dispatched only after more of the body has arrived.
     std::optional<std::uint64_t> fingerprint_;
@@ -206,6 +209,8 @@
 
     message_head answer_;
     std::string answer_body_;
+    std::uint64_t received_answer_bytes_ = 0;  ///< Of the whole body of the current answer.
+    bool has_earned_tokens_ = false;           ///< See `earn_tokens`.
     bool is_streaming_ = false;
     bool waiting_ = false;
     std::list<exchange*>::iterator waiting_position_;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -125,6 +125,7 @@
 
 void exchange::on_answer_body(std::string_view data) {
     answer_body_.append(data);
+    received_answer_bytes_ += data.size();
     const bool is_signed = has_field(answer_, core_.platform.headers.signature);
     if (!is_streaming_ && answer_body_.size() > detail::max_whole_answer_bytes) {
         if (!is_signed) {
@@ -177,6 +178,10 @@
         return;
     }
     verdict_ = traffic_verdict::ran;
+    if (success) {
+        record_transfer(core_.state.transfer_sizes[route_->name], received_body_bytes_,
+                        received_answer_bytes_);
+    }
     const auto& suspects = core_.announced_crashes.suspects;
     if (success && !suspects.empty() && fingerprint() && suspects.contains(*fingerprint_)) {
         core_.crashes.answered_suspects.insert(*fingerprint_);
--- a/src/gateway/exchange_dispatch.cpp
+++ b/src/gateway/exchange_dispatch.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <span>
+#include <utility>
 
+#include "domain_choice.hpp"
 #include "exchange.hpp"
 #include "exchange_detail.hpp"
 
@@ -50,8 +52,15 @@
         return;
     }
     const auto now = boot_clock::now();
-    const choice_request request{&*route_, service_, key_, tried_targets_,
-                                 dispatch.kind == dispatch_kind::direct_without_quota};
+    if (!std::exchange(has_earned_tokens_, true)) {
+        earn_tokens(core_.state.overflow, service_);
+    }
+    const choice_request request{&*route_,
+                                 service_,
+                                 key_,
+                                 tried_targets_,
+                                 dispatch.kind == dispatch_kind::direct_without_quota,
+                                 milliseconds(age_ms())};
     const auto began = steady::now();
     const auto choice = choose_target(core_.state, request, now);
     record_latency(core_.metrics, "choice", steady::now() - began);
@@ -68,6 +77,7 @@
         give_up("stopping");
     } else if (choice.kind == choice_kind::target) {
         stop_waiting();
+        count_place(*choice.target, choice.reason);
         open_link(*choice.target);
     } else {
         const auto estimate = estimate_wait();
@@ -115,6 +125,16 @@
     return forwarded == core_.forwarded_answer_ms.end() ? 0 : forwarded->second;
 }
 
+void exchange::count_place(const target_state& target, leave_reason reason) {
+    if (is_keyed()) {
+        return;
+    }
+    count(core_.metrics, "requests_to_" + std::string(to_string(place_of(core_.state, target))));
+    if (reason != leave_reason::none) {
+        count(core_.metrics, "requests_left_" + std::string(to_string(reason)));
+    }
+}
+
 void exchange::wait_or_refuse(const target_choice& choice, wait_estimate estimate) {
     const auto left = route_->objective - milliseconds(age_ms());
     bool is_too_late = false;
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -315,6 +315,10 @@
         apply_dispatchers(core_.state.dispatchers, *reply.dispatchers);
     }
     core_.state.dispatchers.valid_until = now + dispatch_validity;
+    if (reply.overflow) {
+        apply_overflow(core_.state.overflow, *reply.overflow);
+    }
+    core_.state.overflow.valid_until = now + overflow_validity;
     for (const auto& [id, work_ms] : reply.work_ms) {
         const auto found = core_.state.targets.find(id);
         if (found != core_.state.targets.end()) {
--- a/src/gateway/overflow_plan.cpp
+++ b/src/gateway/overflow_plan.cpp
@@ -9,6 +9,15 @@
 // Requests per second of a service below which its demand is not known.
 constexpr double min_known_demand = 0.1;
 
+// Requests per second that a target runs now; a cold one runs few.
+double present_capacity(const routing_state& state, const target_state& target, boot_time now) {
+    const auto capacity = capacity_of(state, target);
+    const auto kind = state.config.services.find(target.entry.service);
+    return is_cold(target, now) && kind != state.config.services.end()
+               ? std::min(capacity, std::max(kind->second.cold_requests_per_second, 1.0))
+               : capacity;
+}
+
 overflow_domain& domain_of(service_overflow& plan, const routing_state& state,
                            const std::string& name) {
     const auto found = std::find_if(plan.domains.begin(), plan.domains.end(),
@@ -130,7 +139,7 @@
     for (const auto* target : targets_of(input.state, service)) {
         if (can_send_to(input.state, *target, input.now)) {
             detail::domain_of(plan, input.state, target->entry.failure_domain).capacity +=
-                capacity_of(input.state, *target);
+                detail::present_capacity(input.state, *target, input.now);
         }
     }
     const auto served = plan.domains.size();
--- a/src/gateway/quota_plan.cpp
+++ b/src/gateway/quota_plan.cpp
@@ -31,12 +31,16 @@
     }
 }
 
-struct region_targets {
+struct target_group {
     std::vector<quota_target> targets;
     double capacity = 0;
     double slots = 0;
 };
 
+struct region_targets : target_group {
+    std::map<std::string, target_group> by_domain;
+};
+
 std::vector<router_demand> demands_of(const quota_input& input, const service_destinations& service,
                                       const std::string& region) {
     std::vector<router_demand> demands;
@@ -66,7 +70,7 @@
     return demands;
 }
 
-void add_concurrency(quota_plan& plan, const quota_input& input, region_targets& group,
+void add_concurrency(quota_plan& plan, const quota_input& input, target_group& group,
                      const std::vector<router_demand>& demands) {
     const auto demand = sum_of(demands);
     const auto routers_per_slot = static_cast<double>(demands.size()) / group.slots;
@@ -80,20 +84,22 @@
     }
 }
 
-// Time in which all routers call a new leader: two sync calls that a slow link has delayed by up
-// to 0.9 s each, and the pause between them.
-constexpr milliseconds first_calls_time{2000};
+void add_target(target_group& group, const routing_state& state, const target_state& target) {
+    group.capacity += capacity_of(state, target);
+    group.slots += target.entry.slots;
+    group.targets.push_back({target.entry.id, 0});
+}
 
 }  // namespace detail
 
 std::uint32_t sharing_router_count(std::uint32_t known_routers, milliseconds leading_for) {
-    return leading_for < detail::first_calls_time ? std::max(known_routers, assumed_router_count)
-                                                  : known_routers;
+    return leading_for < first_calls_time ? std::max(known_routers, assumed_router_count)
+                                          : known_routers;
 }
 
 quota_plan plan_quotas(const routing_state& state, const demand_rates& demand,
                        const std::map<std::string, std::string>& routers, dispatch_state& dispatch,
-                       boot_time now) {
+                       boot_time now, bool is_demand_complete) {
     quota_plan plan;
     dispatcher_map named;
     const detail::quota_input input{state, demand, routers, now};
@@ -110,11 +116,12 @@
             auto& group = unkeyed_targets[{
                 target->entry.service,
                 std::string(region_of(state.regions, target->entry.failure_domain))}];
-            group.capacity += capacity_of(state, *target);
-            group.slots += target->entry.slots;
-            group.targets.push_back({id, 0});
+            detail::add_target(group, state, *target);
+            detail::add_target(group.by_domain[target->entry.failure_domain], state, *target);
         }
     }
+    // By service and region.
+    std::map<std::pair<std::string, std::string>, std::vector<router_demand>> wanted;
     std::map<std::string, service_destinations> destinations;
     for (auto& [service_and_region, group] : unkeyed_targets) {
         const auto& [service, region] = service_and_region;
@@ -122,7 +129,8 @@
         if (is_new) {
             known->second = destinations_of(state, service, now);
         }
-        auto demands = detail::demands_of(input, known->second, region);
+        auto& demands = wanted[service_and_region];
+        demands = detail::demands_of(input, known->second, region);
         const auto asked = detail::sum_of(demands);
         const auto destination = region_destination(service, region);
         plan_dispatchers(named, dispatch.named,
@@ -131,7 +139,23 @@
         if (const auto dispatchers = named.find(destination); dispatchers != named.end()) {
             demands = detail::demands_at(dispatchers->second, asked);
         }
-        detail::add_concurrency(plan, input, group, demands);
+    }
+    if (is_demand_complete) {
+        for (const auto& [service, known] : destinations) {
+            plan.overflow.emplace(
+                service, plan_service_overflow({state, demand, routers, named, now}, service));
+        }
+    }
+    for (auto& [service_and_region, group] : unkeyed_targets) {
+        const auto overflow = plan.overflow.find(service_and_region.first);
+        if (overflow == plan.overflow.end() || !overflow->second.is_in_effect) {
+            detail::add_concurrency(plan, input, group, wanted[service_and_region]);
+            continue;
+        }
+        for (auto& [domain, targets] : group.by_domain) {
+            detail::add_concurrency(plan, input, targets,
+                                    demands_in_domain(overflow->second, domain));
+        }
     }
     dispatch.named = std::move(named);
     return plan;
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -46,6 +46,7 @@
     limits_.clear();
     limit_shares_.clear();
     dispatch_ = {};
+    overflow_.clear();
     crash_watch_ = resume_crash_watch(core_.announced_crashes, core_.now());
     registries_.restart();
     registries_.add(core_.state.registry);
@@ -201,6 +202,7 @@
         caller.concurrency.reset();
         caller.rates.reset();
         caller.dispatchers.reset();
+        caller.overflow.reset();
         caller.crashes.reset();
         const bool has_one_before = request.reply_number + 1 == caller.reply_number;
         caller.work_number = has_one_before ? caller.earlier_work_number : 0;
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -69,6 +69,7 @@
         std::optional<std::map<std::string, std::uint32_t>> concurrency;
         std::optional<std::map<std::string, double>> rates;
         std::optional<dispatcher_names> dispatchers;
+        std::optional<overflow_by_service> overflow;
         std::uint64_t work_number = 0;          ///< See `work_times`.
         std::uint64_t earlier_work_number = 0;  ///< `work_number` before the last reply.
         std::optional<crash_findings> crashes;
@@ -98,6 +99,8 @@
     [[nodiscard]] std::vector<dispatch_candidate> dispatch_candidates(boot_time now) const;
     /// Logs the destinations whose dispatchers have changed.
     void log_dispatchers(const dispatcher_map& before) const;
+    /// Takes the shares of the requests that may leave their failure domain from the plan.
+    void announce_overflow(boot_time now);
     /// Allots shares of the request limits that targets have named.
     void share_limits(boot_time now);
     void find_crashes(boot_time now);
@@ -131,6 +134,8 @@
     demand_rates demand_;
     quota_plan quotas_;
     dispatch_state dispatch_;
+    /// Announced shares, by domain of the routers; empty until the demand is known.
+    std::map<std::string, overflow_by_service> overflow_;
     std::map<std::string, fleet_limit> limits_;  ///< By target.
     /// Shares of these limits, by host, then by target; negative: the limit has ended.
     std::map<std::string, std::map<std::string, double>> limit_shares_;
--- a/src/gateway/sync_server_plan.cpp
+++ b/src/gateway/sync_server_plan.cpp
@@ -27,8 +27,13 @@
     }
     dispatch_.candidates = dispatch_candidates(now);
     const auto before = dispatch_.named;
-    quotas_ = plan_quotas(core_.state, demand_, routers, dispatch_, now);
+    // Until all routers have called, they keep the shares of the last leader.
+    const bool is_demand_complete = now - term_began_ >= first_calls_time;
+    quotas_ = plan_quotas(core_.state, demand_, routers, dispatch_, now, is_demand_complete);
     log_dispatchers(before);
+    if (is_demand_complete) {
+        announce_overflow(now);
+    }
     apply_dispatchers(core_.state.dispatchers, names_of(dispatch_.named));
     core_.state.dispatchers.valid_until = now + dispatch_validity;
     const auto& own = quotas_.concurrency[core_.settings.host];
@@ -37,6 +42,33 @@
     apply_rate_quotas(core_.state, quotas_.rates[core_.settings.host]);
 }
 
+void sync_server::announce_overflow(boot_time now) {
+    std::set<std::string> domains{core_.settings.failure_domain};
+    for (const auto& [host, router] : followers_) {
+        domains.insert(router.failure_domain);
+    }
+    std::erase_if(overflow_, [&](const auto& known) { return !domains.contains(known.first); });
+    for (const auto& domain : domains) {
+        auto shares = shares_of(quotas_.overflow, domain);
+        const auto known = overflow_.find(domain);
+        if (known != overflow_.end() && !differ(known->second, shares)) {
+            continue;
+        }
+        count(core_.metrics, "overflow_changes");
+        for (const auto& [service, destinations] : shares) {
+            std::string listed;
+            for (const auto& [to, share] : destinations) {
+                listed += (listed.empty() ? "" : ",") + to + ":" + std::to_string(share);
+            }
+            core_.log.write("overflow",
+                            {{"service", service}, {"domain", domain}, {"shares", listed}});
+        }
+        overflow_[domain] = std::move(shares);
+    }
+    apply_overflow(core_.state.overflow, overflow_[core_.settings.failure_domain]);
+    core_.state.overflow.valid_until = now + overflow_validity;
+}
+
 std::vector<dispatch_candidate> sync_server::dispatch_candidates(boot_time now) const {
     std::vector<dispatch_candidate> candidates;
     for (const auto& [host, router] : followers_) {
--- a/src/gateway/sync_server_reply.cpp
+++ b/src/gateway/sync_server_reply.cpp
@@ -93,6 +93,11 @@
         reply.dispatchers = dispatchers;
         caller.dispatchers = dispatchers;
     }
+    const auto overflow = overflow_.find(caller.failure_domain);
+    if (overflow != overflow_.end() && caller.overflow != overflow->second) {
+        reply.overflow = overflow->second;
+        caller.overflow = overflow->second;
+    }
 }
 
 void sync_server::add_work(sync_reply& reply, follower& caller) const {
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "domain_choice.hpp"
 #include "mimosavalve/gateway/target_table.hpp"
 
 namespace mimosavalve::gateway {
@@ -77,14 +78,6 @@
     return (queue + 1) * work_ms_of(state, target) * slowdown;
 }
 
-struct candidate {
-    target_state* target = nullptr;
-    double transfer_ms = 0;
-    double total_ms = 0;
-};
-
-// Returns the fastest candidate, or among candidates that are about as fast and have the same
-// transfer time, the one whose last request was sent earliest.
 target_state* pick_candidate(std::span<const candidate> from) {
     const auto fastest = std::min_element(
         from.begin(), from.end(),
@@ -193,11 +186,33 @@
 }
 
 // Counts a request to the target.
-target_choice chosen(routing_state& state, target_state* target) {
+target_choice chosen(routing_state& state, target_state* target,
+                     leave_reason reason = leave_reason::none) {
     if (auto* known = known_notice(state, *target); known != nullptr) {
         take_token(*known);
     }
-    return {choice_kind::target, target};
+    return {choice_kind::target, target, milliseconds(0), reason};
+}
+
+// Chooses a target while requests leave the own domain only if that pays.
+target_choice choose_by_domain(routing_state& state, const choice_request& request,
+                               std::span<const candidate> free, const home_survey& home,
+                               const service& kind, boot_time now) {
+    const auto picked = pick_by_domain(state, request, free, home, now);
+    const bool busy = picked.target == nullptr || picked.reason != leave_reason::none ||
+                      requests_at(state, *picked.target, now) >= picked.target->entry.slots;
+    if (busy && home.cold != nullptr &&
+        try_acquire(home.cold->cold_rate_limiter, cold_rate_share(state, *home.cold, kind),
+                    one_second, now)) {
+        return chosen(state, home.cold);
+    }
+    if (picked.target == nullptr) {
+        return {choice_kind::wait_for_room, nullptr};
+    }
+    if (picked.reason != leave_reason::none) {
+        take_token(state.overflow, request.service, picked.target->entry.failure_domain);
+    }
+    return chosen(state, picked.target, picked.reason);
 }
 
 target_choice choose_owner(routing_state& state, const choice_request& request, const service& kind,
@@ -278,6 +293,7 @@
     std::vector<detail::candidate> free;
     target_state* cold = nullptr;
     std::optional<milliseconds> held_back_for;
+    home_survey home;
     const bool may_replace_quotas =
         request.ignores_quotas || detail::may_replace_quotas(state, request.service, now);
     for (auto* target : targets_of(state, request.service)) {
@@ -294,19 +310,38 @@
         }
         const auto concurrency = std::max(detail::concurrency_at(state, *target, kind->second, now),
                                           may_replace_quotas ? detail::initial_concurrency : 0);
+        const bool is_usable_home =
+            target->entry.failure_domain == state.own_domain && now >= target->avoid_until;
+        home.is_usable = home.is_usable || is_usable_home;
         if (target->running >= concurrency || detail::is_queue_full(state, *target, now) ||
             now < target->avoid_until) {
             best.kind = choice_kind::wait_for_room;
+            if (is_usable_home) {
+                add_full_target(home, *target, detail::time_at_target_ms(state, *target, now),
+                                work_ms_of(state, *target));
+            }
             continue;
         }
         if (is_cold(*target, now)) {
             cold = cold == nullptr || target->running < cold->running ? target : cold;
+            if (is_usable_home) {
+                add_full_target(home, *target, detail::time_at_target_ms(state, *target, now),
+                                work_ms_of(state, *target));
+                home.cold = home.cold == nullptr || target->running < home.cold->running
+                                ? target
+                                : home.cold;
+            }
             continue;
         }
         const auto transfer_ms = detail::transfer_ms_of(state, *target, *request.request_route);
         free.push_back(
             {target, transfer_ms, transfer_ms + detail::time_at_target_ms(state, *target, now)});
     }
+    if (decides_by_domain(state, request.service, home)) {
+        return detail::choose_by_domain(state, request, free, home, kind->second, now);
+    }
+    const auto reason =
+        is_known(state.overflow, request.service) ? leave_reason::home_lost : leave_reason::none;
     if (auto* picked = detail::pick_candidate(free); picked != nullptr) {
         best = {choice_kind::target, picked};
     }
@@ -317,10 +352,10 @@
     if (busy && cold != nullptr &&
         try_acquire(cold->cold_rate_limiter, detail::cold_rate_share(state, *cold, kind->second),
                     detail::one_second, now)) {
-        return detail::chosen(state, cold);
+        return detail::chosen(state, cold, reason);
     }
     if (best.kind == choice_kind::target) {
-        return detail::chosen(state, best.target);
+        return detail::chosen(state, best.target, reason);
     }
     if (cold != nullptr && best.kind == choice_kind::none) {
         best.kind = choice_kind::wait_for_room;
--- a/src/gateway/target_choice.hpp
+++ b/src/gateway/target_choice.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
+
+#include "mimosavalve/gateway/target_table.hpp"
 
 namespace mimosavalve::gateway::detail {
 
@@ -9,4 +12,15 @@
 // of the transfer.
 inline constexpr std::uint32_t max_queued_at_target = 4;
 
+/// A target without keys that may be sent a request now.
+struct candidate {
+    target_state* target = nullptr;
+    double transfer_ms = 0;
+    double total_ms = 0;  ///< Expected time until the answer, transfer included.
+};
+
+/// Returns the fastest candidate, or among candidates that are about as fast and have the same
+/// transfer time, the one whose last request was sent earliest; null if there is none.
+target_state* pick_candidate(std::span<const candidate> from);
+
 }  // namespace mimosavalve::gateway::detail
