Name no dispatchers for services that get only uploads and downloads

Uploads and downloads are not forwarded, but the concurrency quotas of a scarce service were divided among its dispatchers only. Routers that were no dispatchers had no quota and could send no downloads to it. Such a service gets no dispatchers now.

--- a/src/gateway/quota_plan.cpp
+++ b/src/gateway/quota_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 #include <utility>
 
 namespace mimosavalve::gateway {
@@ -84,6 +85,17 @@
     }
 }
 
+// Whether any requests for a service are forwarded to dispatchers; uploads and downloads are not.
+bool is_forwarded(const routing_state& state, const std::string& service) {
+    return std::any_of(
+        state.config.routes.begin(), state.config.routes.end(), [&](const route& each) {
+            return each.kind != request_kind::upload && each.kind != request_kind::download &&
+                   std::any_of(each.services.begin(), each.services.end(), [&](const auto& part) {
+                       return part.service == service && part.weight > 0;
+                   });
+        });
+}
+
 void add_target(target_group& group, const routing_state& state, const target_state& target) {
     group.capacity += capacity_of(state, target);
     group.slots += target.entry.slots;
@@ -123,19 +135,26 @@
     // By service and region.
     std::map<std::pair<std::string, std::string>, std::vector<router_demand>> wanted;
     std::map<std::string, service_destinations> destinations;
+    std::set<std::string, std::less<>> forwarded_services;
     for (auto& [service_and_region, group] : unkeyed_targets) {
         const auto& [service, region] = service_and_region;
         const auto [known, is_new] = destinations.try_emplace(service);
         if (is_new) {
             known->second = destinations_of(state, service, now);
+            if (detail::is_forwarded(state, service)) {
+                forwarded_services.insert(service);
+            }
         }
         auto& demands = wanted[service_and_region];
         demands = detail::demands_of(input, known->second, region);
         const auto asked = detail::sum_of(demands);
         const auto destination = region_destination(service, region);
-        plan_dispatchers(named, dispatch.named,
-                         {destination, region, group.slots, group.capacity, asked, demands.size()},
-                         dispatch.candidates);
+        if (forwarded_services.contains(service)) {
+            plan_dispatchers(
+                named, dispatch.named,
+                {destination, region, group.slots, group.capacity, asked, demands.size()},
+                dispatch.candidates);
+        }
         if (const auto dispatchers = named.find(destination); dispatchers != named.end()) {
             demands = detail::demands_at(dispatchers->second, asked);
         }
--- a/tests/gateway/domain_overflow_test.cpp
+++ b/tests/gateway/domain_overflow_test.cpp
@@ -385,6 +385,25 @@
     CHECK(share_between(plan.shares, "a1", "a2") > 0.7);
 }
 
+// Guards against routers without quotas: downloads are not forwarded, so a service that has only
+// these needs no dispatchers.
+TEST_CASE("quotas: all routers may send downloads of a scarce service [overflow]") {
+    const auto state = make_state("a1", request_kind::download);
+    demand_rates demand;
+    std::map<std::string, std::string> routers;
+    dispatch_state dispatch;
+    for (int number = 0; number < 40; ++number) {
+        const auto host = "r" + std::to_string(number);
+        routers[host] = all_domains[static_cast<std::size_t>(number) % 4];
+        const auto region = routers[host].substr(0, 1);
+        dispatch.candidates.push_back({host, "10.0.0.1:1", region, number < 4 ? 1.0 : 0.1});
+        record_demand(demand, demand_destination("pages", {"a", "b"}), host, 4, start);
+    }
+    const auto plan = plan_quotas(state, demand, routers, dispatch, start, false);
+    CHECK(dispatch.named.empty());
+    CHECK(plan.concurrency.size() == routers.size());
+}
+
 // Guards against traffic between domains and regions that brings callers nothing, and against
 // answers that are lost for it.
 TEST_CASE("domain overflow: load over four domains [overflow]") {
