--- a/src/gateway/overflow_plan.cpp
+++ b/src/gateway/overflow_plan.cpp
@@ -168,6 +168,7 @@
         }
     }
     std::vector<router_demand> demands;
+    demands.reserve(by_host.size());
     for (const auto& [host, rate] : by_host) {
         demands.push_back({host, rate});
     }
--- a/tests/gateway/sync_server_test.cpp
+++ b/tests/gateway/sync_server_test.cpp
@@ -256,3 +256,48 @@
     leader.advance(milliseconds(1000));
     CHECK_FALSE(leader.got_config.empty());
 }
+
+// Guards against shares that a new leader plans before all routers have reported their demand, and
+// against shares that are not sent again after a lost reply.
+TEST_CASE("a leader announces overflow shares once the demand is known [sync_server][overflow]") {
+    server_fixture leader;
+    leader.core.state.regions = {{"north-a", "north"}, {"north-b", "north"}};
+    leader.core.state.config.services["pages"].name = "pages";
+    route all;
+    all.services.push_back({"pages", 1});
+    leader.core.state.config.routes = {all};
+    for (const std::string domain : {"north-a", "north-b"}) {
+        target_entry entry;
+        entry.id = "t-" + domain;
+        entry.service = "pages";
+        entry.failure_domain = domain;
+        entry.slots = 2;
+        leader.core.state.registry.targets.emplace(entry.id, entry);
+    }
+    update_targets(leader.core.state, leader.now);
+    std::optional<sync_reply> last;
+    const auto call = [&](std::uint64_t known_reply) {
+        sync_request request;
+        request.host = "r1";
+        request.epoch = 1;
+        request.failure_domain = "north-a";
+        request.reply_number = known_reply;
+        request.demand["pages"] = 1000;
+        last.reset();
+        leader.server.serve(encode(request), [&](const internal_answer& answer) {
+            last = decode_sync_reply(answer.body);
+        });
+        leader.advance(milliseconds(300));
+        REQUIRE(last);
+    };
+    call(0);
+    CHECK_FALSE(last->overflow);
+    leader.advance(milliseconds(1800));
+    call(last->number);
+    REQUIRE(last->overflow);
+    CHECK((*last->overflow)["pages"]["north-b"] > 0.4);
+    const auto known = last->number;
+    call(known);
+    call(known);
+    CHECK(last->overflow);
+}
