--- a/include/mimosavalve/gateway/domain_overflow.hpp
+++ b/include/mimosavalve/gateway/domain_overflow.hpp
@@ -38,8 +38,9 @@
 
 /// Leader: shares of one service. A domain sends away what exceeds 0.75 of its capacity, first
 /// within its region. If a whole region exceeds that, its domains are filled equally, and its
-/// excess goes to the spare capacity of other regions. Requests whose home regions have no targets
-/// in the own region are not part of the shares: they leave in any case.
+/// excess goes to other regions until these are at 0.75, or at the utilization of the whole fleet
+/// if that is higher. Requests whose home regions have no targets in the own region are not part of
+/// the shares: they leave in any case.
 overflow_shares plan_overflow(std::span<const overflow_domain> domains);
 
 /// Whether a request stays with the targets of its own region, as far as its domain's shares allow.
--- a/src/gateway/domain_overflow.cpp
+++ b/src/gateway/domain_overflow.cpp
@@ -57,6 +57,10 @@
 struct overflow_loads {
     std::map<std::string, region_load> regions;
     std::vector<domain_load> domains;
+    // Fraction of its capacity up to which a region serves requests of others: that of the whole
+    // fleet if this is above `full_utilization`. Otherwise an overloaded region would refuse
+    // requests while slots of another one are idle.
+    double region_level = full_utilization;
 };
 
 // Adds demand that cannot stay in its region to the domains that may serve it, by their capacity.
@@ -90,6 +94,15 @@
             }
         }
     }
+    double capacity = 0;
+    double load = 0;
+    for (const auto& [name, region] : loads.regions) {
+        capacity += region.capacity;
+        load += region.load();
+    }
+    if (capacity > 0) {
+        loads.region_level = std::max(full_utilization, load / capacity);
+    }
     return loads;
 }
 
@@ -118,11 +131,17 @@
             }
         }
     }
-    // What is left below `full_utilization`, in proportion over the domains of a region.
+    // What is left below the level between regions, over the domains in proportion to their spare
+    // capacity; over those of a full region by capacity.
     for (auto& each : loads.domains) {
         const auto& region = loads.regions[each.domain->region];
-        const auto left = region.capacity * full_utilization - region.load();
-        each.spare = region.spare > 0 ? each.spare / region.spare * std::max(left, 0.0) : 0;
+        const auto left = std::max(region.capacity * loads.region_level - region.load(), 0.0);
+        const bool is_full = region.load() >= region.capacity * full_utilization;
+        if (is_full || region.spare <= 0) {
+            each.spare = region.capacity > 0 ? left * each.domain->capacity / region.capacity : 0;
+        } else {
+            each.spare = left * each.spare / region.spare;
+        }
     }
 }
 
@@ -132,7 +151,7 @@
         return 0;
     }
     const auto& region = loads.regions.at(from.domain->region);
-    const auto over = region.load() - region.capacity * full_utilization;
+    const auto over = region.load() - region.capacity * loads.region_level;
     if (over <= 0) {
         return 0;
     }
--- a/src/gateway/quota_plan.cpp
+++ b/src/gateway/quota_plan.cpp
@@ -65,6 +65,7 @@
 std::vector<router_demand> demands_at(const std::vector<dispatch_candidate>& dispatchers,
                                       double demand) {
     std::vector<router_demand> demands;
+    demands.reserve(dispatchers.size());
     for (const auto& each : dispatchers) {
         demands.push_back({each.host, demand / static_cast<double>(dispatchers.size())});
     }
--- a/tests/gateway/domain_overflow_test.cpp
+++ b/tests/gateway/domain_overflow_test.cpp
@@ -266,6 +266,16 @@
     CHECK(share_between(shares, "a1", "a2") == doctest::Approx(0.5));
 }
 
+// Guards against an overloaded region that refuses requests while another one has idle slots.
+TEST_CASE("domain overflow: regions are filled equally under overload [overflow]") {
+    const auto shares = plan_overflow(make_domains(170, 90, 65, 65));
+    double crossing = 0;
+    for (const auto& [from, rate] : {std::pair{"a1", 170.0}, {"a2", 90.0}}) {
+        crossing += rate * (share_between(shares, from, "b1") + share_between(shares, from, "b2"));
+    }
+    CHECK(crossing == doctest::Approx(65));
+}
+
 // Guards against a lost domain whose requests are counted nowhere, and against bound requests that
 // are planned for a region where they may not run.
 TEST_CASE("domain overflow: lost domains and home regions [overflow]") {
@@ -421,6 +431,20 @@
     }
 }
 
+// Guards against an overloaded region whose requests wait while another region has idle slots.
+TEST_CASE("domain overflow: overload of a region [overflow]") {
+    const std::map<std::string, double> load{{"a1", 80}, {"a2", 42}, {"b1", 30}, {"b2", 30}};
+    for (const auto kind : {request_kind::download, request_kind::idempotent}) {
+        const double bytes = kind == request_kind::download ? 90000 : 1000;
+        const auto fixed = domain_load_run(false, kind, bytes).run(load);
+        const auto decided = domain_load_run(true, kind, bytes).run(load);
+        show("fixed cost, overload, " + std::string(to_string(kind)), fixed);
+        show("decision, overload, " + std::string(to_string(kind)), decided);
+        CHECK(decided.in_time > fixed.in_time * 0.95);
+        CHECK(decided.bytes_between_regions < fixed.bytes_between_regions / 2);
+    }
+}
+
 // Guards against requests without answers after the loss of the own domain, and against other
 // domains that then get more than they can serve.
 TEST_CASE("domain overflow: loss of a domain [overflow]") {
