--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -12,6 +12,7 @@
 
 #include "mimosavalve/gateway/clock.hpp"
 #include "mimosavalve/gateway/dispatch_plan.hpp"
+#include "mimosavalve/gateway/domain_overflow.hpp"
 #include "mimosavalve/gateway/gateway_settings.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
 #include "mimosavalve/gateway/owner_belief.hpp"
@@ -94,6 +95,8 @@
     std::uint64_t target_states_created = 0;  ///< Source of `target_state::number`.
     dispatch_table dispatchers;               ///< Routers to which requests are forwarded.
     owner_beliefs beliefs;                    ///< What answers 421 have contradicted.
+    overflow_table overflow;                  ///< Requests that may leave the own failure domain.
+    std::map<std::string, transfer_size, std::less<>> transfer_sizes;  ///< By route.
 };
 
 /// Updates `targets` from the registry. A restarted target gets a new state. Returns the removed
@@ -156,6 +159,7 @@
     target_state* target = nullptr;
     /// Wait for an owner, or until a target wants requests again; 0: not known.
     milliseconds expected_wait{0};
+    leave_reason reason = leave_reason::none;  ///< Why the target is outside the own domain.
 };
 
 struct choice_request {
@@ -170,11 +174,13 @@
     /// none has.
     std::uint64_t refused_fence = 0;
     boot_time chosen_at{};  ///< When the target was chosen; for `is_still_eligible`.
+    milliseconds age{0};    ///< Time since the request was received.
 };
 
 /// Chooses the target of a request: for keyed services the owner of the key, else the target with
 /// the least expected time until the answer, including the transfer to other regions and failure
-/// domains. Targets with about equal times take turns.
+/// domains. Targets with about equal times take turns. Where the leader has announced overflow
+/// shares and the own domain has usable targets, requests leave it only if that pays.
 target_choice choose_target(routing_state& state, const choice_request& request, boot_time now);
 
 /// Whether a request may still be sent to the target that was chosen for it: new requests may be
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -275,6 +275,7 @@
     link_->counted_by = counted_by_;
     answer_ = {};
     answer_body_.clear();
+    received_answer_bytes_ = 0;
     body_sent_ = 0;
     body_end_sent_ = false;
     sent_at_ = steady::now();
@@ -339,6 +340,7 @@
         return;
     }
     body_.append(data);
+    received_body_bytes_ += data.size();
     if (is_awaiting_check_) {
         check_and_dispatch();
         return;
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -158,6 +158,7 @@
 
 void exchange::on_answer_body(std::string_view data) {
     answer_body_.append(data);
+    received_answer_bytes_ += data.size();
     const bool is_signed = has_field(answer_, core_.platform.headers.signature);
     if (!is_streaming_ && should_stream_answer()) {
         if (!is_signed) {
@@ -224,6 +225,10 @@
     }
     verdict_ = traffic_verdict::ran;
     record_confirmation();
+    if (success) {
+        record_transfer(core_.state.transfer_sizes[route_->name], received_body_bytes_,
+                        received_answer_bytes_);
+    }
     const auto& suspects = core_.announced_crashes.suspects;
     if (success && !suspects.empty() && fingerprint() && suspects.contains(*fingerprint_)) {
         core_.crashes.answered_suspects.insert(*fingerprint_);
