--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -15,6 +15,7 @@
 #include "mimosavalve/gateway/gateway_settings.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
 #include "mimosavalve/gateway/platform_port.hpp"
+#include "mimosavalve/gateway/rate_bucket.hpp"
 #include "mimosavalve/gateway/rate_limiter.hpp"
 #include "mimosavalve/gateway/route_config.hpp"
 #include "mimosavalve/gateway/target_notice.hpp"
@@ -46,9 +47,7 @@
     bool is_evacuated = false;                      ///< Its failure domain was evacuated lately.
     boot_time cold_until;                           ///< Latest known end of the cold time.
     rate_limiter cold_rate_limiter;                 ///< This router's share of the cold rate.
-    double rate_quota = 0;     ///< Maximum requests per second of this router; 0: no limit.
-    double rate_tokens = 0;    ///< Tokens of the bucket that `rate_quota` fills.
-    boot_time rate_tokens_at;  ///< Time at which `rate_tokens` was computed.
+    rate_bucket rate;                               ///< This router's rate quota, if any.
 };
 
 /// Targets of one service.
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -1,10 +1,10 @@
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include "exchange.hpp"
 #include "exchange_detail.hpp"
 #include "mimosavalve/core/error.hpp"
+#include "random_fraction.hpp"
 
 namespace mimosavalve::gateway {
 
@@ -21,11 +21,6 @@
 // Minimum time until the deadline for another send to be tried.
 constexpr std::int64_t min_remaining_ms = 10;
 
-double random_fraction() {
-    static std::minstd_rand source{std::random_device{}()};
-    return std::uniform_real_distribution<double>(0, 1)(source);
-}
-
 std::int64_t ms_between(exchange::steady::time_point from, exchange::steady::time_point to) {
     return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -309,7 +309,7 @@
                                               reply.concurrency_quotas->end());
     }
     if (reply.rate_quotas) {
-        apply_rate_quotas(core_.state, *reply.rate_quotas);
+        apply_rate_quotas(core_.state, *reply.rate_quotas, now);
     }
     if (reply.dispatchers) {
         apply_dispatchers(core_.state.dispatchers, *reply.dispatchers);
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -4,6 +4,7 @@
 
 #include "control_timing.hpp"
 #include "peer_paths.hpp"
+#include "random_fraction.hpp"
 #include "sync_client.hpp"
 #include "sync_server_detail.hpp"
 
@@ -28,10 +29,12 @@
 constexpr std::size_t max_routes_to_all = 32;
 }  // namespace detail
 
-void apply_rate_quotas(routing_state& state, const std::map<std::string, double>& rates) {
+void apply_rate_quotas(routing_state& state, const std::map<std::string, double>& rates,
+                       boot_time now) {
     for (auto& [id, target] : state.targets) {
         const auto found = rates.find(id);
-        target->rate_quota = found == rates.end() ? 0 : found->second;
+        set_rate(target->rate, found == rates.end() ? 0 : found->second, detail::random_fraction(),
+                 now);
     }
 }
 
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -153,6 +153,7 @@
 };
 
 /// Applies the rate quotas that the leader allocated to this router.
-void apply_rate_quotas(routing_state& state, const std::map<std::string, double>& rates);
+void apply_rate_quotas(routing_state& state, const std::map<std::string, double>& rates,
+                       boot_time now);
 
 }  // namespace mimosavalve::gateway
