--- a/include/mimosavalve/gateway/admission.hpp
+++ b/include/mimosavalve/gateway/admission.hpp
@@ -14,7 +14,7 @@
     double answer_ms = 0;       ///< Mean time from the send to the answer; 0: unknown.
     double unavailable_ms = 0;  ///< Time until the first target can run the request.
     /// Time until a rate quota admits the request; replaces the estimate by `concurrency`.
-    std::optional<double> admitted_ms;
+    std::optional<double> admitted_ms = std::nullopt;
 };
 
 /// Expected time until a target is free, in ms.
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -72,7 +72,8 @@
                },
                [this](std::uint64_t version) { return operators_.config_since(version); },
                [this] { return lease_.wants_long_holds(); },
-               [this](const std::string& address) { fetch_config(address); }}),
+               [this](const std::string& address) { fetch_config(address); },
+               [this] { return lease_.recorded_routers(); }}),
       client_(core, fleet_, calls, {[this](const sync_reply& reply) { apply_reply(reply); }}),
       registry_(core, fleet_,
                 [this] {
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "fleet_state.hpp"
@@ -26,6 +27,8 @@
         std::function<bool()> announces_long_holds;
         /// Gets the configuration from a router that has a newer one.
         std::function<void(const std::string& address)> fetch_config = nullptr;
+        /// Number of routers in the leader's record; nothing while it is not known.
+        std::function<std::optional<std::uint32_t>()> recorded_routers = nullptr;
     };
 
     sync_server(router_core& core, fleet_state& fleet, sources from);
--- a/src/gateway/sync_server_reply.cpp
+++ b/src/gateway/sync_server_reply.cpp
@@ -116,8 +116,10 @@
     });
     sync_reply reply;
     reply.epoch = fleet_.leader.epoch;
-    reply.routers = sharing_router_count(static_cast<std::uint32_t>(followers_.size()) + 1,
-                                         milliseconds(-milliseconds_until(term_began_, now)));
+    reply.routers =
+        sharing_router_count(static_cast<std::uint32_t>(followers_.size()) + 1,
+                             from_.recorded_routers ? from_.recorded_routers() : std::nullopt,
+                             milliseconds(-milliseconds_until(term_began_, now)));
     reply.rank = static_cast<std::uint32_t>(
         std::distance(followers_.begin(), followers_.find(request.host)) + 1);
     reply.store_age_ms = static_cast<std::uint64_t>(
