--- a/include/mimosavalve/gateway/admission.hpp
+++ b/include/mimosavalve/gateway/admission.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 
 #include "mimosavalve/gateway/clock.hpp"
 
@@ -13,8 +12,6 @@
     double concurrency = 1;     ///< Requests that this router may have at these targets at a time.
     double answer_ms = 0;       ///< Mean time from the send to the answer; 0: unknown.
     double unavailable_ms = 0;  ///< Time until the first target can run the request.
-    /// Time until a rate quota admits the request; replaces the estimate by `concurrency`.
-    std::optional<double> admitted_ms = std::nullopt;
 };
 
 /// Expected time until a target is free, in ms.
--- a/include/mimosavalve/gateway/quota_plan.hpp
+++ b/include/mimosavalve/gateway/quota_plan.hpp
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,12 +34,9 @@
 inline constexpr std::uint32_t assumed_router_count = 16;
 
 /// Number of routers among which fleet-wide limits are divided. All routers call a new leader
-/// within about two seconds; until then the leader assumes at least as many as its predecessor has
-/// recorded, or `assumed_router_count` if it knows no record, since counting too few routers would
-/// give each of them too large a share.
-std::uint32_t sharing_router_count(std::uint32_t known_routers,
-                                   std::optional<std::uint32_t> recorded_routers,
-                                   milliseconds leading_for);
+/// within about two seconds; until then the leader assumes at least `assumed_router_count`, since
+/// counting too few routers would give each of them too large a share.
+std::uint32_t sharing_router_count(std::uint32_t known_routers, milliseconds leading_for);
 
 /// Divides among the routers the concurrency limits of targets without keys, and the request rates
 /// of owners near their capacity. `routers`: failure domain by host. Names dispatchers; the limits
--- a/include/mimosavalve/gateway/target_link.hpp
+++ b/include/mimosavalve/gateway/target_link.hpp
@@ -51,8 +51,6 @@
     /// Whether the link can carry another request.
     [[nodiscard]] bool is_reusable() const { return is_reusable_; }
 
-    /// Whether the link is open and has received nothing, not even its end.
-    [[nodiscard]] bool is_open_and_silent();
     /// Whether an idle link is open, has received nothing, and has not reached `idle_until`.
     bool is_still_usable();
 
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -11,14 +11,12 @@
 #include <vector>
 
 #include "mimosavalve/gateway/clock.hpp"
-#include "mimosavalve/gateway/connection_share.hpp"
 #include "mimosavalve/gateway/dispatch_plan.hpp"
 #include "mimosavalve/gateway/domain_overflow.hpp"
 #include "mimosavalve/gateway/gateway_settings.hpp"
 #include "mimosavalve/gateway/key_map.hpp"
 #include "mimosavalve/gateway/owner_belief.hpp"
 #include "mimosavalve/gateway/platform_port.hpp"
-#include "mimosavalve/gateway/rate_bucket.hpp"
 #include "mimosavalve/gateway/rate_limiter.hpp"
 #include "mimosavalve/gateway/route_config.hpp"
 #include "mimosavalve/gateway/target_notice.hpp"
@@ -32,7 +30,6 @@
     std::uint32_t running = 0;           ///< Requests of this router in flight to the target.
     boot_time sent_at;                   ///< Time of the last request that this router sent.
     std::uint32_t open_connections = 0;  ///< Connections of this router, including idle ones.
-    connection_backoff backoff;          ///< After resets of new connections.
     target_load load;                    ///< Load that the target last reported.
     /// This router's other requests in flight at `load_received_at`.
     std::uint32_t own_in_flight_at_load = 0;
@@ -51,7 +48,9 @@
     bool is_evacuated = false;                      ///< Its failure domain was evacuated lately.
     boot_time cold_until;                           ///< Latest known end of the cold time.
     rate_limiter cold_rate_limiter;                 ///< This router's share of the cold rate.
-    rate_bucket rate;                               ///< This router's rate quota, if any.
+    double rate_quota = 0;     ///< Maximum requests per second of this router; 0: no limit.
+    double rate_tokens = 0;    ///< Tokens of the bucket that `rate_quota` fills.
+    boot_time rate_tokens_at;  ///< Time at which `rate_tokens` was computed.
     /// Distinguishes this object from later ones of the same target. Only what this object has
     /// counted in `running` and `open_connections` is subtracted from them.
     std::uint64_t number = 0;
@@ -194,17 +193,6 @@
 std::uint32_t own_concurrency_limit(const routing_state& state, const target_state& target,
                                     const service& kind, boot_time now);
 
-/// Maximum number of connections that this router may have to the target, including idle ones;
-/// nothing if its service names no limit and the target has reset no new connection.
-std::optional<std::uint32_t> own_connection_limit(const routing_state& state,
-                                                  const target_state& target, const service& kind,
-                                                  boot_time now);
-
-/// Records that the target has reset a connection, opened at `opened_at`, before any byte of an
-/// answer. Returns whether this router may have fewer connections to it now.
-bool record_connection_reset(const routing_state& state, target_state& target, boot_time opened_at,
-                             boot_time now);
-
 bool is_cold(const target_state& target, boot_time now);
 
 /// Whether a target is in a home region of a route.
--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -17,9 +17,6 @@
 }  // namespace detail
 
 double expected_wait_ms(const wait_estimate& estimate) {
-    if (estimate.admitted_ms) {
-        return estimate.unavailable_ms + *estimate.admitted_ms;
-    }
     return estimate.unavailable_ms + (estimate.requests_ahead + 1.0) * estimate.answer_ms /
                                          std::max(estimate.concurrency, detail::min_concurrency);
 }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -181,7 +181,6 @@
         target.open_connections -= link->counted_by == target.number ? 1 : 0;
     }
     ++target.open_connections;
-    opened_at_ = boot_clock::now();
     count(core_.metrics, "target_connections_opened");
     connect();
 }
@@ -200,10 +199,7 @@
             }
             if (error) {
                 // Destroys the connector; allowed, since it uses no member after this call.
-                // A reset says that the target is full, not that it cannot be reached.
-                on_connection_lost(error == std::errc::connection_reset
-                                       ? error
-                                       : make_error_code(errc::target_unreachable));
+                on_connection_lost(make_error_code(errc::target_unreachable));
                 return;
             }
             send_on_new(std::move(connection));
@@ -223,11 +219,6 @@
         auto link =
             std::make_unique<target_link>(std::move(connection), core_.platform.headers.request_id);
         link->number = ++core_.links_opened;
-        // A full target has reset the connection by now: the request is not sent, so not run.
-        if (dispatcher_.empty() && !link->is_open_and_silent()) {
-            on_connection_lost(std::make_error_code(std::errc::connection_reset));
-            return;
-        }
         send_on(std::move(link));
         return;
     }
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -140,10 +140,6 @@
     /// longer get it: then another one is chosen.
     void send_on_new(std::unique_ptr<stream> connection);
     void send_on(std::unique_ptr<target_link> link);
-    /// Counts a new connection that its target has reset; returns whether it was one.
-    bool record_if_reset(std::error_code error);
-    /// Whether this router has more connections to the target than it may have.
-    [[nodiscard]] bool has_excess_connections(const target_state& target) const;
     /// Whether an idle link may carry the request. A link carries a request once: a copy of the
     /// answer to an earlier send has the same id, and would be taken for the next answer.
     [[nodiscard]] bool can_send_on(target_link& link) const;
@@ -234,8 +230,6 @@
     std::string dispatcher_;  ///< Host of the dispatcher that has the request; else empty.
     std::unique_ptr<connector> connector_;
     std::unique_ptr<target_link> link_;
-    /// When the connection of the current send was opened, if it is a new one without an answer.
-    std::optional<boot_time> opened_at_;
     steady::time_point chosen_at_;  ///< When the target of the current send was chosen.
     steady::time_point sent_at_;
     /// Age of the registry at the last send, from the start of its read.
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -1,11 +1,11 @@
 #include <algorithm>
+#include <random>
 #include <sstream>
 #include <utility>
 
 #include "exchange.hpp"
 #include "exchange_detail.hpp"
 #include "mimosavalve/core/error.hpp"
-#include "random_fraction.hpp"
 
 namespace mimosavalve::gateway {
 
@@ -26,6 +26,11 @@
 // Minimum time until the deadline for another send to be tried.
 constexpr std::int64_t min_remaining_ms = 10;
 
+double random_fraction() {
+    static std::minstd_rand source{std::random_device{}()};
+    return std::uniform_real_distribution<double>(0, 1)(source);
+}
+
 std::int64_t ms_between(exchange::steady::time_point from, exchange::steady::time_point to) {
     return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
@@ -49,35 +54,8 @@
     return body_complete_ && body_sent_ >= body_.size() && (!head_.chunked || body_end_sent_);
 }
 
-bool exchange::record_if_reset(std::error_code error) {
-    auto* target = current_target();
-    const auto opened_at = std::exchange(opened_at_, std::nullopt);
-    if (target == nullptr || !opened_at ||
-        (error != std::errc::connection_reset && error != std::errc::broken_pipe)) {
-        return false;
-    }
-    count(core_.metrics, "target_connections_reset");
-    const auto now = boot_clock::now();
-    if (record_connection_reset(core_.state, *target, *opened_at, now)) {
-        core_.log.write("connections_reduced", {{"target", target_id_},
-                                                {"open", std::int64_t{target->open_connections}},
-                                                {"limit", std::int64_t{target->backoff.limit}}});
-    }
-    return true;
-}
-
-bool exchange::has_excess_connections(const target_state& target) const {
-    const auto kind = core_.state.config.services.find(target.entry.service);
-    if (kind == core_.state.config.services.end()) {
-        return false;
-    }
-    const auto limit = own_connection_limit(core_.state, target, kind->second, boot_clock::now());
-    return limit && target.open_connections > *limit;
-}
-
 void exchange::detach_from_target() {
     connector_.reset();
-    opened_at_.reset();
     if (target_id_.empty()) {
         return;
     }
@@ -91,8 +69,7 @@
         link_->end_request();
         // The target would read the next request as the rest of an incomplete body.
         const bool is_body_sent = is_request_written();
-        const bool may_keep =
-            target != nullptr ? !has_excess_connections(*target) : !dispatcher_.empty();
+        const bool may_keep = target != nullptr || !dispatcher_.empty();
         if (link_->is_reusable() && is_body_sent && may_keep) {
             core_.idle_links[target_id_].push_back(std::move(link_));
         } else {
@@ -113,7 +90,6 @@
 
 void exchange::on_answer_head(const message_head& head) {
     answer_ = head;
-    opened_at_.reset();
     if (auto* target = current_target(); target != nullptr) {
         const auto load = core_.platform.decode_load(field_of(head, core_.platform.headers.load));
         if (load) {
@@ -322,9 +298,8 @@
 void exchange::on_connection_lost(std::error_code error) {
     const auto failed_target_id = target_id_;
     const bool has_sent = link_ != nullptr && link_->has_sent();
-    const bool was_reset = record_if_reset(error);
     if (auto* target = current_target(); target != nullptr) {
-        record_failure(*target, has_sent || was_reset, boot_clock::now());
+        record_failure(*target, has_sent, boot_clock::now());
     }
     const bool was_forwarded = !dispatcher_.empty();
     if (was_forwarded) {
--- a/src/gateway/exchange_dispatch.cpp
+++ b/src/gateway/exchange_dispatch.cpp
@@ -5,7 +5,6 @@
 #include "domain_choice.hpp"
 #include "exchange.hpp"
 #include "exchange_detail.hpp"
-#include "mimosavalve/gateway/owner_admission.hpp"
 
 namespace mimosavalve::gateway {
 
@@ -144,22 +143,11 @@
     } else {
         // A request that will be late would only delay those that wait with it. `requests_ahead`
         // includes this request, since it waits already.
-        is_too_late = (estimate.requests_ahead > 1 &&
-                       static_cast<double>(left.count()) < estimate.answer_ms) ||
-                      (choice.target != nullptr &&
-                       has_quota_no_room(*choice.target, left, boot_clock::now()));
+        is_too_late =
+            estimate.requests_ahead > 1 && static_cast<double>(left.count()) < estimate.answer_ms;
     }
     if (is_too_late && verdict_ == traffic_verdict::not_run) {
         stop_waiting();
-        if (estimate.admitted_ms && choice.kind == choice_kind::wait_for_room) {
-            count(core_.metrics, "refused_by_rate_quota");
-            core_.log.write(
-                "rate_quota_used_up",
-                {{"request", id_},
-                 {"target", choice.target == nullptr ? std::string_view()
-                                                     : std::string_view(choice.target->entry.id)},
-                 {"admitted_ms", static_cast<std::int64_t>(*estimate.admitted_ms)}});
-        }
         refuse(detail::status_unavailable,
                choice.kind == choice_kind::wait_for_owner ? "no-owner" : "overloaded", estimate);
         return;
@@ -190,20 +178,20 @@
         }
     }
     const auto now = boot_clock::now();
-    if (is_request_keyed) {
-        const auto found = core_.state.targets.find(owner);
-        if (found == core_.state.targets.end() || found->second->entry.service != service_ ||
-            !is_in_home_region(core_.state, found->second->entry, *route_) ||
-            pause_left(core_.state, *found->second, now).count() > 0) {
-            estimate.concurrency = 0;
-            return estimate;
-        }
-        return estimate_owner_wait(core_.state, *found->second, estimate.requests_ahead, now);
-    }
     double answer_ms_sum = 0;
     std::uint32_t target_count = 0;
     double concurrency = 0;
-    for (const auto* target : targets_of(core_.state, service_)) {
+    std::span<target_state* const> targets;
+    target_state* owner_state = nullptr;
+    if (!is_request_keyed) {
+        targets = targets_of(core_.state, service_);
+    } else if (const auto found = core_.state.targets.find(owner);
+               found != core_.state.targets.end() && found->second->entry.service == service_) {
+        owner_state = found->second.get();
+        targets = {&owner_state, 1};
+    }
+    for (const auto* target : targets) {
+        const auto& id = target->entry.id;
         if (!is_in_home_region(core_.state, target->entry, *route_) ||
             pause_left(core_.state, *target, now).count() > 0) {
             continue;
@@ -211,11 +199,17 @@
         // Time until the answer, which includes the wait of some requests for a slot at the target.
         answer_ms_sum += std::max(target->answer_ms, work_ms_of(core_.state, *target));
         ++target_count;
-        const auto quota = core_.state.concurrency_quotas.find(target->entry.id);
-        if (quota != core_.state.concurrency_quotas.end()) {
+        const auto quota = core_.state.concurrency_quotas.find(id);
+        if (is_request_keyed && target->rate_quota > 0) {
+            constexpr double ms_per_s = 1000;
+            // The mean number of running requests is their rate times their duration.
+            concurrency += target->rate_quota * work_ms_of(core_.state, *target) / ms_per_s;
+        } else if (!is_request_keyed && quota != core_.state.concurrency_quotas.end()) {
             concurrency += quota->second;
-        } else if (ignores_quotas_) {
+        } else if (!is_request_keyed && ignores_quotas_) {
             concurrency += 1;
+        } else if (is_request_keyed) {
+            concurrency += target->entry.slots;
         }
     }
     estimate.answer_ms = target_count > 0 ? answer_ms_sum / target_count : 0;
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -75,8 +75,7 @@
                [this](const std::string& address) { fetch_config(address); },
                [this](const std::string& host, const sync_request& reports) {
                    decider_.add_contradictions(host, reports);
-               },
-               [this] { return lease_.recorded_routers(); }}),
+               }}),
       client_(core, fleet_, calls, {[this](const sync_reply& reply) { apply_reply(reply); }}),
       registry_(core, fleet_,
                 [this] {
@@ -359,7 +358,7 @@
                                               reply.concurrency_quotas->end());
     }
     if (reply.rate_quotas) {
-        apply_rate_quotas(core_.state, *reply.rate_quotas, now);
+        apply_rate_quotas(core_.state, *reply.rate_quotas);
     }
     if (reply.dispatchers || reply.epoch != dispatchers_epoch_) {
         // A leader of an earlier version of the program names none.
--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -72,13 +72,6 @@
     return fleet_.leading && fleet_.stopping && confirmed_by_routers_;
 }
 
-std::optional<std::uint32_t> leader_lease::recorded_routers() const {
-    // A record that the store has lost, or that is empty, tells nothing.
-    return loaded_ && record_current_ && !recorded_.empty()
-               ? std::optional(static_cast<std::uint32_t>(recorded_.size()))
-               : std::nullopt;
-}
-
 void leader_lease::load() {
     if (call_in_flight_) {
         return;
--- a/src/gateway/leader_lease.hpp
+++ b/src/gateway/leader_lease.hpp
@@ -41,8 +41,6 @@
     /// Whether it may grant them: more than half of the recorded router instances have received its
     /// announcement.
     [[nodiscard]] bool may_grant_long_holds() const { return may_grant_long_holds_; }
-    /// Number of recorded router instances; nothing while no record of routers is known.
-    [[nodiscard]] std::optional<std::uint32_t> recorded_routers() const;
 
 private:
     /// Reads the recorded router instances at the beginning of the term.
--- a/src/gateway/quota_plan.cpp
+++ b/src/gateway/quota_plan.cpp
@@ -105,12 +105,9 @@
 
 }  // namespace detail
 
-std::uint32_t sharing_router_count(std::uint32_t known_routers,
-                                   std::optional<std::uint32_t> recorded_routers,
-                                   milliseconds leading_for) {
-    return leading_for < first_calls_time
-               ? std::max(known_routers, recorded_routers.value_or(assumed_router_count))
-               : known_routers;
+std::uint32_t sharing_router_count(std::uint32_t known_routers, milliseconds leading_for) {
+    return leading_for < first_calls_time ? std::max(known_routers, assumed_router_count)
+                                          : known_routers;
 }
 
 quota_plan plan_quotas(const routing_state& state, const demand_rates& demand,
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -4,7 +4,6 @@
 
 #include "control_timing.hpp"
 #include "peer_paths.hpp"
-#include "random_fraction.hpp"
 #include "sync_client.hpp"
 #include "sync_server_detail.hpp"
 
@@ -20,12 +19,10 @@
 constexpr std::size_t max_routes_to_all = 32;
 }  // namespace detail
 
-void apply_rate_quotas(routing_state& state, const std::map<std::string, double>& rates,
-                       boot_time now) {
+void apply_rate_quotas(routing_state& state, const std::map<std::string, double>& rates) {
     for (auto& [id, target] : state.targets) {
         const auto found = rates.find(id);
-        set_rate(target->rate, found == rates.end() ? 0 : found->second, detail::random_fraction(),
-                 now);
+        target->rate_quota = found == rates.end() ? 0 : found->second;
     }
 }
 
--- a/src/gateway/sync_server.hpp
+++ b/src/gateway/sync_server.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <optional>
 #include <vector>
 
 #include "fleet_state.hpp"
@@ -31,8 +30,6 @@
         /// Receives a router's reports of answers 421.
         std::function<void(const std::string& host, const sync_request& reports)>
             add_contradictions = nullptr;
-        /// Number of routers in the leader's record; nothing while it is not known.
-        std::function<std::optional<std::uint32_t>()> recorded_routers = nullptr;
         /// Measures the loop time that calls take; replaced in tests.
         std::function<std::chrono::steady_clock::time_point()> loop_clock =
             std::chrono::steady_clock::now;
@@ -188,7 +185,6 @@
 };
 
 /// Applies the rate quotas that the leader allocated to this router.
-void apply_rate_quotas(routing_state& state, const std::map<std::string, double>& rates,
-                       boot_time now);
+void apply_rate_quotas(routing_state& state, const std::map<std::string, double>& rates);
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/sync_server_plan.cpp
+++ b/src/gateway/sync_server_plan.cpp
@@ -47,7 +47,7 @@
     const auto& own = quotas_.concurrency[core_.settings.host];
     core_.state.concurrency_quotas.clear();
     core_.state.concurrency_quotas.insert(own.begin(), own.end());
-    apply_rate_quotas(core_.state, quotas_.rates[core_.settings.host], now);
+    apply_rate_quotas(core_.state, quotas_.rates[core_.settings.host]);
 }
 
 void sync_server::announce_overflow(boot_time now) {
--- a/src/gateway/sync_server_reply.cpp
+++ b/src/gateway/sync_server_reply.cpp
@@ -116,10 +116,8 @@
     auto& caller = followers_[request.host];
     sync_reply reply;
     reply.epoch = fleet_.leader.epoch;
-    reply.routers =
-        sharing_router_count(static_cast<std::uint32_t>(followers_.size()) + 1,
-                             from_.recorded_routers ? from_.recorded_routers() : std::nullopt,
-                             milliseconds(-milliseconds_until(term_began_, now)));
+    reply.routers = sharing_router_count(static_cast<std::uint32_t>(followers_.size()) + 1,
+                                         milliseconds(-milliseconds_until(term_began_, now)));
     reply.rank = caller.rank;
     reply.store_age_ms = static_cast<std::uint64_t>(
         std::max<std::int64_t>(-milliseconds_until(core_.state.registry_known_at, now), 0));
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -22,6 +22,9 @@
 constexpr double domain_cost_ms = 3;
 constexpr double upload_region_cost_ms = 2000;
 constexpr double upload_domain_cost_ms = 20;
+// After a pause a router may send two requests at once; more would lengthen the target's queue
+// needlessly.
+constexpr double max_rate_tokens = 2;
 // Concurrency limit per target until a router has received quotas from the leader.
 constexpr std::uint32_t initial_concurrency = 1;
 constexpr milliseconds one_second{1000};
@@ -121,6 +124,22 @@
                     state.router_count, state.router_rank);
 }
 
+// Takes one token of this router's rate quota for the target, if there is a quota.
+bool try_acquire_token(target_state& target, boot_time now) {
+    if (target.rate_quota <= 0) {
+        return true;
+    }
+    const auto elapsed = std::chrono::duration<double>(now - target.rate_tokens_at).count();
+    target.rate_tokens =
+        std::min(target.rate_tokens + elapsed * target.rate_quota, max_rate_tokens);
+    target.rate_tokens_at = now;
+    if (target.rate_tokens < 1) {
+        return false;
+    }
+    target.rate_tokens -= 1;
+    return true;
+}
+
 // Maximum number of requests that this router may have at a target without keys: the lower of
 // `own_concurrency_limit` and the allocated quota, or 0 if the leader allocated none for this
 // target. Before any quota is received, `initial_concurrency` replaces the quota.
@@ -249,7 +268,7 @@
                 std::chrono::duration_cast<milliseconds>(target.unreachable_until - now)};
     }
     if (target.running >= own_concurrency_limit(state, target, kind, now) ||
-        is_queue_full(state, target, now) || !try_acquire(target.rate, now)) {
+        is_queue_full(state, target, now) || !try_acquire_token(target, now)) {
         return {choice_kind::wait_for_room, &target};
     }
     if (is_cold(target, now) &&
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -171,13 +171,10 @@
     connection_->set_callbacks({});
 }
 
-bool target_link::is_open_and_silent() {
-    std::array<char, 1> probe{};
-    return connection_->is_open() && connection_->read(probe).would_block;
-}
-
 bool target_link::is_still_usable() {
-    return std::chrono::steady_clock::now() < idle_until && is_open_and_silent();
+    std::array<char, 1> probe{};
+    return connection_->is_open() && std::chrono::steady_clock::now() < idle_until &&
+           connection_->read(probe).would_block;
 }
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -11,9 +11,9 @@
 
 // Share of a target's connections that all routers together use for requests; the rest is left for
 // probes and commands.
-constexpr double connection_fraction = 0.9;
+constexpr double connection_share = 0.9;
 // The same while connections of earlier instances of the routers may still be open.
-constexpr double restarted_connection_share = connection_fraction / 2;
+constexpr double restarted_connection_share = connection_share / 2;
 // Number of consecutive failures after which a target is avoided, and for how long. An owner of
 // keys is avoided only after refused connects.
 constexpr std::uint32_t failures_before_avoidance = 2;
@@ -209,38 +209,18 @@
            !state.registry.evacuated_domains.contains(target.entry.failure_domain);
 }
 
-std::optional<std::uint32_t> own_connection_limit(const routing_state& state,
-                                                  const target_state& target, const service& kind,
-                                                  boot_time now) {
-    if (kind.max_connections > 0) {
-        const auto fraction = now < state.former_connections_until
-                                  ? detail::restarted_connection_share
-                                  : detail::connection_fraction;
-        return connection_limit(
-            target.backoff, connection_share(kind.max_connections, fraction, state.router_count),
-            now);
-    }
-    if (target.backoff.grows_at == boot_time{}) {
-        return std::nullopt;
-    }
-    return connection_limit(target.backoff, target.entry.slots + detail::max_queued_at_target, now);
-}
-
-bool record_connection_reset(const routing_state& state, target_state& target, boot_time opened_at,
-                             boot_time now) {
-    const auto kind = state.config.services.find(target.entry.service);
-    if (kind == state.config.services.end()) {
-        return false;
-    }
-    const auto limit = own_concurrency_limit(state, target, kind->second, now);
-    return record_reset(target.backoff, std::min(limit, std::max(target.open_connections, 1U)),
-                        opened_at, now);
-}
-
 std::uint32_t own_concurrency_limit(const routing_state& state, const target_state& target,
                                     const service& kind, boot_time now) {
+    const auto routers = std::max(state.router_count, 1U);
     const auto by_slots = target.entry.slots + detail::max_queued_at_target;
-    return std::min(by_slots, own_connection_limit(state, target, kind, now).value_or(by_slots));
+    if (kind.max_connections == 0) {
+        return by_slots;
+    }
+    const auto share = now < state.former_connections_until ? detail::restarted_connection_share
+                                                            : detail::connection_share;
+    const auto by_connections =
+        static_cast<std::uint32_t>(std::max(kind.max_connections * share / routers, 1.0));
+    return std::min(by_slots, by_connections);
 }
 
 }  // namespace mimosavalve::gateway
