--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -48,7 +48,9 @@
         {"upload", request_kind::upload},        {"download", request_kind::download},
         {"other", request_kind::non_idempotent},
     };
-    for (const auto& [word, kind] : kinds) {
+    for (const auto& each : kinds) {
+        const auto& word = each.first;
+        const auto kind = each.second;
         CAPTURE(word);
         std::string problem;
         const auto config = platform::decode_config(
