--- a/tests/gateway/response_test.cpp
+++ b/tests/gateway/response_test.cpp
@@ -1,5 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
 #include "path_fixture.hpp"
 
 using namespace mimosavalve::gateway;
@@ -8,6 +12,14 @@
 
 namespace {
 
+std::string joined(std::initializer_list<std::string_view> parts) {
+    std::string out;
+    for (const auto part : parts) {
+        out.append(part);
+    }
+    return out;
+}
+
 const std::string unframed_answer =
     "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nConnection: close\r\n\r\n";
 
@@ -73,7 +85,7 @@
          {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nRequest-Id: r1\r\n\r\n"}) {
         CAPTURE(interim);
         path_fixture path(request_kind::non_idempotent);
-        path.target.script = {interim + interim + good_answer, good_answer};
+        path.target.script = {joined({interim, interim, good_answer}), good_answer};
         path.post("r1");
         const auto answer = path.receive("hello");
         CHECK(answer.starts_with("HTTP/1.1 200 OK"));
@@ -122,8 +134,9 @@
 // The end of the connection ended such an answer, also after the router was killed.
 TEST_CASE("a long answer without a length reaches the caller in chunks [response]") {
     const std::string size = "493e0\r\n";
-    for (const std::string& from_target : {std::string(cut) + unframed_answer + long_body,
-                                           chunked_answer + size + long_body + "\r\n0\r\n\r\n"}) {
+    for (const std::string& from_target :
+         {joined({cut, unframed_answer, long_body}),
+          joined({chunked_answer, size, long_body, "\r\n0\r\n\r\n"})}) {
         path_fixture path(request_kind::non_idempotent);
         path.target.script = {from_target, good_answer};
         path.post("r1");
