Pass over targets that refuse connections

A connect that is refused at once costs no time, so up to ten of them are passed over; the limit of three stays for those that time out. The new test fails before (503).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -192,6 +192,7 @@
     connector_ = std::make_unique<connector>(
         core_.context, *endpoint, connect_deadline,
         [this](std::error_code error, std::unique_ptr<stream> connection) {
+            was_connect_refused_ = error == std::errc::connection_refused;
             if (error == std::errc::connection_refused && dispatcher_.empty()) {
                 // Not recorded after a timeout, which says nothing about the target: the network
                 // may be partitioned.
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -221,6 +221,8 @@
     std::vector<std::uint64_t> used_links_;   ///< Numbers of the links that carried the request.
     std::uint32_t attempts_ = 0;              ///< Number of sends on a connection.
     std::uint32_t connect_failures_ = 0;
+    std::uint32_t refused_connects_ = 0;  ///< Connects that a target's host refused at once.
+    bool was_connect_refused_ = false;    ///< Whether the last failed connect was one of them.
     std::string target_id_;
     std::uint64_t target_instance_ = 0;
     std::uint64_t counted_by_ = 0;  ///< The `target_state::number` that has counted the request.
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -21,6 +21,9 @@
 // Number of unsent bytes of an answer at which the router stops reading from the target.
 constexpr std::size_t max_unsent_answer_bytes = 256U << 10U;
 constexpr std::uint32_t max_connects = 3;
+// The same for connects that are refused at once: several targets may have crashed a moment ago,
+// and asking the next one costs no time.
+constexpr std::uint32_t max_refused_connects = 10;
 // Maximum number of sends that reach a target, including those refused without being run.
 constexpr std::uint32_t max_sends = 4;
 // Minimum time until the deadline for another send to be tried.
@@ -254,6 +257,9 @@
     if (left < detail::min_remaining_ms || !is_body_replayable_ || core_.stopping) {
         return false;
     }
+    if (!reached_target && std::exchange(was_connect_refused_, false)) {
+        return ++refused_connects_ < detail::max_refused_connects;
+    }
     if (!reached_target) {
         return ++connect_failures_ < detail::max_connects;
     }
--- a/tests/gateway/response_test.cpp
+++ b/tests/gateway/response_test.cpp
@@ -188,3 +188,24 @@
     path.post("r1");
     CHECK(path.receive("\r\n\r\n").find("HTTP/1.1 502") != std::string::npos);
 }
+
+// After three targets had crashed, a request was refused although the others were free.
+TEST_CASE("a request passes over targets that refuse connections [response]") {
+    path_fixture path(request_kind::non_idempotent);
+    auto& state = path.core.state;
+    for (const auto* id : {"t2", "t3", "t4", "t5"}) {
+        auto crashed = state.registry.targets.at("t1");
+        crashed.id = id;
+        crashed.address = "127.0.0.1:1";
+        state.registry.targets.emplace(id, crashed);
+    }
+    update_targets(state, boot_clock::now());
+    for (const auto& [id, target] : state.targets) {
+        constexpr double slow_ms = 500;
+        constexpr double fast_ms = 10;
+        set_work_ms(state, *target, id == "t1" ? slow_ms : fast_ms);
+    }
+    path.target.script = {good_answer};
+    path.post("r1");
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+}
