--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -24,6 +24,20 @@
 // routers, so a fleet of equal hosts has none.
 constexpr double min_capacity_ratio = 4;
 constexpr milliseconds avoidance_time{1000};
+// Requests per second and core that a dispatcher may get, each of which takes it more than 1 ms of
+// a core, and the same while it is named. Beyond that its host would be the bottleneck.
+constexpr double max_rate_per_core = 320;
+constexpr double end_rate_per_core = 400;
+
+// Whether the dispatchers can carry the demand.
+bool can_carry(const std::vector<dispatch_candidate>& dispatchers, double demand,
+               bool is_in_force) {
+    double cores = 0;
+    for (const auto& each : dispatchers) {
+        cores += each.capacity;
+    }
+    return demand <= cores * (is_in_force ? end_rate_per_core : max_rate_per_core);
+}
 
 std::size_t duties_of(const dispatcher_map& map, const std::string& host) {
     return static_cast<std::size_t>(
@@ -96,7 +110,7 @@
     };
     std::sort(able.begin(), able.end(), is_better);
     able.resize(std::min(able.size(), detail::dispatchers_per_destination));
-    if (!able.empty()) {
+    if (!able.empty() && detail::can_carry(able, input.demand, before != current.end())) {
         next.emplace(input.destination, std::move(able));
     }
 }
--- a/tests/gateway/dispatch_test.cpp
+++ b/tests/gateway/dispatch_test.cpp
@@ -276,6 +276,13 @@
     auto roomy = make_input(60);
     roomy.slots = 30;
     CHECK(planned({}, roomy, candidates).empty());
+    // More than two hosts of half a core can pass on.
+    auto heavy = make_input(400);
+    heavy.capacity = 500;
+    CHECK(planned({}, heavy, candidates).empty());
+    CHECK(planned(named, heavy, candidates).size() == 1);
+    heavy.demand = 410;
+    CHECK(planned(named, heavy, candidates).empty());
     // Hosts of equal capacity: a fleet that is served as before.
     auto equal = candidates;
     for (auto& each : equal) {
