--- a/review/common-2/fleet.cpp
+++ b/review/common-2/fleet.cpp
@@ -353,16 +353,6 @@
     platform_->store.remove("servers/" + id);
 }
 
-void fleet::overwrite_entry(const std::string& id, const std::string& value) {
-    record.write("another writer writes the entry of worker " + id + ": " + value);
-    platform_->store.put("servers/" + id, value);
-}
-
-std::string fleet::entry_of(const std::string& id) const {
-    const auto* value = platform_->store.value_of("servers/" + id);
-    return value == nullptr ? std::string() : *value;
-}
-
 void fleet::put_config(unsigned version, const std::vector<route_text>& routes,
                        const std::vector<service_text>& services) {
     json resources = json::array();
--- a/review/common-2/fleet.hpp
+++ b/review/common-2/fleet.hpp
@@ -124,10 +124,6 @@
     worker& add_worker(const worker_options& options);
     /// Whether a missing entry has to stay away, as of a worker that leaves without a word.
     void remove_entry(const std::string& id);
-    /// Writes a worker's entry to the store in the name of another writer.
-    void overwrite_entry(const std::string& id, const std::string& value);
-    /// The worker's entry in the store; empty if there is none.
-    [[nodiscard]] std::string entry_of(const std::string& id) const;
     void put_config(unsigned version, const std::vector<route_text>& routes,
                     const std::vector<service_text>& services);
     void start_router(const std::string& host, const router_options& options = {});
