Count on long holds when the routers that would report them have restarted

Cause: a leader that stops while the store is lost grants holds of 10 s, after more than half of the recorded routers have received that. These keep it in memory. A successor counted a restarted router as proof that the former leader's term is over, which it is, and took the silence of the new instance for "no long holds", which it is not: inherited_holds_ms was 3448 with not one of the recorded instances following. Ruled out: grants of the former leader after the takeover, and late grants (neither is in the record of the targets or in the logs).

Change: a successor counts on long holds unless so many recorded instances follow it that any majority has one of them. A leader lets no long hold end later than the maximum hold after the end of its lease in the store, so their end is known without a report. The end of inherited holds is evaluated until it has passed, with reports that arrive after the takeover. The log says whether long holds would be known, and when a leader grants them.

Tests that failed before: leader_lease_test, "a successor counts on long holds when the routers that would report them have restarted", "a successor does not count on long holds once enough routers would have reported them", "a report of long holds that arrives after the takeover is used".

--- a/include/mimosavalve/gateway/leader_term.hpp
+++ b/include/mimosavalve/gateway/leader_term.hpp
@@ -26,6 +26,11 @@
 // at the latest. The predecessor's last grants may still be in transit then. How long is judged by
 // the network that the successor sees, and added to the end of the holds whenever that is asked
 // (see grant_transit.hpp).
+//
+// An instance that has ended shows that the predecessor's term is over, but not which holds the
+// predecessor granted: what its routers had received was in their memory. So a successor that hears
+// of too few of the recorded instances themselves counts on long holds. These end a fixed time
+// after the predecessor's lease, which has ended before the successor's election.
 
 /// What the calls of one router prove to the leader.
 struct router_evidence {
@@ -54,6 +59,11 @@
 /// one of these instances, and waits for their end.
 bool may_grant_long_holds(const router_instances& recorded, const evidence_by_host& evidence);
 
+/// Whether the new leader would know of long holds: a recorded instance that follows it reports
+/// them, and so many do that each majority of the recorded instances has one of them. A restarted
+/// router has forgotten what its earlier instance received.
+bool would_report_long_holds(const router_instances& recorded, const evidence_by_host& evidence);
+
 /// Whether more than half of the recorded router instances follow the new leader or have ended. An
 /// instance has ended when another instance of the same host has called the leader.
 bool has_taken_over(const router_instances& recorded, const evidence_by_host& evidence);
@@ -72,6 +82,10 @@
 boot_time inherited_holds_end(const hold_times& holds, const evidence_by_host& evidence,
                               boot_time now, milliseconds lease_left = milliseconds(0));
 
+/// Latest end of long holds of a leader whose lease in the store ended at `lease_end`, without the
+/// transit of their grants.
+boot_time long_holds_end(const hold_times& holds, boot_time lease_end);
+
 /// Whether the item with this revision, which a leader wrote to the store, names no leader any
 /// more: the store has come back older since the leader was elected, so the leader's lease may be
 /// gone, and other leaders may have been elected and forgotten.
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -242,7 +242,7 @@
         // Again on each tick: what this leader sees of the network changes.
         decider_.set_inherited_end(*lease_.inherited_end() + decider_.longest_transit(now));
     }
-    decider_.set_long_holds(lease_.may_grant_long_holds());
+    decider_.set_long_holds(lease_.may_grant_long_holds(), lease_.own_long_holds_end());
     decider_.extend(lease_.valid_until());
     // Renewals of grants go first: targets refuse requests for keys whose hold has ended.
     decider_.tick();
--- a/src/gateway/grant_transit.cpp
+++ b/src/gateway/grant_transit.cpp
@@ -42,4 +42,8 @@
     return began + std::chrono::duration_cast<boot_clock::duration>(hold * detail::clock_margin);
 }
 
+milliseconds max_hold_until(boot_time began, boot_time end) {
+    return std::chrono::duration_cast<milliseconds>((end - began) / detail::clock_margin);
+}
+
 }  // namespace mimosavalve::gateway
--- a/src/gateway/grant_transit.hpp
+++ b/src/gateway/grant_transit.hpp
@@ -41,5 +41,7 @@
 
 /// End of a hold that began at `began`, with the margin for the target's clock.
 boot_time hold_end(boot_time began, milliseconds hold);
+/// Longest hold that begins at `began` and ends before `end`, with the same margin.
+milliseconds max_hold_until(boot_time began, boot_time end);
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -42,9 +42,11 @@
             detail::with_margin(bounds.max_hold)};
 }
 
-milliseconds key_decider::hold_time() const {
+milliseconds key_decider::hold_time(boot_time now) const {
     const auto max_hold = core_.settings.bounds.max_hold;
-    return long_holds_ ? max_hold : std::min(detail::normal_hold_time, max_hold);
+    const auto normal = std::min(detail::normal_hold_time, max_hold);
+    return long_holds_ ? std::clamp(max_hold_until(now, long_holds_end_), normal, max_hold)
+                       : normal;
 }
 
 key_decider::target_holds& key_decider::holds_of(const std::string& id) {
@@ -118,13 +120,14 @@
     epoch_life_.cancel_handlers();
 }
 
-void key_decider::set_long_holds(bool on) {
+void key_decider::set_long_holds(bool on, boot_time latest_end) {
     if (on && !long_holds_) {
         for (auto& [name, state] : services_) {
             state.renewals.clear();
         }
     }
     long_holds_ = on;
+    long_holds_end_ = latest_end;
 }
 
 void key_decider::load_records() {
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -54,8 +54,9 @@
     /// recorded.
     void set_store_unavailable(bool on) { store_unavailable_ = on; }
     /// Sets whether grants get the maximum hold time, which is allowed while more than half of the
-    /// routers confirm that the store is lost. Turning it on renews all grants at once.
-    void set_long_holds(bool on);
+    /// routers confirm that the store is lost. Turning it on renews all grants at once. A hold that
+    /// would end after `latest_end` is shortened, but not below the normal hold time.
+    void set_long_holds(bool on, boot_time latest_end = boot_time::max());
 
     /// Hold times of this platform, with the margin for clock drift.
     [[nodiscard]] static hold_times hold_bounds(const platform_bounds& bounds);
@@ -179,7 +180,7 @@
     void publish(const std::string& name, const key_segment& keys);
     [[nodiscard]] std::vector<key_candidate> candidates_of(const std::string& name,
                                                            boot_time now) const;
-    [[nodiscard]] milliseconds hold_time() const;
+    [[nodiscard]] milliseconds hold_time(boot_time now) const;
     [[nodiscard]] bool may_act(boot_time now) const {
         return active_ && now < current_term_.valid_until;
     }
@@ -207,6 +208,7 @@
     bool active_ = false;
     bool store_unavailable_ = false;
     bool long_holds_ = false;
+    boot_time long_holds_end_;
     boot_time inherited_end_ = boot_time::max();
     /// Latest end of own holds from before the term, if the term could not be continued by them;
     /// else `boot_time{}`.
--- a/src/gateway/key_decider_grants.cpp
+++ b/src/gateway/key_decider_grants.cpp
@@ -118,7 +118,7 @@
 void key_decider::send_grant(const key_segment& keys, const std::string& handover, boot_time now,
                              std::function<void(std::error_code)> done) {
     auto& to = holds_of(keys.owner);
-    const auto hold = hold_time();
+    const auto hold = hold_time(now);
     // As long as it might count if congestion were noticed only now.
     std::erase_if(to.pending_grants, [&](const pending_grant& grant) {
         return !grant.in_flight &&
--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -35,6 +35,10 @@
     record_current_ = false;
     call_in_flight_ = false;
     inherited_end_.reset();
+    inherited_records_.clear();
+    reported_end_ = {};
+    would_know_long_holds_ = false;
+    predecessor_lease_end_ = core_.now();
     may_act_ = true;
     confirmed_until_ = {};
     confirmed_by_routers_ = false;
@@ -57,12 +61,16 @@
 }
 
 void leader_lease::tick(boot_time now, boot_time lease_until) {
+    lease_until_ = lease_until;
     if (!loaded_) {
         load();
     } else if (!inherited_end_) {
         take_over(now);
         announce_leader(now);
     } else {
+        if (now < *inherited_end_) {
+            update_inherited_end(now, evidence_(now));
+        }
         record_instances(now, lease_until);
     }
     update_valid_until(now, lease_until);
@@ -96,28 +104,58 @@
                 record_current_ = record && is_current(record->epoch, fleet_.leader.epoch);
                 recorded_ = std::move(record).value_or(router_record{}).instances;
             }
+            if (!record_current_) {
+                // After the store has come back older, the claim did not wait for the predecessor's
+                // lease.
+                predecessor_lease_end_ =
+                    core_.now() + detail::leader_lease_time(core_.settings.min_lease);
+            }
             loaded_ = true;
         }));
 }
 
 void leader_lease::take_over(boot_time now) {
     const auto evidence = evidence_(now);
-    if (!has_taken_over(recorded_, evidence) ||
-        !std::all_of(unconfirmed_.begin(), unconfirmed_.end(),
+    auto records = unconfirmed_;
+    records.push_back(recorded_);
+    if (!std::all_of(records.begin(), records.end(),
                      [&](const auto& record) { return has_taken_over(record, evidence); })) {
         return;
     }
-    // After the store has come back older, the claim did not wait for the predecessor's lease.
-    const auto lease_left =
-        record_current_ ? milliseconds(0) : detail::leader_lease_time(core_.settings.min_lease);
-    inherited_end_ = inherited_holds_end(key_decider::hold_bounds(core_.settings.bounds), evidence,
-                                         now, lease_left);
+    inherited_records_ = std::move(records);
+    took_over_at_ = now;
+    update_inherited_end(now, evidence);
     core_.log.write_always("leader_took_over",
                            {{"runs_recorded", static_cast<std::int64_t>(recorded_.size())},
                             {"record_current", std::int64_t{record_current_}},
+                            {"would_know_long_holds", std::int64_t{would_know_long_holds_}},
                             {"inherited_holds_ms", milliseconds_until(*inherited_end_, now)}});
 }
 
+void leader_lease::update_inherited_end(boot_time now, const evidence_by_host& evidence) {
+    const bool knew_long_holds = would_know_long_holds_;
+    would_know_long_holds_ =
+        knew_long_holds ||
+        std::all_of(inherited_records_.begin(), inherited_records_.end(),
+                    [&](const auto& record) { return would_report_long_holds(record, evidence); });
+    const auto holds = key_decider::hold_bounds(core_.settings.bounds);
+    const auto lease_left = std::max(
+        milliseconds(0), milliseconds(milliseconds_until(predecessor_lease_end_, took_over_at_)));
+    reported_end_ =
+        std::max(reported_end_, inherited_holds_end(holds, evidence, took_over_at_, lease_left));
+    inherited_end_ = would_know_long_holds_
+                         ? reported_end_
+                         : std::max(reported_end_, long_holds_end(holds, predecessor_lease_end_));
+    if (would_know_long_holds_ && !knew_long_holds && now > took_over_at_) {
+        core_.log.write_always("long_holds_reported",
+                               {{"inherited_holds_ms", milliseconds_until(*inherited_end_, now)}});
+    }
+}
+
+boot_time leader_lease::own_long_holds_end() const {
+    return long_holds_end(key_decider::hold_bounds(core_.settings.bounds), lease_until_);
+}
+
 // A successor may move inherited keys only after more than half of the recorded routers follow it.
 // Without the announcement, routers that cannot reach the store would follow its predecessor until
 // the store is available again.
@@ -211,11 +249,17 @@
                                {{"epoch", static_cast<std::int64_t>(fleet_.leader.epoch)}});
         may_act_ = acts;
     }
+    const bool granted_long_holds = may_grant_long_holds_;
     may_grant_long_holds_ =
         wants_long_holds() && gateway::may_grant_long_holds(recorded_, evidence) &&
         std::all_of(unconfirmed_.begin(), unconfirmed_.end(), [&](const auto& record) {
             return gateway::may_grant_long_holds(record, evidence);
         });
+    if (may_grant_long_holds_ != granted_long_holds) {
+        core_.log.write_always("long_holds",
+                               {{"on", std::int64_t{may_grant_long_holds_}},
+                                {"latest_end_ms", milliseconds_until(own_long_holds_end(), now)}});
+    }
 }
 
 }  // namespace mimosavalve::gateway
--- a/src/gateway/leader_lease.hpp
+++ b/src/gateway/leader_lease.hpp
@@ -34,6 +34,7 @@
     [[nodiscard]] boot_time valid_until() const { return valid_until_; }
     /// Latest end of holds that earlier leaders granted, without the transit of these grants. Set
     /// once more than half of the recorded router instances follow this leader or have ended.
+    /// Becomes earlier when further instances show that there are no long holds.
     [[nodiscard]] const std::optional<boot_time>& inherited_end() const { return inherited_end_; }
     /// Whether this leader should grant long holds: it is stopping while the store is lost, so no
     /// successor can renew its grants yet.
@@ -41,6 +42,8 @@
     /// Whether it may grant them: more than half of the recorded router instances have received its
     /// announcement.
     [[nodiscard]] bool may_grant_long_holds() const { return may_grant_long_holds_; }
+    /// Latest time at which a long hold of this leader may end.
+    [[nodiscard]] boot_time own_long_holds_end() const;
 
 private:
     /// Reads the recorded router instances at the beginning of the term.
@@ -48,6 +51,8 @@
     /// Sets the end of inherited holds once more than half of the recorded router instances follow
     /// this leader or have ended.
     void take_over(boot_time now);
+    /// Updates the end of inherited holds by the evidence of now, until it has passed.
+    void update_inherited_end(boot_time now, const evidence_by_host& evidence);
     void announce_leader(boot_time now);
     /// Writes the router instances that follow this leader to the store when they have changed.
     void record_instances(boot_time now, boot_time lease_until);
@@ -69,6 +74,14 @@
     bool call_in_flight_ = false;
     boot_time next_record_;
     boot_time next_announcement_;
+    boot_time lease_until_;            ///< End of the lease in the store.
+    boot_time predecessor_lease_end_;  ///< The predecessor's lease has ended then at the latest.
+    /// Records of routers by which this leader has taken over.
+    std::vector<router_instances> inherited_records_;
+    boot_time took_over_at_;
+    /// Latest end of inherited holds by what routers have reported in this term.
+    boot_time reported_end_;
+    bool would_know_long_holds_ = false;  ///< Routers would have reported long holds.
     std::optional<boot_time> inherited_end_;
     boot_time valid_until_;
     boot_time confirmed_until_;  ///< Latest end of the term that routers have confirmed.
--- a/src/gateway/leader_term.cpp
+++ b/src/gateway/leader_term.cpp
@@ -50,6 +50,14 @@
     return counted > recorded.size() / 2;
 }
 
+bool would_report_long_holds(const router_instances& recorded, const evidence_by_host& evidence) {
+    const auto following = std::count_if(recorded.begin(), recorded.end(), [&](const auto& entry) {
+        const auto found = evidence.find(entry.first);
+        return found != evidence.end() && found->second.instance == entry.second.id;
+    });
+    return static_cast<std::size_t>(following) >= recorded.size() - recorded.size() / 2;
+}
+
 bool has_taken_over(const router_instances& recorded, const evidence_by_host& evidence) {
     std::size_t counted = 0;
     for (const auto& [host, instance] : recorded) {
@@ -69,6 +77,10 @@
     return end;
 }
 
+boot_time long_holds_end(const hold_times& holds, boot_time lease_end) {
+    return lease_end + holds.max;
+}
+
 bool is_stale(const leader_identity& leader, std::uint64_t revision) {
     return leader.store_era && *leader.store_era < store_era_of(revision);
 }
--- a/tests/gateway/key_decider_test.cpp
+++ b/tests/gateway/key_decider_test.cpp
@@ -350,6 +350,23 @@
     CHECK(fleet.orders.back().hold == fleet.core.settings.bounds.max_hold);
 }
 
+TEST_CASE("a long hold ends at the given time, a slow clock included [decider]") {
+    decider_fixture fleet;
+    fleet.add_target("a");
+    fleet.record(owned_by("a", 7));
+    fleet.lead();
+    const auto latest_end = fleet.now + std::chrono::seconds(6);
+    fleet.decider.set_long_holds(true, latest_end);
+    fleet.advance_time(std::chrono::seconds(5));
+    REQUIRE(fleet.count_orders(true, "a") > 2);
+    const auto usual = fleet.orders.back().hold;
+    CHECK(usual < std::chrono::seconds(3));
+    for (const auto& order : fleet.orders) {
+        CHECK((order.hold == usual || hold_end(order.sent_at, order.hold) <= latest_end));
+    }
+    CHECK(fleet.orders.front().hold > std::chrono::seconds(5));
+}
+
 // Guards against new fences for a whole range, including a part that is moving, after the refusal
 // of a renewal that was in flight when the part began to move.
 TEST_CASE("a renewal that is refused because a part of its range moved changes nothing [decider]") {
--- a/tests/gateway/leader_lease_test.cpp
+++ b/tests/gateway/leader_lease_test.cpp
@@ -20,6 +20,8 @@
                                           const metadata_store::item_handler& done) {
             done({}, {"routers", encode(stored), 1, 1, 0}, 1);
         };
+        core.platform.store.write = [](const store_batch&, call_deadline,
+                                       const metadata_store::number_handler& done) { done({}, 2); };
         fleet.leading = true;
         fleet.leader.epoch = stored.epoch;
     }
@@ -56,6 +58,58 @@
     CHECK(leader.lease.valid_until() == confirmed);
 }
 
+// Guards against two holders of a key after the routers that had received the announcement of long
+// holds were restarted during an outage of the store.
+TEST_CASE(
+    "a successor counts on long holds when the routers that would report them have restarted "
+    "[leader_lease]") {
+    lease_fixture leader;
+    leader.lease.begin();
+    leader.tick();
+    leader.evidence["h1"] = {11, leader.now, {}, {}, std::nullopt};
+    leader.evidence["h2"] = {12, leader.now, {}, {}, std::nullopt};
+    leader.now += seconds(1);
+    leader.tick();
+    const auto longest = leader.core.settings.bounds.max_hold;
+    REQUIRE(leader.lease.inherited_end());
+    CHECK(*leader.lease.inherited_end() >= leader.now - seconds(1) + longest);
+}
+
+TEST_CASE(
+    "a successor does not count on long holds once enough routers would have reported them "
+    "[leader_lease]") {
+    lease_fixture leader;
+    leader.lease.begin();
+    leader.tick();
+    leader.evidence["h1"] = {11, leader.now, {}, {}, std::nullopt};
+    leader.evidence["h2"] = {2, leader.now, {}, {}, std::nullopt};
+    leader.tick();
+    REQUIRE(leader.lease.inherited_end());
+    CHECK(*leader.lease.inherited_end() > leader.now + seconds(9));
+    leader.evidence["h3"] = {3, leader.now, {}, {}, std::nullopt};
+    leader.tick();
+    CHECK(*leader.lease.inherited_end() < leader.now + seconds(4));
+    // What the routers reported still counts after one of them has restarted.
+    leader.evidence["h3"].instance = 13;
+    leader.tick();
+    CHECK(*leader.lease.inherited_end() < leader.now + seconds(4));
+}
+
+TEST_CASE("a report of long holds that arrives after the takeover is used [leader_lease]") {
+    lease_fixture leader;
+    leader.lease.begin();
+    leader.tick();
+    leader.evidence["h1"] = {11, leader.now, {}, {}, std::nullopt};
+    leader.evidence["h2"] = {2, leader.now, {}, {}, std::nullopt};
+    leader.tick();
+    leader.now += seconds(1);
+    leader.evidence["h3"] = {3, leader.now, {}, {}, leader.now};
+    leader.tick();
+    REQUIRE(leader.lease.inherited_end());
+    CHECK(*leader.lease.inherited_end() >=
+          leader.now + leader.core.settings.bounds.max_hold + confirmation_time);
+}
+
 TEST_CASE(
     "a continued term takes over only with the routers of the record that the store has lost "
     "[leader_lease]") {
--- a/tests/gateway/leader_term_test.cpp
+++ b/tests/gateway/leader_term_test.cpp
@@ -55,6 +55,17 @@
     CHECK(inherited_holds_end(holds, evidence, at(9)) == at(18) + confirmation_time);
 }
 
+TEST_CASE(
+    "long holds would be reported if each majority has an instance that follows [leader_term]") {
+    evidence_by_host evidence;
+    evidence["h1"] = {1, at(9), {}, {}, std::nullopt};
+    evidence["h2"] = {99, at(9), {}, {}, std::nullopt};
+    CHECK_FALSE(would_report_long_holds(three_instances(), evidence));
+    evidence["h3"] = {3, at(9), {}, {}, std::nullopt};
+    CHECK(would_report_long_holds(three_instances(), evidence));
+    CHECK(would_report_long_holds({}, evidence));
+}
+
 // The two majorities have an instance in common: while a leader may act without the store, no
 // successor can have taken over, since it would need one of the instances that confirm the leader.
 TEST_CASE(
