Record the end of inherited holds for the next leader

Cause: a leader that counts on long holds of its predecessor records the routers that follow it now. These may have started after the long holds were granted and know nothing of them. A further leader heard of more than half of them, without a report, and counted on normal holds.

Change: the record of routers has the time until inherited holds end, while that is later than a successor waits for anyway. The next leader counts it from its own reading, so it is never too short.

Test that failed before: leader_lease_test, "a leader that counts on long holds leaves their end to its successor" (the end of the second leader was 3.4 s from its takeover instead of 10 s).

--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -159,6 +159,9 @@
     router_instances instances;
     /// Epoch of the leader that wrote it; 0 if it was an earlier version of the program.
     std::uint64_t epoch = 0;
+    /// Time from the write to the latest end of holds that earlier leaders granted, as the writer
+    /// knew it; 0 if a successor waits for their end anyway.
+    std::uint64_t inherited_holds_ms = 0;
 };
 std::string encode(const router_record& record);
 std::optional<router_record> decode_router_record(std::string_view bytes);
--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -37,6 +37,8 @@
     inherited_end_.reset();
     inherited_records_.clear();
     reported_end_ = {};
+    recorded_end_ = {};
+    has_recorded_end_ = false;
     would_know_long_holds_ = false;
     predecessor_lease_end_ = core_.now();
     may_act_ = true;
@@ -102,7 +104,10 @@
                     core_.log.write_always("record_unreadable", {{"key", key()}});
                 }
                 record_current_ = record && is_current(record->epoch, fleet_.leader.epoch);
-                recorded_ = std::move(record).value_or(router_record{}).instances;
+                if (record) {
+                    recorded_ = std::move(record->instances);
+                    recorded_end_ = core_.now() + milliseconds(record->inherited_holds_ms);
+                }
             }
             if (!record_current_) {
                 // After the store has come back older, the claim did not wait for the predecessor's
@@ -141,8 +146,8 @@
     const auto holds = key_decider::hold_bounds(core_.settings.bounds);
     const auto lease_left = std::max(
         milliseconds(0), milliseconds(milliseconds_until(predecessor_lease_end_, took_over_at_)));
-    reported_end_ =
-        std::max(reported_end_, inherited_holds_end(holds, evidence, took_over_at_, lease_left));
+    reported_end_ = std::max({reported_end_, recorded_end_,
+                              inherited_holds_end(holds, evidence, took_over_at_, lease_left)});
     inherited_end_ = would_know_long_holds_
                          ? reported_end_
                          : std::max(reported_end_, long_holds_end(holds, predecessor_lease_end_));
@@ -194,7 +199,8 @@
     auto current = followers_(now);
     current.emplace(core_.settings.host,
                     router_instance(fleet_.instance, core_.settings.peer_address));
-    if (current == recorded_ && unconfirmed_.empty()) {
+    const auto inherited_holds = inherited_holds_to_record(now);
+    if (current == recorded_ && unconfirmed_.empty() && has_recorded_end_ == inherited_holds > 0) {
         return;
     }
     if (std::find(unconfirmed_.begin(), unconfirmed_.end(), current) == unconfirmed_.end()) {
@@ -203,10 +209,11 @@
     call_in_flight_ = true;
     store_batch batch;
     batch.conditions = {{core_.platform.keys.fleet + "leader", fleet_.leader.epoch}};
-    batch.writes = {{key(), encode(router_record{current, fleet_.leader.epoch}), 0}};
+    batch.writes = {
+        {key(), encode(router_record{current, fleet_.leader.epoch, inherited_holds}), 0}};
     core_.platform.store.write(
         batch, detail::deadline_in(detail::store_call_time),
-        term_life_.guard([this, current](std::error_code error, std::uint64_t) {
+        term_life_.guard([this, current, inherited_holds](std::error_code error, std::uint64_t) {
             call_in_flight_ = false;
             if (error) {
                 // The write may have taken effect, so until the next one the routers of all these
@@ -215,10 +222,17 @@
                 return;
             }
             recorded_ = current;
+            has_recorded_end_ = inherited_holds > 0;
             unconfirmed_.clear();
         }));
 }
 
+std::uint64_t leader_lease::inherited_holds_to_record(boot_time now) const {
+    const auto awaited = confirmation_time + key_decider::hold_bounds(core_.settings.bounds).normal;
+    const auto left = milliseconds_until(*inherited_end_, now);
+    return left > awaited.count() ? static_cast<std::uint64_t>(left) : 0;
+}
+
 // Any of the records may be the one that a successor reads, so all must confirm the term.
 std::optional<boot_time> leader_lease::lease_by_routers(const evidence_by_host& evidence) const {
     auto term_end = lease_without_store(recorded_, evidence);
--- a/src/gateway/leader_lease.hpp
+++ b/src/gateway/leader_lease.hpp
@@ -55,7 +55,10 @@
     void update_inherited_end(boot_time now, const evidence_by_host& evidence);
     void announce_leader(boot_time now);
     /// Writes the router instances that follow this leader to the store when they have changed.
+    /// Until inherited holds have ended, also their end: the instances may not know of it.
     void record_instances(boot_time now, boot_time lease_until);
+    /// Time until inherited holds end, in ms; 0 if a successor waits for it anyway.
+    [[nodiscard]] std::uint64_t inherited_holds_to_record(boot_time now) const;
     void update_valid_until(boot_time now, boot_time lease_until);
     [[nodiscard]] std::optional<boot_time> lease_by_routers(const evidence_by_host& evidence) const;
     [[nodiscard]] std::string key() const { return core_.platform.keys.fleet + "routers"; }
@@ -81,6 +84,10 @@
     boot_time took_over_at_;
     /// Latest end of inherited holds by what routers have reported in this term.
     boot_time reported_end_;
+    /// The same by the predecessor's record, for holds of its own predecessors.
+    boot_time recorded_end_;
+    /// Whether this leader's record has an end of inherited holds.
+    bool has_recorded_end_ = false;
     bool would_know_long_holds_ = false;  ///< Routers would have reported long holds.
     std::optional<boot_time> inherited_end_;
     boot_time valid_until_;
--- a/src/gateway/peer_records.cpp
+++ b/src/gateway/peer_records.cpp
@@ -36,13 +36,15 @@
 std::string encode(const router_record& record) {
     auto body = detail::json::object();
     for (const auto& [host, instance] : record.instances) {
-        body[host] = {instance.id, instance.address, record.epoch};
+        // Earlier versions of the program ignore further values.
+        body[host] = {instance.id, instance.address, record.epoch, record.inherited_holds_ms};
     }
     return detail::to_bytes(body);
 }
 
 std::optional<router_record> decode_router_record(std::string_view bytes) {
     constexpr std::size_t epoch_at = 2;
+    constexpr std::size_t inherited_holds_at = 3;
     try {
         const auto body = detail::from_bytes(bytes);
         router_record out;
@@ -52,6 +54,9 @@
             if (value.size() > epoch_at) {
                 out.epoch = value.at(epoch_at);
             }
+            if (value.size() > inherited_holds_at) {
+                out.inherited_holds_ms = value.at(inherited_holds_at);
+            }
         }
         return out;
     } catch (const detail::json::exception&) {
--- a/tests/gateway/leader_lease_test.cpp
+++ b/tests/gateway/leader_lease_test.cpp
@@ -110,6 +110,52 @@
           leader.now + leader.core.settings.bounds.max_hold + confirmation_time);
 }
 
+// Guards against two holders of a key when two leaders in a row end before inherited long holds do:
+// the second one's routers do not know of the first one's holds.
+TEST_CASE("a leader that counts on long holds leaves their end to its successor [leader_lease]") {
+    lease_fixture leader;
+    std::optional<router_record> written;
+    leader.core.platform.store.write = [&](const store_batch& batch, call_deadline,
+                                           const metadata_store::number_handler& done) {
+        written = decode_router_record(batch.writes.front().value);
+        done({}, 2);
+    };
+    const router_instances restarted{{"h1", 11}, {"h2", 12}, {"h3", 13}};
+    leader_lease lease{leader.core, leader.fleet, leader.calls,
+                       [&](boot_time) { return leader.evidence; },
+                       [&](boot_time) { return restarted; }};
+    for (const auto& [host, instance] : restarted) {
+        leader.evidence[host] = {instance.id, leader.now, {}, {}, std::nullopt};
+    }
+    lease.begin();
+    for (int step = 0; step < 3; ++step) {
+        lease.tick(leader.now, leader.lease_until);
+    }
+    REQUIRE(lease.inherited_end());
+    const auto long_holds_end = *lease.inherited_end();
+    REQUIRE(long_holds_end > leader.now + seconds(9));
+    REQUIRE(written);
+
+    lease_fixture successor;
+    successor.stored = *written;
+    successor.evidence = leader.evidence;
+    successor.lease.begin();
+    successor.tick();
+    successor.tick();
+    REQUIRE(successor.lease.inherited_end());
+    CHECK(*successor.lease.inherited_end() >= long_holds_end);
+
+    // Once the holds have ended, the record has nothing of them.
+    leader.now = long_holds_end + seconds(2);
+    lease.tick(leader.now, leader.now + seconds(1));
+    successor.stored = *written;
+    successor.lease.begin();
+    successor.tick();
+    successor.tick();
+    REQUIRE(successor.lease.inherited_end());
+    CHECK(*successor.lease.inherited_end() < successor.now + seconds(4));
+}
+
 TEST_CASE(
     "a continued term takes over only with the routers of the record that the store has lost "
     "[leader_lease]") {
