Take over from a leader whose routers are gone for good

Cause: a successor waited until more than half of the recorded routers followed it or had been restarted, without an end. Evidence: leader_began and leader_loaded, then two leader_notice a second that cannot be sent until the end, and no leader_took_over. Ruled out: the election, and missing entries of the restarted targets.

Change: a successor takes over when the recorded routers that it has not heard of are no majority (half of four was one too few), or 8 s after its election, after ten announcements. An end of the wait alone would let it act beside a predecessor that silent routers still confirm, so a leader without the store lets no hold end later than 8 s after its lease, unless routers in every part of the fleet confirm it: a successor is in one of the parts, and its announcement ends the confirmation there. Long holds keep the same limit.

--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -16,6 +16,9 @@
 // Interval between a new leader's announcements to the routers that do not follow it yet, and their
 // timeout: a router without a network connection does not answer.
 constexpr milliseconds announcement_interval{500};
+// Number of announcements after which a router that is silent counts as gone. A leader that was
+// itself suspended has announced nothing in that time.
+constexpr int min_announcements = 10;
 
 }  // namespace detail
 
@@ -45,6 +48,7 @@
     confirmed_until_ = {};
     confirmed_by_routers_ = false;
     may_grant_long_holds_ = false;
+    announcements_ = 0;
 }
 
 void leader_lease::continue_term() {
@@ -123,16 +127,21 @@
     const auto evidence = evidence_(now);
     auto records = unconfirmed_;
     records.push_back(recorded_);
-    if (!std::all_of(records.begin(), records.end(),
-                     [&](const auto& record) { return has_taken_over(record, evidence); })) {
+    const bool routers_follow =
+        std::all_of(records.begin(), records.end(),
+                    [&](const auto& record) { return has_taken_over(record, evidence); });
+    if (!routers_follow && !has_outwaited_predecessor(now)) {
         return;
     }
     inherited_records_ = std::move(records);
-    took_over_at_ = now;
+    const auto holds = key_decider::hold_bounds(core_.settings.bounds);
+    predecessor_left_at_ =
+        routers_follow ? now : isolated_term_end(holds, predecessor_lease_end_) - confirmation_time;
     update_inherited_end(now, evidence);
     core_.log.write_always("leader_took_over",
                            {{"runs_recorded", static_cast<std::int64_t>(recorded_.size())},
                             {"record_current", std::int64_t{record_current_}},
+                            {"routers_follow", std::int64_t{routers_follow}},
                             {"would_know_long_holds", std::int64_t{would_know_long_holds_}},
                             {"inherited_holds_ms", milliseconds_until(*inherited_end_, now)}});
 }
@@ -144,19 +153,27 @@
         std::all_of(inherited_records_.begin(), inherited_records_.end(),
                     [&](const auto& record) { return would_report_long_holds(record, evidence); });
     const auto holds = key_decider::hold_bounds(core_.settings.bounds);
-    const auto lease_left = std::max(
-        milliseconds(0), milliseconds(milliseconds_until(predecessor_lease_end_, took_over_at_)));
-    reported_end_ = std::max({reported_end_, recorded_end_,
-                              inherited_holds_end(holds, evidence, took_over_at_, lease_left)});
+    const auto lease_left =
+        std::max(milliseconds(0),
+                 milliseconds(milliseconds_until(predecessor_lease_end_, predecessor_left_at_)));
+    reported_end_ =
+        std::max({reported_end_, recorded_end_,
+                  inherited_holds_end(holds, evidence, predecessor_left_at_, lease_left)});
     inherited_end_ = would_know_long_holds_
                          ? reported_end_
                          : std::max(reported_end_, long_holds_end(holds, predecessor_lease_end_));
-    if (would_know_long_holds_ && !knew_long_holds && now > took_over_at_) {
+    if (would_know_long_holds_ && !knew_long_holds && now > predecessor_left_at_) {
         core_.log.write_always("long_holds_reported",
                                {{"inherited_holds_ms", milliseconds_until(*inherited_end_, now)}});
     }
 }
 
+bool leader_lease::has_outwaited_predecessor(boot_time now) const {
+    const auto holds = key_decider::hold_bounds(core_.settings.bounds);
+    return announcements_ >= detail::min_announcements &&
+           now >= long_holds_end(holds, predecessor_lease_end_);
+}
+
 boot_time leader_lease::own_long_holds_end() const {
     return long_holds_end(key_decider::hold_bounds(core_.settings.bounds), lease_until_);
 }
@@ -169,6 +186,7 @@
         return;
     }
     next_announcement_ = now + detail::announcement_interval;
+    ++announcements_;
     const auto body = encode(fleet_.leader);
     const auto evidence = evidence_(now);
     auto receivers = recorded_;
@@ -200,7 +218,8 @@
     current.emplace(core_.settings.host,
                     router_instance(fleet_.instance, core_.settings.peer_address));
     const auto inherited_holds = inherited_holds_to_record(now);
-    if (current == recorded_ && unconfirmed_.empty() && has_recorded_end_ == inherited_holds > 0) {
+    if (current == recorded_ && unconfirmed_.empty() &&
+        has_recorded_end_ == (inherited_holds > 0)) {
         return;
     }
     if (std::find(unconfirmed_.begin(), unconfirmed_.end(), current) == unconfirmed_.end()) {
@@ -235,10 +254,19 @@
 
 // Any of the records may be the one that a successor reads, so all must confirm the term.
 std::optional<boot_time> leader_lease::lease_by_routers(const evidence_by_host& evidence) const {
-    auto term_end = lease_without_store(recorded_, evidence);
-    for (const auto& record : unconfirmed_) {
-        const auto other = lease_without_store(record, evidence);
-        term_end = term_end && other ? std::optional(std::min(*term_end, *other)) : std::nullopt;
+    const auto isolated_end =
+        isolated_term_end(key_decider::hold_bounds(core_.settings.bounds), lease_until_);
+    auto records = unconfirmed_;
+    records.push_back(recorded_);
+    auto term_end = boot_time::max();
+    for (const auto& record : records) {
+        const auto by_majority = lease_without_store(record, evidence);
+        const auto by_all_parts = lease_by_all_parts(record, evidence, core_.state.regions);
+        if (!by_majority || !by_all_parts) {
+            return std::nullopt;
+        }
+        term_end =
+            std::min(term_end, std::max(std::min(*by_majority, isolated_end), *by_all_parts));
     }
     return term_end;
 }
--- a/src/gateway/leader_lease.hpp
+++ b/src/gateway/leader_lease.hpp
@@ -33,7 +33,8 @@
     /// that the routers confirm.
     [[nodiscard]] boot_time valid_until() const { return valid_until_; }
     /// Latest end of holds that earlier leaders granted, without the transit of these grants. Set
-    /// once more than half of the recorded router instances follow this leader or have ended.
+    /// once the predecessor's term is over: enough of the recorded router instances follow this
+    /// leader or have ended, or the others are silent for so long that they may be gone for good.
     /// Becomes earlier when further instances show that there are no long holds.
     [[nodiscard]] const std::optional<boot_time>& inherited_end() const { return inherited_end_; }
     /// Whether this leader should grant long holds: it is stopping while the store is lost, so no
@@ -48,9 +49,10 @@
 private:
     /// Reads the recorded router instances at the beginning of the term.
     void load();
-    /// Sets the end of inherited holds once more than half of the recorded router instances follow
-    /// this leader or have ended.
+    /// Sets the end of inherited holds once the predecessor's term is over.
     void take_over(boot_time now);
+    /// Whether the predecessor's term is over although too few of its routers have been heard of.
+    [[nodiscard]] bool has_outwaited_predecessor(boot_time now) const;
     /// Updates the end of inherited holds by the evidence of now, until it has passed.
     void update_inherited_end(boot_time now, const evidence_by_host& evidence);
     void announce_leader(boot_time now);
@@ -77,11 +79,13 @@
     bool call_in_flight_ = false;
     boot_time next_record_;
     boot_time next_announcement_;
+    int announcements_ = 0;            ///< Number of times that they have been sent in this term.
     boot_time lease_until_;            ///< End of the lease in the store.
     boot_time predecessor_lease_end_;  ///< The predecessor's lease has ended then at the latest.
     /// Records of routers by which this leader has taken over.
     std::vector<router_instances> inherited_records_;
-    boot_time took_over_at_;
+    /// Since then at the latest, the recorded routers no longer confirm the predecessor.
+    boot_time predecessor_left_at_;
     /// Latest end of inherited holds by what routers have reported in this term.
     boot_time reported_end_;
     /// The same by the predecessor's record, for holds of its own predecessors.
--- a/src/gateway/leader_term.cpp
+++ b/src/gateway/leader_term.cpp
@@ -15,15 +15,31 @@
 // are sent as JSON numbers, which are exact up to 2^53.
 constexpr unsigned fence_era_shift = 36;
 
+// When the recorded instance last confirmed the leader's term; nothing: never.
+std::optional<boot_time> confirmed_at(const router_instances::value_type& recorded,
+                                      const evidence_by_host& evidence) {
+    const auto found = evidence.find(recorded.first);
+    if (found == evidence.end() || found->second.instance != recorded.second.id) {
+        return std::nullopt;
+    }
+    return std::min(found->second.followed_at, found->second.store_lost_at);
+}
+
+// Whether the failure domains of the fleet are in several regions.
+bool has_several_regions(const region_map& regions) {
+    return std::any_of(regions.begin(), regions.end(), [&](const auto& domain) {
+        return domain.second != regions.begin()->second;
+    });
+}
+
 }  // namespace detail
 
 std::optional<boot_time> lease_without_store(const router_instances& recorded,
                                              const evidence_by_host& evidence) {
     std::vector<boot_time> confirmed;
-    for (const auto& [host, instance] : recorded) {
-        const auto found = evidence.find(host);
-        if (found != evidence.end() && found->second.instance == instance.id) {
-            confirmed.push_back(std::min(found->second.followed_at, found->second.store_lost_at));
+    for (const auto& entry : recorded) {
+        if (const auto time = detail::confirmed_at(entry, evidence)) {
+            confirmed.push_back(*time);
         }
     }
     const auto needed = recorded.size() / 2 + 1;
@@ -38,6 +54,35 @@
     return oldest_needed + confirmation_time;
 }
 
+std::optional<boot_time> lease_by_all_parts(const router_instances& recorded,
+                                            const evidence_by_host& evidence,
+                                            const region_map& regions) {
+    auto term_end = lease_without_store(recorded, evidence);
+    if (!term_end) {
+        return std::nullopt;
+    }
+    const bool by_region = detail::has_several_regions(regions);
+    std::map<std::string_view, boot_time> last_by_part;
+    for (const auto& [domain, region] : regions) {
+        last_by_part[by_region ? region : domain];
+    }
+    for (const auto& entry : recorded) {
+        const auto time = detail::confirmed_at(entry, evidence);
+        if (!time) {
+            continue;
+        }
+        const std::string_view domain = evidence.at(entry.first).failure_domain;
+        const auto part = last_by_part.find(by_region ? region_of(regions, domain) : domain);
+        if (part != last_by_part.end()) {
+            part->second = std::max(part->second, *time);
+        }
+    }
+    for (const auto& [part, time] : last_by_part) {
+        term_end = std::min(*term_end, time + confirmation_time);
+    }
+    return term_end;
+}
+
 bool may_grant_long_holds(const router_instances& recorded, const evidence_by_host& evidence) {
     std::size_t counted = 0;
     for (const auto& [host, instance] : recorded) {
@@ -63,7 +108,7 @@
     for (const auto& [host, instance] : recorded) {
         counted += evidence.contains(host) ? 1 : 0;
     }
-    return recorded.empty() || counted > recorded.size() / 2;
+    return counted >= recorded.size() - recorded.size() / 2;
 }
 
 boot_time inherited_holds_end(const hold_times& holds, const evidence_by_host& evidence,
@@ -77,8 +122,12 @@
     return end;
 }
 
+boot_time isolated_term_end(const hold_times& holds, boot_time lease_end) {
+    return long_holds_end(holds, lease_end) - holds.normal;
+}
+
 boot_time long_holds_end(const hold_times& holds, boot_time lease_end) {
-    return lease_end + holds.max;
+    return lease_end + std::min(holds.max, max_hold_after_lease);
 }
 
 bool is_stale(const leader_identity& leader, std::uint64_t revision) {
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -96,9 +96,12 @@
             by_host.emplace(host, router.evidence);
         }
     }
-    by_host[core_.settings.host] = {
-        fleet_.instance, now, fleet_.store_responsive ? boot_time{} : now,
-        from_.announces_long_holds() ? now : boot_time{}, fleet_.long_holds_reported_at};
+    by_host[core_.settings.host] = {fleet_.instance,
+                                    now,
+                                    fleet_.store_responsive ? boot_time{} : now,
+                                    from_.announces_long_holds() ? now : boot_time{},
+                                    fleet_.long_holds_reported_at,
+                                    core_.settings.failure_domain};
     return by_host;
 }
 
@@ -125,6 +128,7 @@
     }
     caller.evidence.instance = request.instance;
     caller.evidence.followed_at = sent_after;
+    caller.evidence.failure_domain = request.failure_domain;
     caller.evidence.store_lost_at = request.store_lost ? sent_after : boot_time{};
     if (request.long_holds_received) {
         caller.evidence.long_holds_known_at = now;
--- a/tests/gateway/leader_term_test.cpp
+++ b/tests/gateway/leader_term_test.cpp
@@ -31,6 +31,42 @@
     CHECK(*lease_without_store(three_instances(), evidence) == at(8) + confirmation_time);
 }
 
+TEST_CASE(
+    "a term is confirmed by all parts of the fleet as long as by each of them [leader_term]") {
+    evidence_by_host evidence;
+    evidence["h1"] = {1, at(9), at(9), {}, std::nullopt, "north-a"};
+    evidence["h2"] = {2, at(8), at(8), {}, std::nullopt, "north-b"};
+    const region_map one_region{{"north-a", "north"}, {"north-b", "north"}};
+    const region_map two_regions{{"north-a", "north"}, {"north-b", "north"}, {"south-a", "south"}};
+    const auto by_all = [&](const region_map& regions) {
+        const auto end = lease_by_all_parts(three_instances(), evidence, regions);
+        REQUIRE(end);
+        return *end;
+    };
+    CHECK(by_all(one_region) == at(8) + confirmation_time);
+    CHECK(by_all(two_regions) < at(0));
+    CHECK(by_all({}) == at(8) + confirmation_time);
+    evidence["h3"] = {3, at(7), at(7), {}, std::nullopt, "south-a"};
+    CHECK(by_all(two_regions) == at(7) + confirmation_time);
+    // Another instance of the same host confirms nothing.
+    evidence["h3"].instance = 13;
+    CHECK(by_all(two_regions) < at(0));
+}
+
+// Guards against keys that are never served again after half of the routers are gone for good.
+TEST_CASE("half of the recorded instances leave the other half without a majority [leader_term]") {
+    const router_instances recorded{{"h1", 1}, {"h2", 2}, {"h3", 3}, {"h4", 4}};
+    evidence_by_host followers;
+    followers["h1"] = {1, at(9), at(9), {}, std::nullopt};
+    CHECK_FALSE(has_taken_over(recorded, followers));
+    followers["h2"] = {12, at(9), at(9), {}, std::nullopt};
+    CHECK(has_taken_over(recorded, followers));
+    evidence_by_host others;
+    others["h3"] = {3, at(9), at(9), {}, std::nullopt};
+    others["h4"] = {4, at(9), at(9), {}, std::nullopt};
+    CHECK_FALSE(lease_without_store(recorded, others));
+}
+
 TEST_CASE("a router that reaches the store does not confirm that it is lost [leader_term]") {
     evidence_by_host evidence;
     evidence["h1"] = {1, at(9), at(9), {}, std::nullopt};
