Write the record of routers only over the one that was read

Cause: the write of the record of routers depended on the leader's item only. A write without an answer may take effect after the next one has succeeded. The leader then counts on the newer record alone, and a successor reads the older one: it waits for routers that are gone, or takes over by routers whose majority says nothing about the former leader.

Change: the write depends on the revision of the record as well, which is read again after a write without a known effect.

Test that failed before: leader_lease_test, "a write of an older record of routers that takes effect late changes nothing".

--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -35,6 +35,7 @@
     recorded_.clear();
     unconfirmed_.clear();
     loaded_ = false;
+    record_changed_ = false;
     record_current_ = false;
     call_in_flight_ = false;
     inherited_end_.reset();
@@ -99,6 +100,7 @@
                 record_store_call(core_, fleet_, false, "read routers");
                 return;  // `tick` retries.
             }
+            record_revision_ = item.revision;
             // Without a record there is no predecessor, unless the store has lost it.
             record_current_ = !fleet_.store_came_back;
             if (!error) {
@@ -214,6 +216,10 @@
         return;
     }
     next_record_ = now + detail::record_interval;
+    if (record_changed_) {
+        read_revision();
+        return;
+    }
     auto current = followers_(now);
     current.emplace(core_.settings.host,
                     router_instance(fleet_.instance, core_.settings.peer_address));
@@ -227,22 +233,42 @@
     }
     call_in_flight_ = true;
     store_batch batch;
-    batch.conditions = {{core_.platform.keys.fleet + "leader", fleet_.leader.epoch}};
+    // Without the second condition, an earlier write that takes effect late would replace this one.
+    batch.conditions = {{core_.platform.keys.fleet + "leader", fleet_.leader.epoch},
+                        {key(), record_revision_}};
     batch.writes = {
         {key(), encode(router_record{current, fleet_.leader.epoch, inherited_holds}), 0}};
     core_.platform.store.write(
         batch, detail::deadline_in(detail::store_call_time),
-        term_life_.guard([this, current, inherited_holds](std::error_code error, std::uint64_t) {
+        term_life_.guard(
+            [this, current, inherited_holds](std::error_code error, std::uint64_t revision) {
+                call_in_flight_ = false;
+                if (error) {
+                    // The write may have taken effect, so until the next one the routers of all
+                    // these records must confirm the term.
+                    core_.log.write("record_failed", {{"key", key()}, {"error", error.message()}});
+                    record_changed_ = true;
+                    next_record_ = {};
+                    return;
+                }
+                record_revision_ = revision;
+                recorded_ = current;
+                has_recorded_end_ = inherited_holds > 0;
+                unconfirmed_.clear();
+            }));
+}
+
+void leader_lease::read_revision() {
+    call_in_flight_ = true;
+    core_.platform.store.read(
+        key(), detail::deadline_in(detail::store_call_time),
+        term_life_.guard([this](std::error_code error, const store_item& item, std::uint64_t) {
             call_in_flight_ = false;
-            if (error) {
-                // The write may have taken effect, so until the next one the routers of all these
-                // records must confirm the term.
-                core_.log.write("record_failed", {{"key", key()}, {"error", error.message()}});
-                return;
+            if (!error || error == errc::not_found) {
+                record_revision_ = item.revision;
+                record_changed_ = false;
+                next_record_ = {};
             }
-            recorded_ = current;
-            has_recorded_end_ = inherited_holds > 0;
-            unconfirmed_.clear();
         }));
 }
 
--- a/src/gateway/leader_lease.hpp
+++ b/src/gateway/leader_lease.hpp
@@ -59,6 +59,8 @@
     /// Writes the router instances that follow this leader to the store when they have changed.
     /// Until inherited holds have ended, also their end: the instances may not know of it.
     void record_instances(boot_time now, boot_time lease_until);
+    /// Reads the revision of the record after a write without a known effect.
+    void read_revision();
     /// Time until inherited holds end, in ms; 0 if a successor waits for it anyway.
     [[nodiscard]] std::uint64_t inherited_holds_to_record(boot_time now) const;
     void update_valid_until(boot_time now, boot_time lease_until);
@@ -74,6 +76,8 @@
     /// Further records that a successor may have read: the one that is being written, those whose
     /// writes got no answer, and those that the store has lost by coming back older.
     std::vector<router_instances> unconfirmed_;
+    std::uint64_t record_revision_ = 0;  ///< Of the record in the store; 0: there is none.
+    bool record_changed_ = false;        ///< The revision has to be read again.
     bool loaded_ = false;
     bool record_current_ = false;  ///< The record that was read is of this era of the store.
     bool call_in_flight_ = false;
--- a/tests/gateway/leader_lease_test.cpp
+++ b/tests/gateway/leader_lease_test.cpp
@@ -216,7 +216,7 @@
         written = decode_router_record(batch.writes.front().value);
         done({}, 2);
     };
-    const router_instances restarted{{"h1", 11}, {"h2", 12}, {"h3", 13}};
+    router_instances restarted{{"h1", 11}, {"h2", 12}, {"h3", 13}};
     leader_lease lease{leader.core, leader.fleet, leader.calls,
                        [&](boot_time) { return leader.evidence; },
                        [&](boot_time) { return restarted; }};
@@ -252,6 +252,76 @@
     CHECK(*successor.lease.inherited_end() < successor.now + seconds(4));
 }
 
+// Guards against two leaders that act at once: a successor would read the older record, whose
+// routers may all follow it while those of the newer one still confirm the former leader.
+TEST_CASE(
+    "a write of an older record of routers that takes effect late changes nothing "
+    "[leader_lease]") {
+    lease_fixture leader;
+    std::map<std::string, std::uint64_t> revisions{{"leader", 7}, {"routers", 10}};
+    std::uint64_t revision = 10;
+    const auto apply = [&](const store_batch& batch) {
+        const bool holds = std::all_of(
+            batch.conditions.begin(), batch.conditions.end(),
+            [&](const auto& condition) { return revisions[condition.key] == condition.revision; });
+        if (holds) {
+            leader.stored = *decode_router_record(batch.writes.front().value);
+            revisions["routers"] = ++revision;
+        }
+        return holds;
+    };
+    leader.core.platform.store.read = [&](const std::string&, call_deadline,
+                                          const metadata_store::item_handler& done) {
+        done({}, {"routers", encode(leader.stored), revisions["routers"], 1, 0}, revision);
+    };
+    std::optional<store_batch> delayed;
+    leader.core.platform.store.write = [&](const store_batch& batch, call_deadline,
+                                           const metadata_store::number_handler& done) {
+        if (!delayed) {
+            delayed = batch;
+            done(make_error_code(errc::store_unavailable), 0);
+        } else if (apply(batch)) {
+            done({}, revision);
+        } else {
+            done(make_error_code(errc::store_conflict), 0);
+        }
+    };
+    router_instances followers{{"h1", 1}, {"h2", 2}, {"h4", 4}};
+    leader_lease lease{leader.core, leader.fleet, leader.calls,
+                       [&](boot_time) { return leader.evidence; },
+                       [&](boot_time) { return followers; }};
+    leader.evidence["h1"] = {1, leader.now, {}, {}, std::nullopt};
+    leader.evidence["h2"] = {2, leader.now, {}, {}, std::nullopt};
+    lease.begin();
+    const auto advance = [&] {
+        for (int step = 0; step < 100; ++step) {
+            leader.now += milliseconds(50);
+            lease.tick(leader.now, leader.now + seconds(1));
+        }
+    };
+    for (int step = 0; step < 100 && !delayed; ++step) {
+        lease.tick(leader.now, leader.now + seconds(1));
+    }
+    REQUIRE(delayed);
+    followers.emplace("h5", 5);
+    advance();
+    REQUIRE(leader.stored.instances == followers);
+    CHECK_FALSE(apply(*delayed));
+    CHECK(leader.stored.instances == followers);
+    // If it takes effect before the next write, that one replaces it.
+    delayed.reset();
+    followers.erase("h4");
+    for (int step = 0; step < 100 && !delayed; ++step) {
+        leader.now += milliseconds(50);
+        lease.tick(leader.now, leader.now + seconds(1));
+    }
+    REQUIRE(delayed);
+    CHECK(apply(*delayed));
+    followers.emplace("h6", 6);
+    advance();
+    CHECK(leader.stored.instances == followers);
+}
+
 TEST_CASE(
     "a continued term takes over only with the routers of the record that the store has lost "
     "[leader_lease]") {
