--- a/include/mimosavalve/gateway/leader_term.hpp
+++ b/include/mimosavalve/gateway/leader_term.hpp
@@ -95,10 +95,10 @@
 };
 
 /// Latest time until which targets may hold keys that earlier leaders granted, without the transit
-/// of the grants, for a new leader that has taken over at `now`. The hold times include the margin
-/// for clock drift. `lease_left`: time for which the predecessor may still count its lease as
-/// valid. It is not 0 when the store has come back older, since a successor does not wait for the
-/// lease's end then.
+/// of the grants, if the recorded routers have left the predecessor by `now`. The hold times
+/// include the margin for clock drift. `lease_left`: time for which the predecessor may still count
+/// its lease as valid. It is not 0 when the store has come back older, since a successor does not
+/// wait for the lease's end then.
 boot_time inherited_holds_end(const hold_times& holds, const evidence_by_host& evidence,
                               boot_time now, milliseconds lease_left = milliseconds(0));
 
--- a/src/gateway/leader_lease.cpp
+++ b/src/gateway/leader_lease.cpp
@@ -180,8 +180,8 @@
     return long_holds_end(key_decider::hold_bounds(core_.settings.bounds), lease_until_);
 }
 
-// A successor may move inherited keys only after more than half of the recorded routers follow it.
-// Without the announcement, routers that cannot reach the store would follow its predecessor until
+// A successor may move inherited keys only after the recorded routers have left its predecessor.
+// Without the announcement, those that cannot reach the store would follow the predecessor until
 // the store is available again.
 void leader_lease::announce_leader(boot_time now) {
     if (inherited_end_ || now < next_announcement_) {
@@ -317,13 +317,13 @@
                                {{"epoch", static_cast<std::int64_t>(fleet_.leader.epoch)}});
         may_act_ = acts;
     }
-    const bool granted_long_holds = may_grant_long_holds_;
+    const bool could_grant_long_holds = may_grant_long_holds_;
     may_grant_long_holds_ =
         wants_long_holds() && gateway::may_grant_long_holds(recorded_, evidence) &&
         std::all_of(unconfirmed_.begin(), unconfirmed_.end(), [&](const auto& record) {
             return gateway::may_grant_long_holds(record, evidence);
         });
-    if (may_grant_long_holds_ != granted_long_holds) {
+    if (may_grant_long_holds_ != could_grant_long_holds) {
         core_.log.write_always("long_holds",
                                {{"on", std::int64_t{may_grant_long_holds_}},
                                 {"latest_end_ms", milliseconds_until(own_long_holds_end(), now)}});
