Review: a worker's 503 for an order that has run reaches the client

Cause: an answer of a worker without Not-Executed counts as run, but is passed on whatever its status is, also where the status promises the client that the request has not run.

Case: review/12, a script in which one worker of eight fails one order in three with 503 and without Not-Executed.

--- a/review/common-3/target_faults.hpp
+++ b/review/common-3/target_faults.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace mimosavalve::platform::testing {
 
@@ -9,8 +10,11 @@
     /// Answers to releases have one wrong byte, above 0x7f, in the handover.
     bool spoils_handover = false;
     std::uint32_t spoiled_handovers = 0;
-    /// One run in this many fails with status 503 and without "Not-Executed"; 0: none.
+    /// At this target, one run in this many fails with status 503 and without "Not-Executed"; 0:
+    /// none.
+    std::string failing_target;
     std::uint32_t fails_one_run_in = 0;
+    std::uint32_t failed_runs = 0;
 };
 
 target_faults& faults();
--- a/review/common-3/target_standin.cpp
+++ b/review/common-3/target_standin.cpp
@@ -32,9 +32,12 @@
 }
 
 // Whether the run that has just ended fails, by the share that `target_faults` names.
-bool fails_next_run() {
+bool fails_next_run(const std::string& id) {
     static std::uint32_t run_count = 0;
-    return faults().fails_one_run_in != 0 && ++run_count % faults().fails_one_run_in == 0;
+    const bool fails = faults().fails_one_run_in != 0 && id == faults().failing_target &&
+                       ++run_count % faults().fails_one_run_in == 0;
+    faults().failed_runs += fails ? 1 : 0;
+    return fails;
 }
 
 }  // namespace
@@ -228,7 +231,7 @@
     const auto work_time = is_slow ? slow_work_time : options_.work_time;
     gateway::run_after(context_, work_time, lifetime_, [this, head, respond] {
         --running_;
-        if (fails_next_run()) {
+        if (fails_next_run(options_.id)) {
             // The work has begun and failed: the answer does not say that it was not run.
             internal_answer failure{unavailable, "text/plain", "failed in " + options_.id, {}};
             failure.fields.push_back({wire::signature_header, "signed-" + options_.id});
