Review: keep the programs of the cases where the linter finds their headers

Cause: clang-tidy derives the include paths of files outside the build from other files, and they lacked src/.

Change: the programs of cases 11 and 12 move to review/common-3, whose .clang-tidy adds that path and inherits all checks.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")"
 number=$(basename "$PWD")
-program=../../target/review-3/case-$number
+program=../../target/review-3/case_$number
 [ -x "$program" ] && [ -x ../../target/mimosavalve-gate ] || exit 2
 folder=$(mktemp -d) || exit 2
 TMPDIR=$folder timeout -k 5 110 "$program" record.txt
--- a/review/11/case.cpp
+++ b/review/common-3/case_11.cpp
@@ -5,7 +5,7 @@
 #include <exception>
 #include <set>
 
-#include "../common-3/case_run.hpp"
+#include "case_run.hpp"
 
 namespace {
 
--- a/review/12/case.cpp
+++ b/review/common-3/case_12.cpp
@@ -1,7 +1,7 @@
 // A target begins to work on orders, fails, and answers 503 without "Not-Executed".
 #include <exception>
 
-#include "../common-3/case_run.hpp"
+#include "case_run.hpp"
 
 namespace {
 
--- a/review/common-3/case_run.cpp
+++ b/review/common-3/case_run.cpp
@@ -41,10 +41,11 @@
     }
 }
 
-void case_run::add_client(const std::string& host, kept_client::options chosen) {
-    chosen.address = callers_.at(host);
-    chosen.name = host + "-client" + std::to_string(clients_.size());
-    clients_.push_back(std::make_unique<kept_client>(fleet.context, chosen, requests));
+void case_run::add_client(const std::string& host, const kept_client::options& chosen) {
+    auto named = chosen;
+    named.address = callers_.at(host);
+    named.name = host + "-client" + std::to_string(clients_.size());
+    clients_.push_back(std::make_unique<kept_client>(fleet.context, named, requests));
 }
 
 void case_run::stop_clients() {
--- a/review/common-3/case_run.hpp
+++ b/review/common-3/case_run.hpp
@@ -28,7 +28,7 @@
     void add_target(const std::string& id, const std::string& service, bool keyed);
     void start_routers(const std::vector<std::string>& hosts);
     /// Adds a client of a router, with requests that `chosen` describes.
-    void add_client(const std::string& host, kept_client::options chosen);
+    void add_client(const std::string& host, const kept_client::options& chosen);
     /// Ends all clients after the answers to their running requests.
     void stop_clients();
 
