Review: report the end of a client's connection once

Cause: the client of the cases opened a second connection where an answer with "Connection: close" was followed by the end of the connection, and so broke off a request of its own.

Change: the client waits for the new connection.

--- a/review/common-3/kept_client.cpp
+++ b/review/common-3/kept_client.cpp
@@ -29,6 +29,7 @@
 }
 
 void kept_client::open() {
+    is_ending_ = false;
     connection_.reset();
     input_.clear();
     sent_on_connection_ = 0;
@@ -106,6 +107,10 @@
 }
 
 void kept_client::end_request(bool closed) {
+    // The end of the connection is reported once more after a last answer.
+    if (is_ending_) {
+        return;
+    }
     if (std::exchange(waiting_, false)) {
         auto& request = requests_[current_];
         request.ended_ms = now_ms();
@@ -116,6 +121,7 @@
         }
     }
     if (closed || !answer_.keep_alive) {
+        is_ending_ = true;
         // The connection may be on the call stack.
         gateway::run_after(context_, milliseconds(0), lifetime_, [this] { connection_.reset(); });
         reopen_later();
--- a/review/common-3/kept_client.hpp
+++ b/review/common-3/kept_client.hpp
@@ -69,6 +69,7 @@
     std::uint32_t next_number_ = 1;
     std::uint32_t sent_on_connection_ = 0;
     bool waiting_ = false;
+    bool is_ending_ = false;  ///< The connection has ended; another one is opened soon.
     bool stopped_ = false;
     gateway::lifetime lifetime_;
 };
