Discard a handover that is not UTF-8

Cause: the handover in a target's answer to a release is put into the JSON body of the next owner's grant. HTTP allows bytes above 0x7f in a field, JSON strings do not; the encoder threw from a handler of the event loop, and nothing caught the exception before main. Evidence: the process ends with "[json.exception.type_error.316] invalid UTF-8 byte", and the successor, which has no handover, grants the keys. Ruled out: the decoding of the answer (its parser takes obs-text, RFC 9110) and the fence or the range of the release (one changed byte of the handover is enough).

Change: the leader passes on a handover only if it is UTF-8, and logs handover_rejected otherwise: keys without a handover are slow for a time, as after a crash.

--- a/include/mimosavalve/gateway/platform_port.hpp
+++ b/include/mimosavalve/gateway/platform_port.hpp
@@ -121,8 +121,8 @@
 
 /// Commands to targets about the keys that they hold.
 struct key_commands {
-    /// `handover`: text that the previous owner returns to a release and that is passed to the next
-    /// owner with its grant.
+    /// `handover`: bytes that the previous owner returns to a release, as they were received. The
+    /// next owner gets them with its grant if they are text in UTF-8.
     using done_handler = std::function<void(std::error_code, std::string handover)>;
 
     /// Lets a target serve keys for the time `hold`. Fails with `errc::target_refused` if the
--- a/src/gateway/key_decider.hpp
+++ b/src/gateway/key_decider.hpp
@@ -153,6 +153,10 @@
                     boot_time now);
     void advance(const std::string& name, service_state& state, running_move& move, boot_time now);
     void release(running_move& move, boot_time now);
+    /// Keeps what the old owner hands over with the keys, unless a grant cannot carry it.
+    void keep_handover(running_move& move, std::string_view handover);
+    /// The new owner gets the keys without a handover.
+    void drop_handover(running_move& move, std::string_view problem);
     /// Logs why the old owner cannot hold the keys any more.
     void log_free_keys(const running_move& move, boot_time now);
     /// Time from which the old owner is guaranteed not to hold the keys, and no grant in transit
--- a/src/gateway/key_decider_moves.cpp
+++ b/src/gateway/key_decider_moves.cpp
@@ -7,6 +7,7 @@
 #include "key_decider_detail.hpp"
 #include "mimosavalve/core/error.hpp"
 #include "mimosavalve/gateway/peer_messages.hpp"
+#include "utf8.hpp"
 
 namespace mimosavalve::gateway {
 
@@ -179,7 +180,7 @@
                     continue;
                 }
                 released.released = true;
-                released.handover = handover;
+                keep_handover(released, handover);
                 released.not_before = free_at(released, core_.now());
                 // `next_attempt` delays only retries of the release, not the next phase.
                 released.next_attempt = {};
@@ -192,6 +193,26 @@
         }));
 }
 
+void key_decider::keep_handover(running_move& move, std::string_view handover) {
+    if (is_utf8(handover)) {
+        move.handover = handover;
+        return;
+    }
+    // A grant carries it in a JSON body. Without it the new owner works, only slower at first.
+    drop_handover(move, "not UTF-8");
+}
+
+void key_decider::drop_handover(running_move& move, std::string_view problem) {
+    move.handover.clear();
+    count(core_.metrics, "handovers_rejected");
+    core_.log.write_always("handover_rejected", {{"service", move.service},
+                                                 {"from", move.old_owner},
+                                                 {"to", move.keys.owner},
+                                                 {"first", std::int64_t{move.keys.first}},
+                                                 {"last", std::int64_t{move.keys.last}},
+                                                 {"problem", problem}});
+}
+
 void key_decider::log_free_keys(const running_move& move, boot_time now) {
     const auto& from = holds_of(move.old_owner);
     const auto ms_since = [now](boot_time at) {
--- a/tests/platform/odd_values_test.cpp
+++ b/tests/platform/odd_values_test.cpp
@@ -9,7 +9,10 @@
 #include "base64.hpp"
 #include "config_codec.hpp"
 #include "fleet_fixture.hpp"
+#include "mimosavalve/core/error.hpp"
+#include "mimosavalve/gateway/key_map.hpp"
 #include "mimosavalve/gateway/peer_messages.hpp"
+#include "store_client.hpp"
 #include "wire_names.hpp"
 
 using namespace mimosavalve;
@@ -165,3 +168,45 @@
         CHECK(fleet.request_and_wait(host, "/orders/x").status == 200);
     }
 }
+
+// One byte of a target's answer to a release ended the leader's process: the handover went into a
+// JSON body, whose encoder threw.
+TEST_CASE("a handover that is not UTF-8 ends no router, and the keys move [fleet]") {
+    platform::testing::fleet_fixture fleet;
+    fleet.add_default_targets();
+    fleet.put_config(3);
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        fleet.start_router(host);
+    }
+    REQUIRE(fleet.run_until_serving());
+    auto& leaving = *fleet.targets.at("k1");
+    leaving.handover =
+        "\xe8"
+        "andover-k1";
+    leaving.leaving = true;
+    fleet.write_store_entry(leaving);
+    const auto& successor = *fleet.targets.at("k2");
+    CHECK(fleet.run_until(
+        [&] { return successor.holds(0) && successor.holds(gateway::key_count - 1); }));
+    const auto leader = fleet.leader();
+    REQUIRE_FALSE(leader.empty());
+    CHECK(fleet.log_of(leader).find("handover_rejected") != std::string::npos);
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        CHECK_FALSE(fleet.has_ended(host));
+        CHECK(fleet.request_and_wait(host, "/status/x").status == 200);
+    }
+    CHECK(fleet.history.violations.empty());
+}
+
+TEST_CASE("a grant with a handover that is not UTF-8 is encoded [platform]") {
+    boost::asio::io_context context;
+    gateway::call_client calls(context);
+    const auto commands = platform::make_key_commands(calls, calls);
+    std::error_code outcome;
+    CHECK_NOTHROW(
+        commands.grant("127.0.0.1:1", {0, 1, "k1", 1, false, 1, 0}, gateway::milliseconds(1000),
+                       "\xe8", std::chrono::steady_clock::now() + std::chrono::seconds(1),
+                       [&](std::error_code error, const std::string&) { outcome = error; }));
+    context.run();
+    CHECK(outcome == errc::target_unreachable);
+}
--- a/tests/platform/target_standin.cpp
+++ b/tests/platform/target_standin.cpp
@@ -90,7 +90,8 @@
     } else if (path == wire::release_path) {
         release(body);
         internal_answer answer{ok, "application/json", "{}", {}};
-        answer.fields.push_back({wire::handover_header, "handover-" + options_.id});
+        answer.fields.push_back(
+            {wire::handover_header, handover.empty() ? "handover-" + options_.id : handover});
         respond(answer);
     } else {
         run_request(head, respond);
--- a/tests/platform/target_standin.hpp
+++ b/tests/platform/target_standin.hpp
@@ -54,6 +54,7 @@
     std::string request_limit;    ///< Limit that its answers name; empty: none.
     std::string refusal_pause;    ///< Pause that its refusals ask for, in s; empty: runs requests.
     std::uint32_t refusal_count = 0;
+    std::string handover;   ///< In its answers to releases; empty: a text with its id.
     bool silent = false;    ///< Answers nothing, like a host without power.
     std::string slow_path;  ///< Path of requests that run for `slow_work_time`; empty: none.
     gateway::milliseconds slow_work_time{10000};
