Repeat a grant whose handover was rejected without it

All four grants of a move carried the same handover, so the new owner got its keys only with the first renewal after them.

Test that failed before: handover_test, "a grant whose handover is rejected is repeated without it".

--- a/src/gateway/key_decider_moves.cpp
+++ b/src/gateway/key_decider_moves.cpp
@@ -346,6 +346,9 @@
                            continue;
                        }
                        moved.grant_in_flight = false;
+                       if (error == errc::malformed_message && !moved.handover.empty()) {
+                           drop_handover(moved, "rejected by the new owner");
+                       }
                        // A target that does not answer remains the recorded owner until the next
                        // plan finds that it is unresponsive.
                        if (!error || moved.attempts >= detail::max_grant_attempts ||
--- a/tests/gateway/handover_test.cpp
+++ b/tests/gateway/handover_test.cpp
@@ -19,8 +19,8 @@
     return map;
 }
 
-/// A fleet whose target "a" leaves, returns `handover` to releases, and whose successor "b" answers
-/// a grant with a handover in `rejected` with `errc::malformed_message`.
+/// A fleet whose target "a" leaves, returns `handover` to releases, and whose successor "b" rejects
+/// grants with the handover `rejected`.
 struct handover_fixture : decider_fixture {
     explicit handover_fixture(std::string handover, std::string rejected = "none") {
         add_target("a");
@@ -66,6 +66,18 @@
     CHECK(fleet.core.metrics.counters["handovers_rejected"] == 1);
 }
 
+// Each of the grants carried the handover that the new owner had rejected, so it got the keys only
+// with the renewal that follows the last one.
+TEST_CASE("a grant whose handover is rejected is repeated without it [decider]") {
+    handover_fixture fleet("unknown", "unknown");
+    const auto granted = fleet.granted_handovers();
+    REQUIRE(granted.size() >= 2);
+    CHECK(granted[0] == "unknown");
+    CHECK(granted[1].empty());
+    CHECK(fleet.owner_of(5) == "b");
+    CHECK(fleet.core.metrics.counters["handovers_rejected"] == 1);
+}
+
 TEST_CASE("text is UTF-8 only if each of its characters is whole [decider]") {
     for (const std::string text :
          {"", "5c0e7a21d94b36f8", "\x7f", "\xc3\xa9", "\xe2\x82\xac", "\xf0\x9f\x94\x91"}) {
