--- a/include/mimosavalve/gateway/platform_port.hpp
+++ b/include/mimosavalve/gateway/platform_port.hpp
@@ -65,6 +65,7 @@
     std::vector<store_item> items;
     std::uint64_t revision = 0;     ///< Revision of the store.
     bool has_more = false;          ///< There are more items than this page holds.
+    std::uint32_t skipped = 0;      ///< Items outside the prefix, or without a key, left out here.
     milliseconds transfer_time{0};  ///< From the first bytes of the answer to its end.
 };
 
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -402,6 +402,7 @@
                  if (error || fleet_.leading) {
                      return;
                  }
+                 record_skipped_items(core_, "list keys", items);
                  bool changed = false;
                  for (const auto& item : items.items) {
                      auto map = decode_key_map(item.value);
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -11,6 +11,14 @@
     fleet.store_responsive = good;
 }
 
+void record_skipped_items(router_core& core, std::string_view call, const store_items& items) {
+    if (items.skipped > 0) {
+        count(core.metrics, "store_items_skipped", items.skipped);
+        core.log.write("store_items_skipped",
+                       {{"call", call}, {"items", std::int64_t{items.skipped}}});
+    }
+}
+
 void record_store_era(router_core& core, fleet_state& fleet, std::uint64_t revision) {
     const auto era = store_era_of(revision);
     if (fleet.store_era && era <= *fleet.store_era) {
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -31,6 +31,9 @@
     placement_state placement;
 };
 
+/// Counts and logs the items that an answer of the store held although they were not asked for.
+void record_skipped_items(router_core& core, std::string_view call, const store_items& items);
+
 /// Records whether a call to the store was answered, and logs each change. `call` is for the log.
 void record_store_call(router_core& core, fleet_state& fleet, bool good, std::string_view call);
 
--- a/src/gateway/key_decider.cpp
+++ b/src/gateway/key_decider.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "control_timing.hpp"
+#include "fleet_state.hpp"
 #include "key_decider_detail.hpp"
 #include "mimosavalve/core/error.hpp"
 #include "mimosavalve/gateway/peer_messages.hpp"
@@ -139,6 +140,7 @@
                  if (error) {
                      return;  // `tick` retries.
                  }
+                 record_skipped_items(core_, "load records", items);
                  for (const auto& item : items.items) {
                      const auto name = item.key.substr(prefix.size());
                      auto& state = services_[name];
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -63,6 +63,7 @@
                                    ? detail::slow_read_time
                                    : detail::slow_read_time + detail::max_wait_for_changes;
     count(core_.metrics, error ? "registry_reads_failed" : "registry_reads");
+    record_skipped_items(core_, "read targets", items);
     if (error || now - began_at > expected_time) {
         core_.log.write_always("registry_read",
                                {{"kind", kind == read_kind::listing ? "listing" : "changes"},
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -105,6 +105,7 @@
 void store_follower::log_transfer(std::string_view call, const store_items& items) const {
     const auto bytes = detail::bytes_of(items);
     count(core_.metrics, "followed_item_bytes", bytes);
+    record_skipped_items(core_, call, items);
     if (items.transfer_time >= detail::slow_transfer_time) {
         core_.log.write_always("store_transfer",
                                {{"call", call},
--- a/src/gateway/store_listing.cpp
+++ b/src/gateway/store_listing.cpp
@@ -49,6 +49,7 @@
         all.revision = page.revision;
     }
     all.transfer_time += page.transfer_time;
+    all.skipped += page.skipped;
     std::move(page.items.begin(), page.items.end(), std::back_inserter(all.items));
     if (page.has_more) {
         request_page(std::move(running));
--- a/tests/platform/odd_values_test.cpp
+++ b/tests/platform/odd_values_test.cpp
@@ -210,3 +210,20 @@
     context.run();
     CHECK(outcome == errc::target_unreachable);
 }
+
+TEST_CASE("items that the store was not asked for end no router [fleet]") {
+    platform::testing::fleet_fixture fleet;
+    fleet.add_default_targets();
+    fleet.put_config(3);
+    fleet.store.adds_foreign_items = true;
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        fleet.start_router(host);
+    }
+    CHECK(fleet.run_until_serving());
+    fleet.write_store_entry(*fleet.targets.at("k1"));
+    fleet.run_for(std::chrono::seconds(1));
+    for (const auto* host : {"h1", "h2", "h3"}) {
+        CHECK_FALSE(fleet.has_ended(host));
+        CHECK(fleet.request_and_wait(host, "/orders/x").status == 200);
+    }
+}
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -189,3 +189,19 @@
     CHECK(fixture.list().items.items.front().lease != lease.number);
     CHECK(fixture.list().items.items.front().lease != 0);
 }
+
+// An item with a key that was shorter than the prefix ended the process that read it.
+TEST_CASE("items outside the prefix, and those without a key, are left out [platform]") {
+    store_fixture fixture;
+    fixture.standin.adds_foreign_items = true;
+    fixture.put("a/1", 0);
+    const auto listed = fixture.list();
+    REQUIRE(listed.items.items.size() == 1);
+    CHECK(listed.items.items[0].key == "a/1");
+    CHECK(listed.items.skipped == 2);
+    fixture.put("a/2", 0);
+    const auto watched = fixture.watch(listed.items.revision);
+    REQUIRE(watched.items.items.size() == 1);
+    CHECK(watched.items.items[0].key == "a/2");
+    CHECK(watched.items.skipped == 2);
+}
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -20,6 +20,12 @@
 constexpr unsigned precondition_failed = 412;
 constexpr unsigned unavailable = 503;
 
+/// Adds an item whose key is shorter than any prefix, and one without a key.
+void add_foreign_items(json& items) {
+    items.push_back({{"key", "x"}, {"value", "dg=="}, {"revision", 1}, {"createRev", 1}});
+    items.push_back({{"value", "dg=="}, {"revision", 1}, {"createRev", 1}});
+}
+
 internal_answer json_answer(unsigned status, const json& body) {
     return {status, "application/json", body.dump(), {}};
 }
@@ -219,6 +225,9 @@
         }
         items.push_back(to_json(key, item));
     }
+    if (adds_foreign_items) {
+        add_foreign_items(items);
+    }
     return json_answer(ok, {{"items", items}, {"hasMore", has_more}, {"asOf", contents_.revision}});
 }
 
@@ -234,6 +243,9 @@
                 ? json({{"key", change.key}, {"revision", change.item.revision}, {"deleted", true}})
                 : to_json(change.key, change.item));
     }
+    if (adds_foreign_items && !events.empty()) {
+        add_foreign_items(events);
+    }
     return events.empty() ? std::string()
                           : json({{"events", events}, {"asOf", contents_.revision}}).dump();
 }
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -49,6 +49,9 @@
 
     gateway::milliseconds answer_delay{0};  ///< Time between carrying out a call and answering it.
     std::size_t max_page_items = 500;       ///< Maximum number of items of one page.
+    /// Whether each page and each answer to a watch with changes also has an item outside the
+    /// prefix that was asked for, and one without a key.
+    bool adds_foreign_items = false;
     std::uint32_t unanswered_writes = 0;  ///< Number of next writes to carry out without an answer.
 
 private:
