Keep the process when a handler of the event loop throws

Change: the loop logs the exception (handler_failed), counts it and runs the other handlers. The state that the broken handler left behind may be unfinished, a move of keys without its answer for example, so a leader gives up its leadership: its successor begins with what the store holds.

--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -250,6 +250,12 @@
     transfer_leadership(now);
 }
 
+void fleet_control::on_failed_handler() {
+    if (fleet_.leading && !election_.is_resigning()) {
+        election_.resign("a handler has failed");
+    }
+}
+
 void fleet_control::transfer_leadership(boot_time now) {
     if (election_.is_resigning()) {
         return;
--- a/src/gateway/fleet_control.hpp
+++ b/src/gateway/fleet_control.hpp
@@ -24,6 +24,10 @@
     /// following.
     void stop();
 
+    /// A handler has ended midway, perhaps one of this leader's: gives the leadership up, since the
+    /// successor begins with what the store holds.
+    void on_failed_handler();
+
     /// Serve calls of other routers: a follower's report, and the announcement of a new leader.
     void serve_sync(const std::string& body, internal_server::respond respond);
     void serve_announcement(const std::string& body, const internal_server::respond& respond);
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "caller_session.hpp"
+#include "event_loop.hpp"
 #include "fleet_control.hpp"
 #include "internal_server.hpp"
 #include "mimosavalve/gateway/gateway_metrics.hpp"
@@ -119,7 +120,11 @@
         sweep();
         watch_settings();
         control_.start();
-        context_.run();
+        run_event_loop(context_, [this](const std::exception& error) {
+            count(core_.metrics, "handlers_failed");
+            log_.write("handler_failed", {{"error", error.what()}});
+            control_.on_failed_handler();
+        });
         log_.write_always(
             "stop",
             {{"host", settings.host},
