Do not pass on a status that promises more than its target states

In the users' measurement an order that its target had run and answered 421 was run a second time (TWICE).

Cause: the status of an answer and what it says of the run were two matters. An answer without the field "not run" counted as the result of a run, and was passed on with any status; 421 counted as "not run" whoever gave it; and an answer of more than 128 KiB was passed on before either was looked at, a refusal too. Evidence: the log's verdict of these requests was "ran", their status 503.

Change: one function (meaning_of) says what an answer's head means. 408, 421, 429 and 503 are refusals only if the target states that it has not run the request, or if another target, by its own id, answers 421 at the address: it runs nothing that is meant for its predecessor. Any other answer with such a status leaves it open whether the request has run: 502 at once with the verdict may-have-run, or, for an idempotent request without a key, another send within the route's number of sends and the retry budget. The same holds for long answers, and for those that came by way of a dispatcher. Idempotent requests count 421 as a refusal as before, since a second run does no harm and the next owner may serve them.

The product's own interface is not concerned: its answers carry the verdict, which is "ran" for such an answer.

--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -151,6 +151,15 @@
     void on_answer_end();
     void on_connection_lost(std::error_code error);
     void on_refusal();
+    /// The answer's status promises callers that the request has not run, which its target does not
+    /// state.
+    void on_unproven_refusal();
+    /// Ends the current send if its answer says that the request was not run: sends the request
+    /// once more, or gives the final answer.
+    bool end_if_refused();
+    /// The current send may have run: sends an idempotent request once more, else gives up.
+    /// `is_last_send`: no other target may get the request.
+    void retry_or_end_doubtful(bool is_last_send, std::string_view reason);
     /// Records the keys of the current send, and the owner to which it goes.
     void record_sent_keys();
     /// Records what an answer 421 contradicts: the target's address, or the owner of the key.
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -3,6 +3,7 @@
 #include <sstream>
 #include <utility>
 
+#include "answer_meaning.hpp"
 #include "exchange.hpp"
 #include "exchange_detail.hpp"
 #include "mimosavalve/core/error.hpp"
@@ -154,6 +155,10 @@
 void exchange::on_answer_body(std::string_view data) {
     answer_body_.append(data);
     received_answer_bytes_ += data.size();
+    const bool is_long = answer_body_.size() > detail::max_whole_answer_bytes;
+    if (!is_streaming_ && is_long && end_if_refused()) {
+        return;
+    }
     const bool is_signed = has_field(answer_, core_.platform.headers.signature);
     if (!is_streaming_ && should_stream_answer()) {
         if (!is_signed) {
@@ -185,8 +190,6 @@
 
 void exchange::on_answer_end() {
     const auto& names = core_.platform.headers;
-    const bool was_not_run =
-        has_field(answer_, names.not_run) || answer_.status == detail::status_misdirected;
     const bool success =
         answer_.status >= detail::status_ok && answer_.status < detail::status_multiple_choices;
     const auto own_verdict =
@@ -195,14 +198,17 @@
         // The dispatcher's own answer, which says whether the request may have run.
         const bool is_not_run = own_verdict == to_string(traffic_verdict::not_run);
         verdict_ = is_not_run ? earlier_sends_verdict_ : traffic_verdict::may_have_run;
-        if (!is_not_run || !retry_after_dispatcher(field_of(answer_, detail::reason_field))) {
-            answer_from_target();
+        if (is_not_run && retry_after_dispatcher(field_of(answer_, detail::reason_field))) {
+            return;
+        }
+        if (verdict_ != traffic_verdict::not_run && promises_not_run(answer_.status)) {
+            on_unproven_refusal();
+            return;
         }
+        answer_from_target();
         return;
     }
-    if (was_not_run && !is_streaming_) {
-        verdict_ = earlier_sends_verdict_;
-        on_refusal();
+    if (!is_streaming_ && end_if_refused()) {
         return;
     }
     // A target that was killed during an upload ends its connection in an orderly way if it had
--- a/src/gateway/exchange_retry.cpp
+++ b/src/gateway/exchange_retry.cpp
@@ -1,5 +1,8 @@
 // Requests that a target has refused or whose answer was lost: another send, or the final answer.
 
+#include <utility>
+
+#include "answer_meaning.hpp"
 #include "exchange.hpp"
 #include "exchange_detail.hpp"
 #include "mimosavalve/core/error.hpp"
@@ -36,6 +39,24 @@
                              core_.state.router_count, boot_clock::now());
 }
 
+bool exchange::end_if_refused() {
+    const auto meaning = meaning_of(answer_, core_.platform.headers,
+                                    dispatcher_.empty() ? target_id_ : std::string_view());
+    // Repeating an idempotent request does no harm, and 421 tells where its key is not.
+    const bool may_repeat =
+        answer_.status == detail::status_misdirected && is_idempotent(route_->kind);
+    if (meaning == answer_meaning::result) {
+        return false;
+    }
+    if (meaning == answer_meaning::refusal || may_repeat) {
+        verdict_ = earlier_sends_verdict_;
+        on_refusal();
+    } else {
+        on_unproven_refusal();
+    }
+    return true;
+}
+
 void exchange::on_refusal() {
     const auto failed_target_id = target_id_;
     const auto status = answer_.status;
@@ -97,27 +118,49 @@
         return;
     }
     if (has_sent) {
-        earlier_sends_verdict_ = traffic_verdict::may_have_run;
+        retry_or_end_doubtful(was_forwarded, was_forwarded ? "dispatcher-lost" : "target-lost");
+        return;
     }
     verdict_ = earlier_sends_verdict_;
-    // A dispatcher may have used all attempts of the request.
-    const bool can_retry = !has_sent || (!was_forwarded && is_idempotent(route_->kind) &&
-                                         attempts_ < route_->max_attempts);
-    if (can_retry && try_acquire_attempt(has_sent)) {
-        if (!has_sent) {
-            tried_targets_.push_back(failed_target_id);
-        }
-        if (is_keyed()) {
-            tried_targets_.clear();
-        }
-        dispatch();
+    if (!try_acquire_attempt(false)) {
+        give_up(was_forwarded ? "dispatcher-lost" : "target-unreachable");
         return;
     }
-    if (was_forwarded) {
-        give_up("dispatcher-lost");
-    } else {
-        give_up(has_sent ? "target-lost" : "target-unreachable");
+    tried_targets_.push_back(failed_target_id);
+    if (is_keyed()) {
+        tried_targets_.clear();
+    }
+    dispatch();
+}
+
+void exchange::on_unproven_refusal() {
+    const bool was_forwarded = !dispatcher_.empty();
+    count(core_.metrics, "unproven_refusals");
+    core_.log.write("unproven_refusal", {{"request", id_},
+                                         {"target", target_id_},
+                                         {"status", std::int64_t{answer_.status}},
+                                         {"age_ms", age_ms()},
+                                         {"sends", std::int64_t{attempts_}}});
+    if (answer_.status == detail::status_misdirected) {
+        record_contradiction();
     }
+    detach_from_target();
+    retry_or_end_doubtful(was_forwarded || is_keyed(), "unproven-refusal");
+}
+
+void exchange::retry_or_end_doubtful(bool is_last_send, std::string_view reason) {
+    earlier_sends_verdict_ = traffic_verdict::may_have_run;
+    verdict_ = earlier_sends_verdict_;
+    const bool may_retry =
+        !is_last_send && is_idempotent(route_->kind) && attempts_ < route_->max_attempts;
+    if (!may_retry || !try_acquire_attempt(true)) {
+        give_up(reason);
+        return;
+    }
+    if (is_keyed()) {
+        tried_targets_.clear();
+    }
+    dispatch();
 }
 
 }  // namespace mimosavalve::gateway
--- a/tests/gateway/dispatch_test.cpp
+++ b/tests/gateway/dispatch_test.cpp
@@ -5,9 +5,9 @@
 #include <deque>
 #include <random>
 
+#include "dispatched_path.hpp"
 #include "mimosavalve/gateway/admission.hpp"
 #include "mimosavalve/gateway/quota_plan.hpp"
-#include "path_fixture.hpp"
 
 using namespace mimosavalve::gateway;
 using namespace mimosavalve::gateway::testing;
@@ -222,20 +222,6 @@
     return next;
 }
 
-/// Path whose requests have a dispatcher: the scripted target plays it.
-struct dispatched_path : path_fixture {
-    explicit dispatched_path(request_kind kind) : path_fixture(kind) {
-        core.settings.host = "h1";
-        name(target.address());
-    }
-    void name(const std::string& address) {
-        apply_dispatchers(
-            core.state.dispatchers,
-            {{region_destination("orders", core.state.own_region), {{"h2", address}}}});
-        core.state.dispatchers.valid_until = boot_clock::now() + dispatch_validity;
-    }
-};
-
 }  // namespace
 
 // Requests waited behind slow targets while slots of others were idle, since each of many routers
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -676,7 +676,8 @@
     path_fixture path(request_kind::non_idempotent);
     path.make_target_owner();
     path.target.script = {
-        "HTTP/1.1 421 Misdirected\r\nRequest-Id: $ID\r\nContent-Length: 0\r\n\r\n"};
+        "HTTP/1.1 421 Misdirected\r\nRequest-Id: $ID\r\nNot-Run: 1\r\nContent-Length: "
+        "0\r\n\r\n"};
     path.send(
         "POST /7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nKey: 7\r\n"
         "Content-Length: 0\r\n\r\n");
