Pass on crashes from leader to leader

Cause: a router reports each lost connection once, and a leader announced only the requests that were already refused, so its successor began to count at zero.

Change: the leader announces the latest confirmed crashes, eight at most, and its successor begins with them. Routers keep the losses of the last 5 s, the time within which a crash can be confirmed, and report them again to a new leader; told twice, a loss counts once. A loss whose request has been answered is dropped.

Tests that fail with the change switched off: crash_watch_test, "a new leader counts the crashes that the former one had found" and "a crash that routers report again to a new leader counts once".

--- a/include/mimosavalve/gateway/crash_watch.hpp
+++ b/include/mimosavalve/gateway/crash_watch.hpp
@@ -26,11 +26,23 @@
     std::set<std::uint64_t> answered_suspects;  ///< Suspect requests that a target has answered.
 };
 
-/// Fingerprints of requests that the leader sends to the routers.
+/// Requests that were in flight at a target instance when it ended.
+struct confirmed_crash {
+    std::string target_instance;  ///< As returned by `instance_name`.
+    std::vector<std::uint64_t> fingerprints;
+    boot_time at;
+
+    bool operator==(const confirmed_crash&) const = default;
+};
+
+/// What the leader has found out and sends to the routers.
 struct crash_findings {
-    /// Requests that may have crashed targets; routers report when one of them is answered.
+    /// Fingerprints of requests that may have crashed targets; routers report when one of them is
+    /// answered.
     std::set<std::uint64_t> suspects;
-    std::set<std::uint64_t> quarantined;  ///< Routers refuse these.
+    std::set<std::uint64_t> quarantined;  ///< Fingerprints of requests that routers refuse.
+    /// Latest crashes, for the leader's successor.
+    std::vector<confirmed_crash> crashes{};
 
     bool operator==(const crash_findings&) const = default;
 };
@@ -43,6 +55,10 @@
 void record_lost_connection(crash_report& report, std::string target_instance,
                             std::uint64_t fingerprint, boot_time now);
 
+/// Adds the losses of a report to those that a router keeps for a new leader, and discards those
+/// that are too old to be confirmed, or whose request has been answered since.
+void keep_losses(std::vector<crash_report::loss>& kept, const crash_report& report, boot_time now);
+
 /// The leader's record of all routers' reports.
 struct crash_watch {
     traffic::quarantine quarantine;
@@ -55,8 +71,12 @@
     std::map<std::string, boot_time> known_instances;
 };
 
-/// State of a new leader: keeps the requests quarantined that the previous leader announced.
-crash_watch resume_crash_watch(const crash_findings& findings, boot_time now);
+/// State of a new leader: keeps the requests quarantined and the crashes that the previous leader
+/// announced. `targets`: those in its registry.
+crash_watch resume_crash_watch(
+    const crash_findings& findings,
+    const std::map<std::string, std::unique_ptr<target_state>, std::less<>>& targets,
+    boot_time now);
 
 /// Leader: adds a router's report.
 void add_report(crash_watch& watch, const crash_report& report, boot_time now);
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -18,11 +18,20 @@
 // stay unconfirmed and would not count for the quarantine of the request.
 constexpr milliseconds known_instance_expiry{10000};
 
+// Time for which a router repeats a loss to a new leader: later it cannot be confirmed.
+constexpr milliseconds loss_repetition{5000};
+// Number of crashes that the leader announces; a request is refused after its third one.
+constexpr std::size_t max_announced_crashes = 8;
+
 // The quarantine is shared with the router daemon, whose clock does not count suspended time.
 steady_time steady_of(boot_time time) {
     return steady_time(std::chrono::duration_cast<steady_time::duration>(time.time_since_epoch()));
 }
 
+boot_time boot_time_of(steady_time time) {
+    return boot_time(std::chrono::duration_cast<boot_clock::duration>(time.time_since_epoch()));
+}
+
 }  // namespace detail
 
 std::string instance_name(std::string_view target_id, std::uint64_t started_unix_ms) {
@@ -36,8 +45,26 @@
     }
 }
 
-crash_watch resume_crash_watch(const crash_findings& findings, boot_time now) {
+void keep_losses(std::vector<crash_report::loss>& kept, const crash_report& report, boot_time now) {
+    kept.insert(kept.end(), report.losses.begin(), report.losses.end());
+    std::erase_if(kept, [&](const auto& loss) {
+        return now - loss.at > detail::loss_repetition ||
+               report.answered_suspects.contains(loss.fingerprint);
+    });
+}
+
+crash_watch resume_crash_watch(
+    const crash_findings& findings,
+    const std::map<std::string, std::unique_ptr<target_state>, std::less<>>& targets,
+    boot_time now) {
     crash_watch watch;
+    for (const auto& crash : findings.crashes) {
+        watch.quarantine.losses.push_back(
+            {crash.target_instance, detail::steady_of(crash.at), crash.fingerprints, true});
+    }
+    for (const auto& [id, target] : targets) {
+        watch.known_instances[instance_name(id, target->entry.started_unix_ms)] = now;
+    }
     for (const auto fingerprint : findings.quarantined) {
         traffic::add_to_quarantine(watch.quarantine, fingerprint, detail::steady_of(now));
     }
@@ -93,6 +120,16 @@
             findings.quarantined.insert(held.fingerprint);
         }
     }
+    for (const auto& loss : quarantine.losses) {
+        if (loss.confirmed && !loss.fingerprints.empty()) {
+            findings.crashes.push_back(
+                {loss.target, loss.fingerprints, detail::boot_time_of(loss.lost_at)});
+        }
+    }
+    if (findings.crashes.size() > detail::max_announced_crashes) {
+        findings.crashes.erase(findings.crashes.begin(),
+                               findings.crashes.end() - detail::max_announced_crashes);
+    }
     return findings;
 }
 
--- a/src/gateway/peer_codec.cpp
+++ b/src/gateway/peer_codec.cpp
@@ -211,4 +211,22 @@
     return report;
 }
 
+json confirmed_crashes_to_json(const crash_findings& findings, boot_time now) {
+    json crashes = json::array();
+    for (const auto& crash : findings.crashes) {
+        crashes.push_back({crash.target_instance, crash.fingerprints,
+                           std::max<std::int64_t>(-milliseconds_until(crash.at, now), 0)});
+    }
+    return crashes;
+}
+
+std::vector<confirmed_crash> confirmed_crashes_from_json(const json& body, boot_time now) {
+    std::vector<confirmed_crash> crashes;
+    for (const auto& crash : body) {
+        crashes.push_back({crash.at(0), crash.at(1).get<std::vector<std::uint64_t>>(),
+                           now - milliseconds(crash.at(2).get<std::int64_t>())});
+    }
+    return crashes;
+}
+
 }  // namespace mimosavalve::gateway::detail
--- a/src/gateway/peer_codec.hpp
+++ b/src/gateway/peer_codec.hpp
@@ -34,5 +34,7 @@
 /// Times of losses are sent as ages.
 json crashes_to_json(const crash_report& report, boot_time now);
 crash_report crashes_from_json(const json& body, boot_time now);
+json confirmed_crashes_to_json(const crash_findings& findings, boot_time now);
+std::vector<confirmed_crash> confirmed_crashes_from_json(const json& body, boot_time now);
 
 }  // namespace mimosavalve::gateway::detail
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -155,7 +155,9 @@
         body["limit_shares"] = message.limit_shares;
     }
     if (message.crashes) {
-        body["crashes"] = {message.crashes->suspects, message.crashes->quarantined};
+        // Earlier versions of the program ignore further values.
+        body["crashes"] = {message.crashes->suspects, message.crashes->quarantined,
+                           detail::confirmed_crashes_to_json(*message.crashes, boot_clock::now())};
     }
     if (message.config) {
         body["config_update"] = detail::config_to_json(*message.config);
@@ -210,9 +212,14 @@
             out.work_ms = body.at("work_ms").get<std::map<std::string, double>>();
         }
         if (body.contains("crashes")) {
+            constexpr std::size_t confirmed_crashes_at = 2;
             const auto& crashes = body.at("crashes");
             out.crashes = {crashes.at(0).get<std::set<std::uint64_t>>(),
                            crashes.at(1).get<std::set<std::uint64_t>>()};
+            if (crashes.size() > confirmed_crashes_at) {
+                out.crashes->crashes = detail::confirmed_crashes_from_json(
+                    crashes.at(confirmed_crashes_at), boot_clock::now());
+            }
         }
         if (body.contains("config_update")) {
             out.config = detail::config_from_json(body.at("config_update"));
--- a/src/gateway/router_core.hpp
+++ b/src/gateway/router_core.hpp
@@ -47,7 +47,9 @@
     /// Requests by destination (see quota_allocation.hpp) since the last report.
     std::map<std::string, std::uint32_t> demand;
     loop_watch loop;
-    crash_report crashes;              ///< Observations about crashes since the last report.
+    crash_report crashes;  ///< Observations about crashes since the last report.
+    /// Reported losses that a new leader may not know yet.
+    std::vector<crash_report::loss> reported_losses;
     crash_findings announced_crashes;  ///< Findings that the leader last announced.
     std::map<std::string, std::vector<std::unique_ptr<target_link>>> idle_links;  ///< By target id.
     /// Mean time until the answer of forwarded requests, by service.
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -20,6 +20,7 @@
     out.key_loads = std::exchange(core.key_loads, {});
     out.demand = std::exchange(core.demand, {});
     out.crashes = std::exchange(core.crashes, {});
+    keep_losses(core.reported_losses, out.crashes, core.now());
     out.limits = reports_of(core.state.notices, core.now());
     out.misdirected = take_misdirected_reports(core.state.beliefs);
     out.moved = take_moved_reports(core.state.beliefs);
@@ -91,6 +92,9 @@
         out.map_numbers = followed_maps_;
     }
     collect_reports(core_, out);
+    if (!same_leader) {
+        out.crashes.losses = core_.reported_losses;
+    }
     return out;
 }
 
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -42,7 +42,8 @@
     // The demand and the routers become known within seconds; until then the dispatchers stay.
     dispatch_.named = taken_over(core_.state.dispatchers);
     overflow_.clear();
-    crash_watch_ = resume_crash_watch(core_.announced_crashes, core_.now());
+    crash_watch_ = resume_crash_watch(core_.announced_crashes, core_.state.targets, core_.now());
+    add_report(crash_watch_, {core_.reported_losses, {}, {}}, core_.now());
     registries_.restart();
     registries_.add(core_.state.registry);
     for (auto& [service, maps] : maps_) {
--- a/tests/gateway/crash_watch_test.cpp
+++ b/tests/gateway/crash_watch_test.cpp
@@ -114,16 +114,63 @@
     add_report(fleet.watch, report, start + seconds(1));
     fleet.lose("t3", 7, start + seconds(2));
     fleet.restart("t3");
-    CHECK(find_crashes(fleet.watch, fleet.targets, start + seconds(3)) == crash_findings{});
+    const auto findings = find_crashes(fleet.watch, fleet.targets, start + seconds(3));
+    // Only the crash since then counts.
+    CHECK(findings == crash_findings{{}, {}, {{instance_name("t3", 1), {7}, start + seconds(2)}}});
 }
 
 TEST_CASE(
     "a new leader keeps the requests quarantined that the former one quarantined [crash_watch]") {
     watched_fleet fleet;
-    fleet.watch = resume_crash_watch({{8}, {7}}, start);
+    fleet.watch = resume_crash_watch({{8}, {7}}, fleet.targets, start);
     CHECK(find_crashes(fleet.watch, fleet.targets, start + seconds(1)) == crash_findings{{}, {7}});
 }
 
+// Guards against a request that crashes two more targets after each change of the leader.
+TEST_CASE("a new leader counts the crashes that the former one had found [crash_watch]") {
+    watched_fleet fleet;
+    for (const auto* id : {"t1", "t2"}) {
+        fleet.lose(id, 7, start);
+        fleet.restart(id);
+    }
+    const auto announced = find_crashes(fleet.watch, fleet.targets, start + seconds(1));
+    REQUIRE(announced.quarantined.empty());
+    fleet.watch = resume_crash_watch(announced, fleet.targets, start + seconds(2));
+    auto found = find_crashes(fleet.watch, fleet.targets, start + seconds(2));
+    CHECK(found.quarantined.empty());
+    CHECK(found.suspects == std::set<std::uint64_t>{7});
+    fleet.lose("t3", 7, start + seconds(3));
+    fleet.restart("t3");
+    found = find_crashes(fleet.watch, fleet.targets, start + seconds(4));
+    CHECK(found.quarantined == std::set<std::uint64_t>{7});
+}
+
+// Guards against a crash that is forgotten because the leader to which it was reported ended.
+TEST_CASE("a crash that routers report again to a new leader counts once [crash_watch]") {
+    watched_fleet fleet;
+    fleet.watch = resume_crash_watch({}, fleet.targets, start);
+    std::vector<crash_report::loss> kept;
+    for (const auto* id : {"t1", "t2"}) {
+        crash_report report;
+        record_lost_connection(report, instance_name(id, 1), 7, start);
+        keep_losses(kept, report, start);
+        fleet.restart(id);
+    }
+    // Two routers have seen the same crashes, and one of them repeats its report.
+    for (int report = 0; report < 3; ++report) {
+        add_report(fleet.watch, {kept, {}, {}}, start + milliseconds(300 * report));
+    }
+    const auto found = find_crashes(fleet.watch, fleet.targets, start + seconds(1));
+    CHECK(found.suspects == std::set<std::uint64_t>{7});
+    CHECK(found.quarantined.empty());
+    CHECK(found.crashes.size() == 2);
+    auto later = kept;
+    keep_losses(later, {{}, {}, {7}}, start + seconds(1));
+    CHECK(later.empty());
+    keep_losses(kept, {}, start + seconds(6));
+    CHECK(kept.empty());
+}
+
 TEST_CASE("reports and findings of crashes are decoded as they were encoded [crash_watch]") {
     sync_request request;
     record_lost_connection(request.crashes, "t1@1", 7, boot_clock::now() - milliseconds(300));
@@ -141,4 +188,12 @@
     CHECK_FALSE(decode_sync_reply(encode(reply))->crashes);
     reply.crashes = {{7}, {8}};
     CHECK(decode_sync_reply(encode(reply))->crashes == reply.crashes);
+    reply.crashes->crashes = {{"t1@1", {7, 9}, boot_clock::now() - milliseconds(300)}};
+    const auto announced = decode_sync_reply(encode(reply))->crashes;
+    REQUIRE(announced);
+    REQUIRE(announced->crashes.size() == 1);
+    CHECK(announced->crashes[0].target_instance == "t1@1");
+    CHECK(announced->crashes[0].fingerprints == std::vector<std::uint64_t>{7, 9});
+    CHECK(announced->crashes[0].at <= boot_clock::now() - milliseconds(299));
+    CHECK(announced->crashes[0].at >= boot_clock::now() - milliseconds(1300));
 }
