Note what a forwarded answer says of its target

Cause: a router notes what the head of an answer says only of the target that it has sent the request to. For a forwarded request that is the dispatcher. Evidence: target_notice in the dispatcher's log only.

Change: a dispatcher names the target instance in the answers that it passes on (Mimosavalve-Target), and the router that forwarded the request notes load, limit, pause and leaving of that instance. The field does not reach callers, and one that a target sends is left out.

Tests that failed before: forwarded_answer_test, "what a target says in an answer from a dispatcher is noted" and "a dispatcher names the target that has answered".

--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -173,6 +173,9 @@
     [[nodiscard]] target_state* current_target() const;
     /// The same, but also null if its state was replaced since it has counted the request.
     [[nodiscard]] target_state* counting_target() const;
+    /// Target that has answered, perhaps by way of a dispatcher; null if the router does not know
+    /// this instance.
+    [[nodiscard]] target_state* answering_target() const;
     /// Whether the whole request was written to the current link.
     [[nodiscard]] bool is_request_written() const;
     void detach_from_target();
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -84,9 +84,21 @@
     core_.wake_waiting();
 }
 
+target_state* exchange::answering_target() const {
+    if (dispatcher_.empty()) {
+        return current_target();
+    }
+    const auto instance = field_of(answer_, detail::answered_by_field);
+    const auto found = core_.state.targets.find(instance.substr(0, instance.rfind('@')));
+    return found != core_.state.targets.end() &&
+                   instance_name(found->first, found->second->entry.started_unix_ms) == instance
+               ? found->second.get()
+               : nullptr;
+}
+
 void exchange::on_answer_head(const message_head& head) {
     answer_ = head;
-    if (auto* target = current_target(); target != nullptr) {
+    if (auto* target = answering_target(); target != nullptr) {
         const auto load = core_.platform.decode_load(field_of(head, core_.platform.headers.load));
         if (load) {
             record_load(*target, *load, boot_clock::now());
@@ -292,10 +304,14 @@
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
     text.append(reason_phrase(head.status)).append("\r\n");
     for (const auto& field : head.fields) {
-        if (!is_hop_by_hop(head, field.name)) {
+        if (!is_hop_by_hop(head, field.name) &&
+            !detail::equals_ignoring_case(field.name, detail::answered_by_field)) {
             append_field(text, field.name, field.value);
         }
     }
+    if (is_forwarded_ && !target_id_.empty()) {
+        append_field(text, detail::answered_by_field, instance_name(target_id_, target_instance_));
+    }
     if (length) {
         append_field(text, "Content-Length", std::to_string(*length));
     } else {
--- a/src/gateway/exchange_detail.hpp
+++ b/src/gateway/exchange_detail.hpp
@@ -26,10 +26,14 @@
 /// since that router received the request.
 inline constexpr std::string_view forwarded_service_field = "Mimosavalve-Service";
 inline constexpr std::string_view forwarded_age_field = "Mimosavalve-Age";
+/// Field of a dispatcher's answer: the target instance (`instance_name`) that has answered.
+inline constexpr std::string_view answered_by_field = "Mimosavalve-Target";
 /// Reason and verdict of a router's own answer.
 inline constexpr std::string_view reason_field = "Mimosavalve-Reason";
 inline constexpr std::string_view verdict_field = "Mimosavalve-Verdict";
 
+bool equals_ignoring_case(std::string_view left, std::string_view right);
+
 /// Decimal number of a header field; nothing if `text` is anything else.
 std::optional<std::uint32_t> parse_number(std::string_view text);
 
