Tell all routers of targets that leave

The leader heard of it from each router that had such an answer, and kept it to itself, so the other routers sent on to the target until each had asked it once.

Change: the leader's replies name the targets that have said to any router that they leave, as long as their entries do not say so. Routers report, by the same rule, only what the store does not show, so nothing is sent while the store is up for longer than it takes to read it.

Test, of the new field: sync_server_test, "what one router hears of a leaving target reaches the others".

--- a/include/mimosavalve/gateway/peer_messages.hpp
+++ b/include/mimosavalve/gateway/peer_messages.hpp
@@ -108,6 +108,8 @@
     /// Requests per second allotted to the router, by limited target; negative: the limit has
     /// ended.
     std::map<std::string, double> limit_shares;
+    /// Targets that have said to any router that they leave, with the start of the instance.
+    std::map<std::string, std::uint64_t> leaving;
     double top_capacity = 0;  ///< Largest capacity of the fleet's hosts, in cores; 0: not known.
     std::string successor;    ///< Host that is to lead next; empty: no transfer is in progress.
     /// Dispatchers that are named, if they have changed.
--- a/include/mimosavalve/gateway/target_table.hpp
+++ b/include/mimosavalve/gateway/target_table.hpp
@@ -106,6 +106,13 @@
 /// What a target's present instance has said; forgets what an earlier one said.
 target_notice& notice_of(routing_state& state, const target_state& target);
 
+/// Targets that have said that they leave, though their entries do not say so; with the start of
+/// the instance, in Unix ms, by id.
+std::map<std::string, std::uint64_t> unregistered_leavers(const routing_state& state);
+/// Notes targets that have said so to another router. Returns the ids of those that are news.
+std::vector<std::string> add_leavers(routing_state& state,
+                                     const std::map<std::string, std::uint64_t>& leavers);
+
 /// Time until the target's present instance wants requests again, rounded up; 0: it has asked for
 /// no pause.
 milliseconds pause_left(const routing_state& state, const target_state& target, boot_time now);
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -154,6 +154,9 @@
     if (!message.limit_shares.empty()) {
         body["limit_shares"] = message.limit_shares;
     }
+    if (!message.leaving.empty()) {
+        body["leaving"] = message.leaving;
+    }
     if (message.crashes) {
         // Earlier versions of the program ignore further values.
         body["crashes"] = {message.crashes->suspects, message.crashes->quarantined,
@@ -225,6 +228,9 @@
             out.config = detail::config_from_json(body.at("config_update"));
         }
         out.config_source = body.value("config_source", "");
+        if (body.contains("leaving")) {
+            out.leaving = body.at("leaving").get<std::map<std::string, std::uint64_t>>();
+        }
         if (body.contains("limit_shares")) {
             out.limit_shares = body.at("limit_shares").get<std::map<std::string, double>>();
         }
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -24,11 +24,7 @@
     out.limits = reports_of(core.state.notices, core.now());
     out.misdirected = take_misdirected_reports(core.state.beliefs);
     out.moved = take_moved_reports(core.state.beliefs);
-    for (const auto& [id, known] : core.state.notices) {
-        if (known.leaving) {
-            out.leaving.emplace(id, known.started_unix_ms);
-        }
-    }
+    out.leaving = unregistered_leavers(core.state);
     for (auto& [id, target] : core.state.targets) {
         if (std::exchange(target->answered, false)) {
             out.work[id] = {std::exchange(target->work_samples, 0),
@@ -37,6 +33,13 @@
     }
 }
 
+void record_leavers(router_core& core, const std::map<std::string, std::uint64_t>& leavers,
+                    std::string_view from) {
+    for (const auto& id : add_leavers(core.state, leavers)) {
+        core.log.write("target_leaves", {{"target", id}, {"from", from}});
+    }
+}
+
 void apply_limit_shares(routing_state& state, const std::map<std::string, double>& shares,
                         boot_time sent_at) {
     for (const auto& [id, share] : shares) {
@@ -149,6 +152,7 @@
     known_at_ = std::max(known_at_,
                          sent_at + milliseconds(reply.held_ms) - milliseconds(reply.store_age_ms));
     apply_limit_shares(core_.state, reply.limit_shares, sent_at);
+    record_leavers(core_, reply.leaving, fleet_.leader.host);
     heard_at_ = std::max(heard_at_, sent_at + milliseconds(reply.held_ms));
     core_.state.registry_known_at = std::max(core_.state.registry_known_at, known_at_);
     followed_epoch_ = reply.epoch;
--- a/src/gateway/sync_client.hpp
+++ b/src/gateway/sync_client.hpp
@@ -9,6 +9,10 @@
 
 /// Moves this router's reports since the last call into `out`.
 void collect_reports(router_core& core, sync_request& out);
+/// Notes and logs targets that leave, as another router (`from`) has told, with the start of the
+/// instance by id.
+void record_leavers(router_core& core, const std::map<std::string, std::uint64_t>& leavers,
+                    std::string_view from);
 
 /// Applies the shares of request limits that the leader has allotted to this router.
 void apply_limit_shares(routing_state& state, const std::map<std::string, double>& shares,
--- a/src/gateway/sync_server.cpp
+++ b/src/gateway/sync_server.cpp
@@ -275,13 +275,7 @@
     for (const auto& [id, limit] : request.limits) {
         record_report(limits_, id, limit, now);
     }
-    for (const auto& [id, started_unix_ms] : request.leaving) {
-        const auto target = core_.state.targets.find(id);
-        if (target != core_.state.targets.end() &&
-            target->second->entry.started_unix_ms == started_unix_ms) {
-            notice_of(core_.state, *target->second).leaving = true;
-        }
-    }
+    record_leavers(core_, request.leaving, host);
     for (const auto& [id, report] : request.work) {
         const auto found = core_.state.targets.find(id);
         if (found == core_.state.targets.end()) {
--- a/src/gateway/sync_server_reply.cpp
+++ b/src/gateway/sync_server_reply.cpp
@@ -137,6 +137,7 @@
     caller.limit_shares = limit_shares == limit_shares_.end() ? std::map<std::string, double>()
                                                               : limit_shares->second;
     reply.limit_shares = caller.limit_shares;
+    reply.leaving = unregistered_leavers(core_.state);
     add_work(reply, caller);
     add_crashes(reply, caller);
     // The leader shares the limits as well; its own rank is 0.
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -92,6 +92,32 @@
     return known;
 }
 
+std::map<std::string, std::uint64_t> unregistered_leavers(const routing_state& state) {
+    std::map<std::string, std::uint64_t> leavers;
+    for (const auto& [id, known] : state.notices) {
+        const auto target = state.targets.find(id);
+        const bool is_registered = target != state.targets.end() && target->second->entry.leaving;
+        if (known.leaving && !is_registered) {
+            leavers.emplace(id, known.started_unix_ms);
+        }
+    }
+    return leavers;
+}
+
+std::vector<std::string> add_leavers(routing_state& state,
+                                     const std::map<std::string, std::uint64_t>& leavers) {
+    std::vector<std::string> news;
+    for (const auto& [id, started_unix_ms] : leavers) {
+        const auto target = state.targets.find(id);
+        if (target != state.targets.end() &&
+            target->second->entry.started_unix_ms == started_unix_ms &&
+            !std::exchange(notice_of(state, *target->second).leaving, true)) {
+            news.push_back(id);
+        }
+    }
+    return news;
+}
+
 void record_send(target_state& target, boot_time now) {
     ++target.running;
     target.sent_at = now;
--- a/tests/gateway/sync_server_test.cpp
+++ b/tests/gateway/sync_server_test.cpp
@@ -47,10 +47,12 @@
         request.address = "10.0.0.1:" + std::to_string(1000 + number);
         request.failure_domain = number % 2 == 0 ? "north-a" : "south-a";
         request.store_lost = lost_store.contains(number);
+        request.leaving = leavers[number];
         server.serve(encode(request), [this, number](const internal_answer& answer) {
             const auto reply = decode_sync_reply(answer.body);
             REQUIRE(reply);
             received[number] = reply->registry_number;
+            announced_leavers[number] = reply->leaving;
             if (reply->config) {
                 got_config.push_back(number);
             }
@@ -118,7 +120,10 @@
     std::map<int, std::string> sources;     ///< Routers from which followers get a configuration.
     std::map<int, std::uint64_t> versions;  ///< Configurations of the followers.
     std::set<int> lost_store;               ///< Followers that cannot reach the store.
-    std::vector<int> got_config;            ///< Followers that were sent the configuration.
+    /// Leaving targets that a follower reports, and those that it was last told of.
+    std::map<int, std::map<std::string, std::uint64_t>> leavers;
+    std::map<int, std::map<std::string, std::uint64_t>> announced_leavers;
+    std::vector<int> got_config;  ///< Followers that were sent the configuration.
     fleet_state fleet;
     sync_server server;
     std::map<int, std::uint64_t> received;  ///< Numbers of the registries of the followers.
@@ -377,3 +382,42 @@
     call(known);
     CHECK(last->overflow);
 }
+
+// A router that had not heard a leaving target itself sent it requests while the store was away.
+TEST_CASE("what one router hears of a leaving target reaches the others [sync_server]") {
+    server_fixture leader;
+    leader.change_targets(5);
+    update_targets(leader.core.state, leader.now);
+    leader.begin_following();
+    // The second one was said by an earlier instance.
+    leader.leavers[3] = {{"t7", 5}, {"t8", 4}};
+    leader.call(3);
+    const auto run_replies = [&] {
+        for (int round = 0; round < 20; ++round) {
+            leader.advance(milliseconds(50));
+        }
+        for (int number = 0; number < followers; ++number) {
+            leader.call(number);
+        }
+    };
+    run_replies();
+    run_replies();
+    const std::map<std::string, std::uint64_t> expected{{"t7", 5}};
+    CHECK(leader.announced_leavers[3] == expected);
+    CHECK(leader.announced_leavers[10] == expected);
+
+    routing_state follower;
+    follower.registry = leader.core.state.registry;
+    update_targets(follower, leader.now);
+    CHECK(add_leavers(follower, leader.announced_leavers[10]) == std::vector<std::string>{"t7"});
+    CHECK(add_leavers(follower, leader.announced_leavers[10]).empty());
+    CHECK_FALSE(can_send_to(follower, *follower.targets.at("t7"), leader.now));
+    CHECK(can_send_to(follower, *follower.targets.at("t8"), leader.now));
+
+    // Once its entry says so, all routers know it from the registry.
+    leader.core.state.registry.targets.at("t7").leaving = true;
+    update_targets(leader.core.state, leader.now);
+    run_replies();
+    run_replies();
+    CHECK(leader.announced_leavers[10].empty());
+}
