--- a/tests/gateway/handover_test.cpp
+++ b/tests/gateway/handover_test.cpp
@@ -22,7 +22,7 @@
 /// A fleet whose target "a" leaves, returns `handover` to releases, and whose successor "b" rejects
 /// grants with the handover `rejected`.
 struct handover_fixture : decider_fixture {
-    explicit handover_fixture(std::string handover, std::string rejected = "none") {
+    explicit handover_fixture(const std::string& handover, const std::string& rejected = "none") {
         add_target("a");
         add_target("b");
         record(owned_by_a());
