End a listing whose pages do not advance

Test, which does not end without the change within its 100 pages: store_listing_test, "a listing whose pages do not advance fails".

--- a/src/gateway/store_listing.cpp
+++ b/src/gateway/store_listing.cpp
@@ -33,7 +33,10 @@
 }
 
 void on_page(std::unique_ptr<listing> running, std::error_code error, store_items page) {
-    if (!error && page.has_more && page.items.empty()) {
+    const auto& known = running->items.items;
+    const bool advances =
+        !page.items.empty() && (known.empty() || page.items.back().key > known.back().key);
+    if (!error && page.has_more && !advances) {
         error = make_error_code(errc::malformed_message);  // The listing would never end.
     }
     if (error) {
--- a/tests/gateway/store_listing_test.cpp
+++ b/tests/gateway/store_listing_test.cpp
@@ -101,3 +101,19 @@
     CHECK(result.error == errc::history_lost);
     CHECK(result.items.items.empty());
 }
+
+// A store that answered each call with the same page kept its reader listing for ever.
+TEST_CASE("a listing whose pages do not advance fails [store_listing]") {
+    metadata_store store;
+    int calls = 0;
+    store.list = [&](const std::string&, const std::string&, call_deadline,
+                     const metadata_store::items_handler& done) {
+        store_items page;
+        page.items.push_back({"a/1", "v", 7, 7, 0});
+        page.has_more = ++calls < 100;
+        done({}, page);
+    };
+    const auto listed = list_from(store);
+    CHECK(listed.error == errc::malformed_message);
+    CHECK(calls == 2);
+}
