Do not refuse a look-up as not run after a 421 without a proof

Change: the send counts as one that may have run; the request is still sent again, and its final answer promises nothing.

Test: promise_test, "a look-up that gets 421 without a proof is not refused as not run".

--- a/src/gateway/exchange_retry.cpp
+++ b/src/gateway/exchange_retry.cpp
@@ -49,6 +49,9 @@
         return false;
     }
     if (meaning == answer_meaning::refusal || may_repeat) {
+        if (meaning != answer_meaning::refusal) {
+            earlier_sends_verdict_ = traffic_verdict::may_have_run;
+        }
         verdict_ = earlier_sends_verdict_;
         on_refusal();
     } else {
--- a/tests/gateway/promise_test.cpp
+++ b/tests/gateway/promise_test.cpp
@@ -126,6 +126,16 @@
     CHECK(path.target.received.size() == 2);
 }
 
+// A look-up that may have run was refused as one that has not.
+TEST_CASE("a look-up that gets 421 without a proof is not refused as not run [promise]") {
+    path_fixture path(request_kind::idempotent);
+    add_targets(path, {"t2"});
+    path.target.script = {signed_answer("421"), full_refusal};
+    path.get("r1");
+    check_promises_nothing(path.receive("\r\n\r\n"));
+    CHECK(path.target.received.size() == 2);
+}
+
 TEST_CASE("other failures of targets are passed on unchanged [promise]") {
     for (const std::string status : {"400", "404", "500", "502", "504"}) {
         CAPTURE(status);
