Log what cannot be decoded

Unreadable messages of routers, entries of targets and loads in answers, and releases that failed, were counted at most. Each has a log line now, within the rate limit of the log.

--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -102,6 +102,12 @@
         const auto load = core_.platform.decode_load(field_of(head, core_.platform.headers.load));
         if (load) {
             record_load(*target, *load, boot_clock::now());
+        } else if (has_field(head, core_.platform.headers.load)) {
+            count(core_.metrics, "odd_loads");
+            core_.log.write("load_unreadable",
+                            {{"request", id_},
+                             {"target", target->entry.id},
+                             {"load", field_of(head, core_.platform.headers.load)}});
         }
         record_notice(*target);
     }
--- a/src/gateway/fleet_control.cpp
+++ b/src/gateway/fleet_control.cpp
@@ -214,6 +214,9 @@
                     if (update) {
                         operators_.apply_update(*update, address);
                     } else {
+                        if (!error && answer.head.status == ok) {
+                            record_unreadable_message(core_, "config", answer.body);
+                        }
                         core_.log.write_always("config_not_received",
                                                {{"from", address}, {"error", error.message()}});
                     }
@@ -226,6 +229,7 @@
     constexpr unsigned unavailable = 503;
     const auto version = decode_config_request(body);
     if (!version) {
+        record_unreadable_message(core_, "config call", body);
         respond({bad_request, "text/plain", "", {}});
     } else if (*version >= core_.state.config.version) {
         respond({unavailable, "text/plain", "", {}});
@@ -323,6 +327,8 @@
     const auto announcement = decode_leader_identity(body);
     if (announcement) {
         election_.on_announcement(*announcement);
+    } else {
+        record_unreadable_message(core_, "announcement", body);
     }
     respond({announcement ? ok : bad_request, "text/plain", "", {}});
 }
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -11,6 +11,12 @@
     fleet.store_responsive = good;
 }
 
+void record_unreadable_message(router_core& core, std::string_view kind, std::string_view message) {
+    count(core.metrics, "unreadable_messages");
+    core.log.write("message_unreadable",
+                   {{"kind", kind}, {"bytes", static_cast<std::int64_t>(message.size())}});
+}
+
 void record_skipped_items(router_core& core, std::string_view call, const store_items& items) {
     if (items.skipped > 0) {
         count(core.metrics, "store_items_skipped", items.skipped);
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -31,6 +31,10 @@
     placement_state placement;
 };
 
+/// Counts and logs a message of another router that could not be decoded, and is not used. `kind`
+/// is for the log.
+void record_unreadable_message(router_core& core, std::string_view kind, std::string_view message);
+
 /// Counts and logs the items that an answer of the store held although they were not asked for.
 void record_skipped_items(router_core& core, std::string_view call, const store_items& items);
 
--- a/src/gateway/key_decider_moves.cpp
+++ b/src/gateway/key_decider_moves.cpp
@@ -175,6 +175,11 @@
                     continue;
                 }
                 released.release_in_flight = false;
+                if (error) {
+                    core_.log.write("release_failed", {{"service", service},
+                                                       {"target", released.old_owner},
+                                                       {"error", error.message()}});
+                }
                 // The hold may have ended while the owner did not answer.
                 if (error || released.phase != move_phase::releasing) {
                     continue;
--- a/src/gateway/registry_reader.cpp
+++ b/src/gateway/registry_reader.cpp
@@ -128,6 +128,13 @@
     auto entry = core_.platform.decode_target(id, item.value);
     if (!entry) {
         count(core_.metrics, "registry_entries_ignored");
+        // Each listing returns the entry again.
+        if (item.revision > core_.state.registry.revision) {
+            core_.log.write("registry_entry_ignored",
+                            {{"target", id},
+                             {"bytes", static_cast<std::int64_t>(item.value.size())},
+                             {"revision", static_cast<std::int64_t>(item.revision)}});
+        }
         return entry;
     }
     set_cold_deadline(*entry, core_.now());
--- a/src/gateway/sync_client.cpp
+++ b/src/gateway/sync_client.cpp
@@ -126,6 +126,9 @@
     count(core_.metrics, "sync_bytes_received", answer.body.size());
     const auto reply =
         !error && answer.head.status == ok ? decode_sync_reply(answer.body) : std::nullopt;
+    if (!reply && !error && answer.head.status == ok) {
+        record_unreadable_message(core_, "sync reply", answer.body);
+    }
     if (!reply || reply->epoch != epoch) {
         ++failures_;
         if (failures_ == detail::failures_to_log) {
--- a/src/gateway/sync_server_calls.cpp
+++ b/src/gateway/sync_server_calls.cpp
@@ -70,6 +70,7 @@
     constexpr unsigned unavailable = 503;
     auto request = decode_sync_request(call.body);
     if (!request) {
+        record_unreadable_message(core_, "sync call", call.body);
         call.respond({bad_request, "text/plain", "", {}});
         return;
     }
--- a/tests/platform/odd_values_test.cpp
+++ b/tests/platform/odd_values_test.cpp
@@ -163,6 +163,9 @@
     REQUIRE(fleet.run_until_serving());
     fleet.store.put(prefix + "odd-5", R"({"service":"orders","slots":1e300})");
     fleet.run_for(std::chrono::seconds(2));
+    const auto log = fleet.log_of(fleet.leader());
+    CHECK(log.find("registry_entry_ignored") != std::string::npos);
+    CHECK(log.find("odd-5") != std::string::npos);
     for (const auto* host : {"h1", "h2", "h3"}) {
         CHECK_FALSE(fleet.has_ended(host));
         CHECK(fleet.request_and_wait(host, "/orders/x").status == 200);
