Log bytes that belong to no request

A target's answer to another request, bytes after an answer, and what is no request at an internal port were dropped without a line in the log. They are counted and logged now, within the rate limit of the log; what becomes of them is unchanged.

Tests: path_test, "an answer to another request is discarded" and "bytes after an answer are discarded with their connection"; call_client_test, "a connection that sends no request is closed and reported".

--- a/include/mimosavalve/gateway/target_link.hpp
+++ b/include/mimosavalve/gateway/target_link.hpp
@@ -23,6 +23,8 @@
         /// The connection ended, or the received bytes are not a valid answer.
         std::function<void(std::error_code)> lost;
         std::function<void()> drained;  ///< The output queue has become empty.
+        /// Bytes that belong to no request were discarded; `what` says which.
+        std::function<void(std::string_view what)> discarded;
     };
 
     target_link(std::unique_ptr<stream> connection, std::string request_id_header);
@@ -64,6 +66,7 @@
     void read();
     void start_parser();
     void fail(std::error_code error);
+    void report_discarded(std::string_view what);
 
     std::unique_ptr<stream> connection_;
     std::string request_id_header_;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -289,6 +289,11 @@
     handlers.head = [this](const message_head& head) { on_answer_head(head); };
     handlers.body = [this](std::string_view data) { on_answer_body(data); };
     handlers.done = [this] { on_answer_end(); };
+    handlers.discarded = [this](std::string_view what) {
+        count(core_.metrics, "target_bytes_discarded");
+        core_.log.write("target_bytes_discarded",
+                        {{"request", id_}, {"target", target_id_}, {"what", what}});
+    };
     handlers.lost = [this](std::error_code error) { on_connection_lost(error); };
     handlers.drained = [this] {
         send_body();
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -107,12 +107,13 @@
                                    internal_server::respond respond) {
             serve_internal(head, body, std::move(respond));
         };
-        ready_server_ =
-            std::make_unique<internal_server>(context_, endpoint(settings.ready_address), handle);
-        peer_server_ =
-            std::make_unique<internal_server>(context_, endpoint(settings.peer_address), handle);
-        metrics_server_ =
-            std::make_unique<internal_server>(context_, endpoint(settings.metrics_address), handle);
+        const auto on_malformed = [this] { record_unreadable_message(core_, "http request", {}); };
+        ready_server_ = std::make_unique<internal_server>(
+            context_, endpoint(settings.ready_address), handle, on_malformed);
+        peer_server_ = std::make_unique<internal_server>(context_, endpoint(settings.peer_address),
+                                                         handle, on_malformed);
+        metrics_server_ = std::make_unique<internal_server>(
+            context_, endpoint(settings.metrics_address), handle, on_malformed);
         log_.write_always("start", {{"host", settings.host},
                                     {"failure_domain", settings.failure_domain},
                                     {"callers", settings.caller_address}});
--- a/src/gateway/internal_server.cpp
+++ b/src/gateway/internal_server.cpp
@@ -71,8 +71,8 @@
 };
 
 internal_server::internal_server(boost::asio::io_context& context, const tcp::endpoint& address,
-                                 handler handle)
-    : context_(context), handle_(std::move(handle)) {
+                                 handler handle, std::function<void()> on_malformed)
+    : context_(context), handle_(std::move(handle)), on_malformed_(std::move(on_malformed)) {
     listener_ = std::make_unique<listener>(
         context, address,
         [this](std::unique_ptr<stream> connection) { add_session(std::move(connection)); });
@@ -123,6 +123,9 @@
     const auto fed = from.parser->feed(from.input);
     from.input.erase(0, fed.consumed);
     if (fed.error != parse_error::none) {
+        if (on_malformed_) {
+            on_malformed_();
+        }
         close(from.number);
         return;
     }
--- a/src/gateway/internal_server.hpp
+++ b/src/gateway/internal_server.hpp
@@ -46,7 +46,10 @@
     /// Calls `respond` once, at any time.
     using handler = std::function<void(const message_head&, std::string body, respond)>;
 
-    internal_server(boost::asio::io_context& context, const tcp::endpoint& address, handler handle);
+    /// `on_malformed` is called for each connection that is closed because what it sent is no
+    /// request; null: not at all.
+    internal_server(boost::asio::io_context& context, const tcp::endpoint& address, handler handle,
+                    std::function<void()> on_malformed = nullptr);
     ~internal_server();
     [[nodiscard]] tcp::endpoint address() const { return listener_->address(); }
 
@@ -59,6 +62,7 @@
 
     boost::asio::io_context& context_;
     handler handle_;
+    std::function<void()> on_malformed_;
     std::uint64_t next_number_ = 1;
     std::map<std::uint64_t, std::unique_ptr<session>> sessions_;
     std::unique_ptr<listener> listener_;
--- a/src/gateway/target_link.cpp
+++ b/src/gateway/target_link.cpp
@@ -130,11 +130,15 @@
             return;
         }
         if (is_answer_to_other_request_) {
+            report_discarded("answer to another request");
             start_parser();
             continue;
         }
         // Bytes after a complete answer belong to no request, so the link is not reused.
-        is_reusable_ = is_reusable_ && input_.empty();
+        if (!input_.empty()) {
+            is_reusable_ = false;
+            report_discarded("bytes after the answer");
+        }
         input_.clear();
         answered_ = true;
         const auto done = callbacks_.done;
@@ -143,6 +147,12 @@
     }
 }
 
+void target_link::report_discarded(std::string_view what) {
+    if (callbacks_.discarded) {
+        callbacks_.discarded(what);
+    }
+}
+
 void target_link::fail(std::error_code error) {
     is_reusable_ = false;
     connection_->close();
--- a/tests/gateway/call_client_test.cpp
+++ b/tests/gateway/call_client_test.cpp
@@ -381,3 +381,21 @@
            error == boost::asio::error::broken_pipe));
     CHECK(sent < (std::size_t{12} << 20U));
 }
+
+TEST_CASE("a connection that sends no request is closed and reported [call_client]") {
+    boost::asio::io_context context;
+    int malformed = 0;
+    internal_server server(
+        context, {boost::asio::ip::address_v4::loopback(), 0},
+        [](const message_head&, const std::string&, const internal_server::respond&) {},
+        [&] { ++malformed; });
+    tcp::socket peer(context);
+    peer.connect(server.address());
+    boost::asio::write(peer, boost::asio::buffer(std::string("\xff\x00 no request\r\n\r\n", 17)));
+    context.run_for(std::chrono::milliseconds(50));
+    CHECK(malformed == 1);
+    std::array<char, 1> byte{};
+    boost::system::error_code error;
+    peer.read_some(boost::asio::buffer(byte), error);
+    CHECK(error);
+}
--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -30,6 +30,18 @@
     const auto answer = path.receive("hello");
     CHECK(answer.find("wrong") == std::string::npos);
     CHECK(answer.find("hello") != std::string::npos);
+    CHECK(path.core.metrics.counters["target_bytes_discarded"] == 1);
+}
+
+TEST_CASE("bytes after an answer are discarded with their connection [path]") {
+    path_fixture path(request_kind::non_idempotent);
+    path.target.script = {good_answer + "more", good_answer};
+    path.post("r1");
+    CHECK(path.receive("hello").find("more") == std::string::npos);
+    CHECK(path.core.metrics.counters["target_bytes_discarded"] == 1);
+    path.post("r2");
+    CHECK(path.receive("hello").find("200 OK") != std::string::npos);
+    CHECK(path.target.connections == 2);
 }
 
 // A faulty target sends a refusal twice; the copy has the id of the request that is sent again.
